--- /dev/null
+++ b/cmd/toucanctl/commands.go
@@ -0,0 +1,7 @@
+package main
+
+import "github.com/jessevdk/go-flags"
+
+// addCommands adds each subcommand, one line a file.
+func addCommands(_ *flags.Parser) {
+}
--- /dev/null
+++ b/process/pool/grant.go
@@ -0,0 +1,74 @@
+// Package pool holds the scheduling home of a pool: its queue, its slots and the grants that are out.
+package pool
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// ErrRefused tells that a request got no slot and when to come back.
+type ErrRefused struct {
+	// Reason is a stable word for reports, such as "overload", "rate_limit" or "no_server".
+	Reason string
+	// RetryAfter is the time after which a new try may succeed.
+	RetryAfter time.Duration
+}
+
+func (e ErrRefused) Error() string {
+	return fmt.Sprintf("no slot: %s, retry after %s", e.Reason, e.RetryAfter)
+}
+
+// IsErrRefused tells whether err is an ErrRefused.
+func IsErrRefused(err error) bool {
+	var refused ErrRefused
+	return errors.As(err, &refused)
+}
+
+// Grant is a slot of one backend server, held by one attempt until Release.
+type Grant struct {
+	server    string
+	home      string
+	number    int
+	preempted chan struct{}
+	preempt   sync.Once
+	release   sync.Once
+	onRelease func(wire.GrantRelease)
+}
+
+// NewGrant returns a grant that calls onRelease once when it is released.
+func NewGrant(server, home string, number int, onRelease func(wire.GrantRelease)) *Grant {
+	return &Grant{
+		server:    server,
+		home:      home,
+		number:    number,
+		preempted: make(chan struct{}),
+		onRelease: onRelease,
+	}
+}
+
+// Server returns the name of the backend server.
+func (g *Grant) Server() string { return g.server }
+
+// Home returns the name of the instance that gave the grant.
+func (g *Grant) Home() string { return g.home }
+
+// Number returns the grant's number at its home.
+func (g *Grant) Number() int { return g.number }
+
+// Preempted is closed when the home asks to pause the stream and return the slot.
+func (g *Grant) Preempted() <-chan struct{} { return g.preempted }
+
+// Preempt closes the channel that Preempted returns.
+func (g *Grant) Preempt() { g.preempt.Do(func() { close(g.preempted) }) }
+
+// Release returns the slot with what was observed; calls after the first do nothing.
+func (g *Grant) Release(r wire.GrantRelease) {
+	g.release.Do(func() {
+		r.Grant = g.number
+		g.onRelease(r)
+	})
+}
