--- /dev/null
+++ b/connection/peer/link.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// ErrDown tells that a peer can't be reached now.
+type ErrDown struct {
+	// Peer is the peer's instance name.
+	Peer string
+}
+
+func (e ErrDown) Error() string { return fmt.Sprintf("peer %s is down", e.Peer) }
+
+// Link is the dialling end of the connection to one peer. Set the fields before Run.
+type Link struct {
+	// Peer is the peer's instance name.
+	Peer string
+	// Address is the peer's IP address and port.
+	Address string
+	// TLS authenticates both ends; nil is plain TCP.
+	TLS *tls.Config
+	// Log gets one line for each event.
+	Log *zap.Logger
+	// Self returns this instance's own heartbeat.
+	Self func() wire.Hello
+	// Heard is called for each answered heartbeat.
+	Heard func(from wire.Hello)
+	// Down is called each time a live link is lost.
+	Down func()
+	// Preempt is called when the peer asks to pause the stream of a grant.
+	Preempt func(p wire.GrantPreempt)
+
+	mu sync.Mutex
+	// conn is nil while the link is down.
+	conn *jsonrpc2.Conn
+}
+
+// Run keeps the link up until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.session(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// session dials and sends heartbeats until one fails.
+func (l *Link) session(ctx context.Context) {
+	raw, err := l.dial(ctx)
+	if err != nil {
+		return
+	}
+	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{raw})
+	handler := jsonrpc2.HandlerWithError(l.handle).SuppressErrClosed()
+	conn := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(rpcLogger{l.Log}))
+	defer func() { _ = conn.Close() }()
+	if err := l.heartbeat(ctx, conn); err != nil {
+		l.Log.Warn("peer_hello_failed", zap.String("peer", l.Peer), zap.Error(err))
+		return
+	}
+	l.set(conn)
+	l.Log.Info("peer_up", zap.String("peer", l.Peer))
+	err = l.beat(ctx, conn)
+	l.set(nil)
+	l.Log.Info("peer_down", zap.String("peer", l.Peer), zap.Error(err))
+	l.Down()
+}
+
+// dial connects and, where TLS is set, authenticates the peer.
+func (l *Link) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if l.TLS != nil {
+		d := tls.Dialer{Config: l.TLS}
+		return d.DialContext(ctx, "tcp", l.Address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", l.Address)
+}
+
+// beat sends heartbeats until one fails, the connection closes or ctx ends.
+func (l *Link) beat(ctx context.Context, conn *jsonrpc2.Conn) error {
+	tick := time.NewTicker(HeartbeatInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-conn.DisconnectNotify():
+			return jsonrpc2.ErrClosed
+		case <-tick.C:
+		}
+		if err := l.heartbeat(ctx, conn); err != nil {
+			return err
+		}
+	}
+}
+
+// heartbeat exchanges one hello.
+func (l *Link) heartbeat(ctx context.Context, conn *jsonrpc2.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout-HeartbeatInterval)
+	defer cancel()
+	var reply wire.Hello
+	if err := conn.Call(ctx, methodHello, l.Self(), &reply); err != nil {
+		return err
+	}
+	if err := checkFormat(reply.Instance, reply.Format); err != nil {
+		return err
+	}
+	l.Heard(reply)
+	return nil
+}
+
+// handle takes the notifications of the accepting end.
+func (l *Link) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Method != methodPreempt {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+	}
+	p, err := decode[wire.GrantPreempt](req)
+	if err != nil {
+		return nil, err
+	}
+	l.Preempt(p)
+	return nil, nil
+}
+
+func (l *Link) set(conn *jsonrpc2.Conn) {
+	l.mu.Lock()
+	l.conn = conn
+	l.mu.Unlock()
+}
+
+func (l *Link) get() (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return nil, ErrDown{Peer: l.Peer}
+	}
+	return l.conn, nil
+}
+
+// Up tells whether the link is live.
+func (l *Link) Up() bool {
+	_, err := l.get()
+	return err == nil
+}
+
+// Ask asks the peer for a slot and waits for the answer. When ctx ends first the ask is taken back; late gets a
+// grant whose answer crossed the cancellation.
+func (l *Link) Ask(ctx context.Context, ask wire.GrantAsk, late func(wire.GrantReply)) (wire.GrantReply, error) {
+	conn, err := l.get()
+	if err != nil {
+		return wire.GrantReply{}, err
+	}
+	waiter, err := conn.DispatchCall(ctx, methodAsk, ask)
+	if err != nil {
+		return wire.GrantReply{}, ErrDown{Peer: l.Peer}
+	}
+	var reply wire.GrantReply
+	err = waiter.Wait(ctx, &reply)
+	if err == nil {
+		return reply, nil
+	}
+	if ctx.Err() == nil {
+		return wire.GrantReply{}, ErrDown{Peer: l.Peer}
+	}
+	go l.cancel(conn, ask, waiter, late)
+	return wire.GrantReply{}, ctx.Err()
+}
+
+// cancel takes an ask back and hands a crossing grant to late.
+func (l *Link) cancel(conn *jsonrpc2.Conn, ask wire.GrantAsk, waiter jsonrpc2.Waiter, late func(wire.GrantReply)) {
+	ctx, cancel := context.WithTimeout(context.Background(), HeartbeatTimeout)
+	defer cancel()
+	_ = conn.Notify(ctx, methodCancel, wire.GrantCancel{Pool: ask.Pool, RequestID: ask.RequestID})
+	var reply wire.GrantReply
+	if err := waiter.Wait(ctx, &reply); err == nil && reply.Grant != 0 {
+		late(reply)
+	}
+}
+
+// Release returns a slot to the peer.
+func (l *Link) Release(ctx context.Context, r wire.GrantRelease) error {
+	return l.notify(ctx, methodRelease, r)
+}
+
+// Claim tells the peer which slots this instance holds from an earlier home.
+func (l *Link) Claim(ctx context.Context, c wire.GrantClaim) error {
+	return l.notify(ctx, methodClaim, c)
+}
+
+// Sync asks the peer for the objects that are newer than this instance's.
+func (l *Link) Sync(ctx context.Context, ask wire.SyncAsk) (wire.SyncReply, error) {
+	var reply wire.SyncReply
+	err := l.call(ctx, methodSync, ask, &reply)
+	return reply, err
+}
+
+func (l *Link) notify(ctx context.Context, method string, params any) error {
+	conn, err := l.get()
+	if err != nil {
+		return err
+	}
+	return conn.Notify(ctx, method, params)
+}
+
+func (l *Link) call(ctx context.Context, method string, params, result any) error {
+	conn, err := l.get()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout)
+	defer cancel()
+	return conn.Call(ctx, method, params, result)
+}
--- /dev/null
+++ b/connection/peer/peer_test.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// freeAddr returns a loopback address that nothing listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// pair is a server "home" and a link "entry" that dials it.
+type pair struct {
+	server   *Server
+	link     *Link
+	preempts chan wire.GrantPreempt
+	lost     chan string
+	released chan wire.GrantRelease
+	format   atomic.Int64
+}
+
+func newPair(t *testing.T, ask func(context.Context, string, wire.GrantAsk) wire.GrantReply) *pair {
+	t.Helper()
+	p := &pair{
+		preempts: make(chan wire.GrantPreempt, 1),
+		lost:     make(chan string, 1),
+		released: make(chan wire.GrantRelease, 8),
+	}
+	p.format.Store(Format)
+	addr := freeAddr(t)
+	p.server = &Server{
+		Listen:  addr,
+		Log:     zap.NewNop(),
+		Self:    func() wire.Hello { return wire.Hello{Instance: "home", Format: Format} },
+		Heard:   func(wire.Hello) {},
+		Ask:     ask,
+		Release: func(_ string, r wire.GrantRelease) { p.released <- r },
+		Claim:   func(string, wire.GrantClaim) {},
+		Sync:    func(wire.SyncAsk) wire.SyncReply { return wire.SyncReply{} },
+		Lost:    func(instance string) { p.lost <- instance },
+	}
+	p.link = &Link{
+		Peer:    "home",
+		Address: addr,
+		Log:     zap.NewNop(),
+		Self:    func() wire.Hello { return wire.Hello{Instance: "entry", Format: int(p.format.Load())} },
+		Heard:   func(wire.Hello) {},
+		Down:    func() {},
+		Preempt: func(pr wire.GrantPreempt) { p.preempts <- pr },
+	}
+	return p
+}
+
+// run starts both ends; the returned function stops the link alone.
+func (p *pair) run(t *testing.T) context.CancelFunc {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	lctx, stopLink := context.WithCancel(ctx)
+	served := make(chan error, 1)
+	linked := make(chan struct{})
+	go func() { served <- p.server.Run(ctx) }()
+	go func() { p.link.Run(lctx); close(linked) }()
+	t.Cleanup(func() {
+		stopLink()
+		cancel()
+		<-linked
+		assert.NilError(t, <-served)
+	})
+	return stopLink
+}
+
+func (p *pair) waitUp(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.link.Up() {
+			return poll.Success()
+		}
+		return poll.Continue("link is down")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func TestAskPreemptRelease(t *testing.T) {
+	p := newPair(t, func(_ context.Context, from string, ask wire.GrantAsk) wire.GrantReply {
+		assert.Check(t, from == "entry")
+		return wire.GrantReply{Grant: 7, Server: ask.Pool + "-1"}
+	})
+	p.run(t)
+	p.waitUp(t)
+	ctx := context.Background()
+	reply, err := p.link.Ask(ctx, wire.GrantAsk{RequestID: "r1", Pool: "chat"}, nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply, wire.GrantReply{Grant: 7, Server: "chat-1"})
+	assert.Assert(t, p.server.Preempt("entry", wire.GrantPreempt{Pool: "chat", Grant: 7}))
+	assert.Equal(t, (<-p.preempts).Grant, 7)
+	assert.NilError(t, p.link.Release(ctx, wire.GrantRelease{Pool: "chat", Grant: 7, Tokens: 3}))
+	assert.Equal(t, (<-p.released).Tokens, 3)
+}
+
+func TestCancelledAskEndsAtTheHomeAndItsGrantComesBack(t *testing.T) {
+	started := make(chan struct{})
+	p := newPair(t, func(ctx context.Context, _ string, _ wire.GrantAsk) wire.GrantReply {
+		close(started)
+		<-ctx.Done()
+		return wire.GrantReply{Grant: 9, Server: "s"}
+	})
+	p.run(t)
+	p.waitUp(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	late := make(chan wire.GrantReply, 1)
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := p.link.Ask(ctx, wire.GrantAsk{RequestID: "r2", Pool: "chat"}, func(r wire.GrantReply) { late <- r })
+	assert.ErrorIs(t, err, context.Canceled)
+	select {
+	case r := <-late:
+		assert.Equal(t, r.Grant, 9)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the crossing grant did not come back")
+	}
+}
+
+func TestLostPeerIsToldOnce(t *testing.T) {
+	p := newPair(t, nil)
+	stopLink := p.run(t)
+	p.waitUp(t)
+	stopLink()
+	select {
+	case name := <-p.lost:
+		assert.Equal(t, name, "entry")
+	case <-time.After(HeartbeatTimeout + 2*time.Second):
+		t.Fatal("the loss was not told")
+	}
+}
+
+func TestDistantFormatIsRefused(t *testing.T) {
+	p := newPair(t, nil)
+	p.format.Store(Format + 2)
+	p.run(t)
+	time.Sleep(HeartbeatInterval)
+	assert.Assert(t, !p.link.Up())
+	p.format.Store(Format + 1)
+	p.waitUp(t)
+}
--- /dev/null
+++ b/connection/peer/server.go
@@ -0,0 +1,285 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Server accepts the links of other instances. Set the fields before Run.
+type Server struct {
+	// Listen is the IP address and port to listen on.
+	Listen string
+	// TLS authenticates both ends; nil is plain TCP.
+	TLS *tls.Config
+	// Log gets one line for each event.
+	Log *zap.Logger
+	// Self returns this instance's own heartbeat.
+	Self func() wire.Hello
+	// Heard is called for each heartbeat of a peer.
+	Heard func(from wire.Hello)
+	// Ask answers a request for a slot; it may block until ctx ends.
+	Ask func(ctx context.Context, from string, ask wire.GrantAsk) wire.GrantReply
+	// Release takes a slot back.
+	Release func(from string, r wire.GrantRelease)
+	// Claim hears which slots a peer holds from an earlier home.
+	Claim func(from string, c wire.GrantClaim)
+	// Sync returns the objects that are newer than the asker's.
+	Sync func(ask wire.SyncAsk) wire.SyncReply
+	// Lost is called when a peer has had no session for HeartbeatTimeout.
+	Lost func(instance string)
+
+	mu sync.Mutex
+	// sessions holds the newest session of each peer.
+	sessions map[string]*session
+}
+
+// session is one accepted link.
+type session struct {
+	server *Server
+	conn   *jsonrpc2.Conn
+	raw    net.Conn
+
+	mu sync.Mutex
+	// instance is empty until the first heartbeat.
+	instance string
+	// asks holds the cancel function of each unanswered ask by request id.
+	asks map[string]context.CancelFunc
+	idle *time.Timer
+}
+
+// Run listens and serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.sessions = map[string]*session{}
+	s.mu.Unlock()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	if s.TLS != nil {
+		ln = tls.NewListener(ln, s.TLS)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	s.Log.Info("peers_listening", zap.String("addr", s.Listen), zap.Bool("tls", s.TLS != nil))
+	for {
+		raw, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.Log.Warn("peer_accept_failed", zap.Error(err))
+			continue
+		}
+		go s.serve(ctx, raw)
+	}
+}
+
+// serve runs one session until its connection closes.
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	if !s.handshake(ctx, raw) {
+		return
+	}
+	sess := &session{server: s, raw: raw, asks: map[string]context.CancelFunc{}}
+	sess.idle = time.AfterFunc(HeartbeatTimeout, func() { _ = raw.Close() })
+	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{raw})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(sess.handle).SuppressErrClosed())
+	sess.mu.Lock()
+	sess.conn = jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(rpcLogger{s.Log}))
+	conn := sess.conn
+	sess.mu.Unlock()
+	select {
+	case <-conn.DisconnectNotify():
+	case <-ctx.Done():
+		_ = conn.Close()
+	}
+	sess.end()
+}
+
+// handshake finishes the TLS handshake and tells whether the connection may be served.
+func (s *Server) handshake(ctx context.Context, raw net.Conn) bool {
+	secure, ok := raw.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	hctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := secure.HandshakeContext(hctx); err != nil {
+		s.Log.Warn("peer_rejected", zap.String("addr", raw.RemoteAddr().String()), zap.Error(err))
+		_ = raw.Close()
+		return false
+	}
+	return true
+}
+
+// Preempt asks a peer to pause the stream of a grant. It returns false where the peer has no session.
+func (s *Server) Preempt(instance string, p wire.GrantPreempt) bool {
+	s.mu.Lock()
+	sess := s.sessions[instance]
+	s.mu.Unlock()
+	if sess == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	return sess.conn.Notify(ctx, methodPreempt, p) == nil
+}
+
+// handle answers one request of the session.
+func (s *session) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Method == methodHello {
+		return s.hello(req)
+	}
+	from := s.name()
+	if from == "" {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "hello comes first"}
+	}
+	switch req.Method {
+	case methodAsk:
+		return s.ask(ctx, from, req)
+	case methodCancel:
+		return s.cancel(req)
+	case methodRelease:
+		return s.release(from, req)
+	case methodClaim:
+		return s.claim(from, req)
+	case methodSync:
+		return s.sync(req)
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
+}
+
+func (s *session) name() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instance
+}
+
+func (s *session) hello(req *jsonrpc2.Request) (any, error) {
+	hello, err := decode[wire.Hello](req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFormat(hello.Instance, hello.Format); err != nil {
+		s.server.Log.Warn("peer_refused", zap.String("peer", hello.Instance), zap.Error(err))
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+	}
+	s.idle.Reset(HeartbeatTimeout)
+	s.register(hello.Instance)
+	s.server.Heard(hello)
+	return s.server.Self(), nil
+}
+
+// register makes the session the newest one of its peer.
+func (s *session) register(instance string) {
+	s.mu.Lock()
+	known := s.instance != ""
+	s.instance = instance
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	s.server.mu.Lock()
+	s.server.sessions[instance] = s
+	s.server.mu.Unlock()
+	s.server.Log.Info("peer_joined", zap.String("peer", instance))
+}
+
+func (s *session) ask(ctx context.Context, from string, req *jsonrpc2.Request) (any, error) {
+	ask, err := decode[wire.GrantAsk](req)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.asks[ask.RequestID] = cancel
+	s.mu.Unlock()
+	defer s.forget(ask.RequestID, cancel)
+	return s.server.Ask(ctx, from, ask), nil
+}
+
+func (s *session) forget(id string, cancel context.CancelFunc) {
+	s.mu.Lock()
+	delete(s.asks, id)
+	s.mu.Unlock()
+	cancel()
+}
+
+func (s *session) cancel(req *jsonrpc2.Request) (any, error) {
+	c, err := decode[wire.GrantCancel](req)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	cancel := s.asks[c.RequestID]
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	return nil, nil
+}
+
+func (s *session) release(from string, req *jsonrpc2.Request) (any, error) {
+	r, err := decode[wire.GrantRelease](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.Release(from, r)
+	return nil, nil
+}
+
+func (s *session) claim(from string, req *jsonrpc2.Request) (any, error) {
+	c, err := decode[wire.GrantClaim](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.Claim(from, c)
+	return nil, nil
+}
+
+func (s *session) sync(req *jsonrpc2.Request) (any, error) {
+	ask, err := decode[wire.SyncAsk](req)
+	if err != nil {
+		return nil, err
+	}
+	return s.server.Sync(ask), nil
+}
+
+// end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
+func (s *session) end() {
+	s.idle.Stop()
+	_ = s.raw.Close()
+	s.mu.Lock()
+	instance := s.instance
+	for _, cancel := range s.asks {
+		cancel()
+	}
+	s.mu.Unlock()
+	if instance == "" {
+		return
+	}
+	time.AfterFunc(HeartbeatTimeout, func() { s.server.lost(instance, s) })
+}
+
+// lost reports the peer unless a newer session has taken the place of ended.
+func (s *Server) lost(instance string, ended *session) {
+	s.mu.Lock()
+	if s.sessions[instance] != ended {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.sessions, instance)
+	s.mu.Unlock()
+	s.Log.Warn("peer_lost", zap.String("peer", instance))
+	s.Lost(instance)
+}
--- /dev/null
+++ b/process/burn/book_test.go
@@ -0,0 +1,30 @@
+package burn
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func class(string) wire.Class { return wire.Class{Tier: 1, Attainment: 0.99} }
+
+func TestBookForgetsWhatIsOlderThanItsWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b Book
+		b.Record(Result{Workspace: "w", Class: "c", Cause: CauseQueueing, Tokens: 5})
+		time.Sleep(ShortWindow + slotLength)
+		b.Record(Result{Workspace: "w", Class: "c", Cause: CauseNone, Tokens: 7, Cheap: true})
+		rows := b.Rows(class)
+		assert.Equal(t, len(rows), 1)
+		assert.DeepEqual(t, rows[0].Short, wire.BurnCounts{Good: 1})
+		assert.DeepEqual(t, rows[0].Long, wire.BurnCounts{Good: 1, Queueing: 1})
+		assert.Equal(t, rows[0].Tokens, 12)
+		time.Sleep(LongWindow + slotLength)
+		assert.DeepEqual(t, b.Rows(class)[0].Long, wire.BurnCounts{})
+		assert.Equal(t, b.Rows(class)[0].Cheap, 1)
+	})
+}
--- /dev/null
+++ b/process/home/router.go
@@ -0,0 +1,239 @@
+// Package home finds the scheduling home of a pool and gets grants from it, on this instance or on a peer.
+//
+// The home of a pool is the first live instance of the data centre in rendezvous order. Where it can't be reached
+// the next one is asked; where none can, this instance serves with a share of the slots.
+//
+// Lock order: Router.mu is a leaf; it is never held while a home or a link is called.
+package home
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// maxHomes is the number of homes that one request asks in its own data centre before it is served by share.
+const maxHomes = 3
+
+// spillBudget is the smallest rest of a class's target, as a share, with which another data centre is asked.
+const spillBudget = 0.5
+
+// Peer asks a pool's home on another instance.
+type Peer struct {
+	// Ask asks for a slot; late gets a grant whose answer crossed the cancellation.
+	Ask func(ctx context.Context, ask wire.GrantAsk, late func(wire.GrantReply)) (wire.GrantReply, error)
+	// Release returns a slot.
+	Release func(ctx context.Context, r wire.GrantRelease) error
+	// Claim tells which slots this instance holds from an earlier home.
+	Claim func(ctx context.Context, c wire.GrantClaim) error
+}
+
+// Router gets grants for the requests of this instance. Set the fields before use.
+type Router struct {
+	// Instance is this instance's name.
+	Instance string
+	// DataCentre is this instance's data centre.
+	DataCentre string
+	// Log gets one line for each event.
+	Log *zap.Logger
+	// Homes returns the candidates for a pool's home in a data centre, best first.
+	Homes func(pool, dataCentre string) []string
+	// DataCentres returns all data centres of the configuration in force.
+	DataCentres func() []string
+	// Peer returns the link to an instance; false where there is none.
+	Peer func(instance string) (Peer, bool)
+	// Local returns this instance's home of a pool.
+	Local func(pool string) *pool.Home
+	// Share returns this instance's home of a pool with its share of the slots only.
+	Share func(pool string) *pool.Home
+	// Target returns the target for the first token of a class.
+	Target func(class string) time.Duration
+	// Serves tells whether a data centre has backend servers of a pool.
+	Serves func(pool, dataCentre string) bool
+
+	mu sync.Mutex
+	// held has each grant that this instance holds, by its home and number.
+	held map[heldKey]*held
+}
+
+// heldKey names a grant.
+type heldKey struct {
+	home   string
+	pool   string
+	number int
+}
+
+// held is a grant with the ask that it answered.
+type held struct {
+	grant *pool.Grant
+	ask   wire.GrantAsk
+}
+
+// Acquire returns a slot for ask, or pool.ErrRefused with the time to come back.
+func (r *Router) Acquire(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error) {
+	arrived := time.Now().Add(-time.Duration(ask.WaitedMs) * time.Millisecond)
+	g, err := r.own(ctx, ask, arrived)
+	if err == nil || !r.maySpill(ask, arrived, err) {
+		return g, err
+	}
+	if other, ok := r.spill(ctx, ask, arrived); ok {
+		return other, nil
+	}
+	return nil, err
+}
+
+// own gets a grant in this data centre.
+func (r *Router) own(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
+	if !r.Serves(ask.Pool, r.DataCentre) {
+		return nil, pool.ErrRefused{Reason: "no_server", RetryAfter: time.Second}
+	}
+	homes := r.Homes(ask.Pool, r.DataCentre)
+	if len(homes) > maxHomes {
+		homes = homes[:maxHomes]
+	}
+	for _, instance := range homes {
+		ask.WaitedMs = int(time.Since(arrived).Milliseconds())
+		g, err := r.askHome(ctx, instance, ask)
+		if err == nil || pool.IsErrRefused(err) || ctx.Err() != nil {
+			return g, err
+		}
+		r.Log.Warn("home_unreachable", zap.String("pool", ask.Pool), zap.String("home", instance), zap.Error(err))
+	}
+	ask.WaitedMs = int(time.Since(arrived).Milliseconds())
+	return r.Share(ask.Pool).Ask(ctx, r.Instance, ask)
+}
+
+// maySpill tells whether another data centre may be asked after err.
+func (r *Router) maySpill(ask wire.GrantAsk, arrived time.Time, err error) bool {
+	var refused pool.ErrRefused
+	if !errors.As(err, &refused) || refused.Reason == "rate_limit" {
+		return false
+	}
+	left := 1 - float64(time.Since(arrived))/float64(r.Target(ask.Class))
+	return left >= spillBudget
+}
+
+// spill asks the home of the same pool in the other data centres, in their order after this one.
+func (r *Router) spill(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, bool) {
+	for _, dc := range after(r.DataCentres(), r.DataCentre) {
+		homes := r.Homes(ask.Pool, dc)
+		if len(homes) == 0 || !r.Serves(ask.Pool, dc) {
+			continue
+		}
+		ask.WaitedMs = int(time.Since(arrived).Milliseconds())
+		if g, err := r.askHome(ctx, homes[0], ask); err == nil {
+			return g, true
+		}
+		if ctx.Err() != nil {
+			return nil, false
+		}
+	}
+	return nil, false
+}
+
+// after returns the names that follow own in a ring, without own.
+func after(names []string, own string) []string {
+	for i, n := range names {
+		if n == own {
+			return append(append([]string{}, names[i+1:]...), names[:i]...)
+		}
+	}
+	return names
+}
+
+// askHome asks one instance's home of the pool.
+func (r *Router) askHome(ctx context.Context, instance string, ask wire.GrantAsk) (*pool.Grant, error) {
+	if instance == r.Instance {
+		return r.Local(ask.Pool).Ask(ctx, r.Instance, ask)
+	}
+	peer, ok := r.Peer(instance)
+	if !ok {
+		return nil, ErrNoLink{Instance: instance}
+	}
+	late := func(reply wire.GrantReply) {
+		_ = peer.Release(context.Background(), wire.GrantRelease{Pool: ask.Pool, Grant: reply.Grant})
+	}
+	reply, err := peer.Ask(ctx, ask, late)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Grant == 0 {
+		return nil, pool.ErrRefused{Reason: reply.Reason, RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
+	}
+	return r.hold(instance, ask, reply), nil
+}
+
+// hold keeps a peer's grant until it is released.
+func (r *Router) hold(instance string, ask wire.GrantAsk, reply wire.GrantReply) *pool.Grant {
+	key := heldKey{home: instance, pool: ask.Pool, number: reply.Grant}
+	g := pool.NewGrant(reply.Server, instance, reply.Grant, func(rel wire.GrantRelease) {
+		rel.Pool = ask.Pool
+		r.drop(key)
+		if peer, ok := r.Peer(instance); ok {
+			_ = peer.Release(context.Background(), rel)
+		}
+	})
+	r.mu.Lock()
+	if r.held == nil {
+		r.held = map[heldKey]*held{}
+	}
+	r.held[key] = &held{grant: g, ask: ask}
+	r.mu.Unlock()
+	return g
+}
+
+func (r *Router) drop(key heldKey) {
+	r.mu.Lock()
+	delete(r.held, key)
+	r.mu.Unlock()
+}
+
+// Preempt closes the grant's Preempted channel on the word of its home.
+func (r *Router) Preempt(home string, p wire.GrantPreempt) {
+	r.mu.Lock()
+	h := r.held[heldKey{home: home, pool: p.Pool, number: p.Grant}]
+	r.mu.Unlock()
+	if h != nil {
+		h.grant.Preempt()
+	}
+}
+
+// Reclaim tells the new homes of each pool which slots this instance holds from a lost home.
+func (r *Router) Reclaim(lost string) {
+	claims := map[string][]wire.HeldGrant{}
+	r.mu.Lock()
+	for key, h := range r.held {
+		if key.home == lost {
+			claims[key.pool] = append(claims[key.pool], wire.HeldGrant{
+				RequestID: h.ask.RequestID,
+				Server:    h.grant.Server(),
+				Class:     h.ask.Class,
+				Workspace: h.ask.Workspace,
+			})
+		}
+	}
+	r.mu.Unlock()
+	for name, grants := range claims {
+		homes := r.Homes(name, r.DataCentre)
+		if len(homes) == 0 || homes[0] == r.Instance {
+			continue
+		}
+		if peer, ok := r.Peer(homes[0]); ok {
+			_ = peer.Claim(context.Background(), wire.GrantClaim{Pool: name, Grants: grants})
+		}
+	}
+}
+
+// ErrNoLink tells that an instance has no link to a home.
+type ErrNoLink struct {
+	// Instance is the home's instance.
+	Instance string
+}
+
+func (e ErrNoLink) Error() string { return "no link to instance " + e.Instance }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -29,6 +29,25 @@
 	Exclude []string `json:"x,omitempty,omitzero"`
 }
 
+// GrantCancel takes back a GrantAsk that has no answer yet.
+type GrantCancel struct {
+	// Request id.
+	RequestID string `json:"i"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
+// GrantClaim tells a pool's new home which slots the sender holds from an earlier
+// home.
+type GrantClaim struct {
+	// Grants corresponds to the JSON schema field "grants".
+	Grants []HeldGrant `json:"grants"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
 // GrantPreempt asks the holder of a grant to pause its stream and return the slot.
 type GrantPreempt struct {
 	// Grant corresponds to the JSON schema field "g".
@@ -77,6 +96,20 @@
 	Server string `json:"s,omitempty,omitzero"`
 }
 
+type HeldGrant struct {
+	// Class.
+	Class string `json:"c"`
+
+	// Request id.
+	RequestID string `json:"i"`
+
+	// Backend server.
+	Server string `json:"s"`
+
+	// Workspace.
+	Workspace string `json:"w"`
+}
+
 type Hello struct {
 	// Configuration version in force at the sender.
 	Config int `json:"config,omitempty,omitzero"`
@@ -84,12 +117,18 @@
 	// DataCentre corresponds to the JSON schema field "data_centre".
 	DataCentre string `json:"data_centre"`
 
+	// Highest object version of the fleet records in force at the sender.
+	Fleet int `json:"fleet,omitempty,omitzero"`
+
 	// Version of the message format; neighbours work together.
 	Format int `json:"format"`
 
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance"`
 
+	// Highest object version of the keyrings in force at the sender.
+	Keys int `json:"keys,omitempty,omitzero"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 }
@@ -100,6 +139,12 @@
 	// Ask corresponds to the JSON schema field "ask".
 	Ask *GrantAsk `json:"ask,omitempty,omitzero"`
 
+	// Cancel corresponds to the JSON schema field "cancel".
+	Cancel *GrantCancel `json:"cancel,omitempty,omitzero"`
+
+	// Claim corresponds to the JSON schema field "claim".
+	Claim *GrantClaim `json:"claim,omitempty,omitzero"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
@@ -111,4 +156,28 @@
 
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *GrantReply `json:"reply,omitempty,omitzero"`
+
+	// SyncAsk corresponds to the JSON schema field "syncAsk".
+	SyncAsk *SyncAsk `json:"syncAsk,omitempty,omitzero"`
+
+	// SyncReply corresponds to the JSON schema field "syncReply".
+	SyncReply *SyncReply `json:"syncReply,omitempty,omitzero"`
+}
+
+// SyncAsk asks for what is newer than the given versions.
+type SyncAsk struct {
+	// Configuration version in force at the sender.
+	Config int `json:"config"`
+
+	// Highest object version of the sender's fleet records.
+	Fleet int `json:"fleet"`
+
+	// Highest object version of the sender's keyrings.
+	Keys int `json:"keys"`
+}
+
+// SyncReply holds the objects that are newer.
+type SyncReply struct {
+	// Objects corresponds to the JSON schema field "objects".
+	Objects []Object `json:"objects"`
 }
