--- /dev/null
+++ b/load/replay/request.go
@@ -0,0 +1,200 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// longestEvent bounds one event of a stream, in bytes.
+const longestEvent = 1 << 20
+
+// word stands for one token of a made prompt.
+const word = "laddu "
+
+// chatRequest is the body of a completions call.
+type chatRequest struct {
+	Model         string        `json:"model"`
+	Messages      []chatMessage `json:"messages"`
+	Stream        bool          `json:"stream"`
+	StreamOptions streamOptions `json:"stream_options"`
+	StandinTokens int           `json:"standin_tokens"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// chatChunk is one event of an answer, or the error that ends it.
+type chatChunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens    int `json:"completion_tokens"`
+		PromptTokensDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Error *wire.ErrorBody `json:"error"`
+}
+
+// serviceRequest is the body of a service call.
+type serviceRequest struct {
+	ID string `json:"id"`
+}
+
+// send sends one arrival and waits for its end.
+func (p *Replayer) send(ctx context.Context, i int, a wire.Arrival) Result {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	res := Result{Arrival: a, Outcome: OutcomeFailed}
+	req, err := p.request(ctx, p.Instances[i%len(p.Instances)], a)
+	if err != nil {
+		res.Reason = err.Error()
+		return res
+	}
+	start := time.Now()
+	resp, err := p.Client.Do(req)
+	if err != nil {
+		res.Reason = "no_answer"
+		return res
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode/100 != 2:
+		res.readError(resp.Body)
+	case a.Kind == wire.ArrivalKindModel:
+		res.readStream(resp.Body, start)
+	default:
+		res.readWhole(resp.Body, start)
+	}
+	res.Duration = time.Since(start)
+	return res
+}
+
+// request builds the HTTP request of an arrival.
+func (p *Replayer) request(ctx context.Context, addr string, a wire.Arrival) (*http.Request, error) {
+	method, path, body := http.MethodPost, "/v1/chat/completions", any(chatBody(a))
+	if a.Kind == wire.ArrivalKindService {
+		method, path, body = a.Method, "/v1/services/"+a.Route+a.Path, serviceRequest{ID: a.Id}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, p.Scheme+"://"+addr+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Toucan-Class", a.Class)
+	if key := p.Keys[a.Workspace]; key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	if a.Kind == wire.ArrivalKindService {
+		req.Header.Set("Idempotency-Key", a.Id)
+	}
+	return req, nil
+}
+
+func chatBody(a wire.Arrival) chatRequest {
+	prompt := fmt.Sprintf("%s prefix %d. ", a.Workspace, a.Prefix)
+	return chatRequest{
+		Model: a.Route,
+		Messages: []chatMessage{
+			{Role: "system", Content: prompt + strings.Repeat(word, a.PromptTokens/2)},
+			{Role: "user", Content: a.Id + " " + strings.Repeat(word, a.PromptTokens/2)},
+		},
+		Stream:        true,
+		StreamOptions: streamOptions{IncludeUsage: true},
+		StandinTokens: a.AnswerTokens,
+	}
+}
+
+// readError takes an error answer in.
+func (r *Result) readError(body io.Reader) {
+	var e wire.ErrorAnswer
+	if err := json.NewDecoder(io.LimitReader(body, longestEvent)).Decode(&e); err != nil {
+		r.Reason = "no_error_body"
+		return
+	}
+	r.fail(e.Error)
+}
+
+func (r *Result) fail(e wire.ErrorBody) {
+	r.Reason = e.Code
+	r.Outcome = OutcomeUnknown
+	if e.NotRun {
+		r.Outcome = OutcomeRefused
+	}
+}
+
+// readWhole takes the answer of a service call in.
+func (r *Result) readWhole(body io.Reader, start time.Time) {
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		r.Reason = "cut"
+		return
+	}
+	r.FirstToken = time.Since(start)
+	r.Outcome = OutcomeOK
+}
+
+// readStream takes the events of a completion in.
+func (r *Result) readStream(body io.Reader, start time.Time) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, longestEvent)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Outcome = OutcomeOK
+			return
+		}
+		if !r.readChunk(data, start) {
+			return
+		}
+	}
+	r.Reason = "cut"
+}
+
+// readChunk takes one event in; false when it ends the answer.
+func (r *Result) readChunk(data string, start time.Time) bool {
+	var c chatChunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		r.Reason = "bad_event"
+		return false
+	}
+	if c.Error != nil {
+		r.fail(*c.Error)
+		return false
+	}
+	if c.Usage != nil {
+		r.Cached = c.Usage.PromptTokensDetails.CachedTokens
+	}
+	if len(c.Choices) == 0 || c.Choices[0].Delta.Content == "" {
+		return true
+	}
+	if r.Tokens == 0 {
+		r.FirstToken = time.Since(start)
+	}
+	r.Tokens++
+	return true
+}
