--- /dev/null
+++ b/version/settings/settings.go
@@ -0,0 +1,130 @@
+// Package settings loads and checks the settings file of a daemon.
+package settings
+
+import (
+	"net/netip"
+	"strconv"
+	"sync"
+
+	"github.com/toucanroute/toucanroute/version/document"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Settings are the facts that one daemon learns from its settings file.
+type Settings = wire.Settings
+
+// ErrSettings tells what is wrong with one field; all faults of a file come together as a document.ErrFields.
+type ErrSettings = document.ErrField
+
+// IsErrSettings tells whether err is or holds an ErrSettings.
+func IsErrSettings(err error) bool { return document.IsErrField(err) }
+
+var loadSchema = sync.OnceValues(func() (*document.Schema, error) {
+	return document.NewSchema("settings")
+})
+
+// Load reads the settings file at path. All faults are reported in one error.
+// Log and Tls of the result are never nil and the log level is set.
+func Load(path string) (*Settings, error) {
+	d, err := document.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	return load(d)
+}
+
+// Parse reads settings from data; file is the name that errors give.
+func Parse(file string, data []byte) (*Settings, error) {
+	d, err := document.Parse(file, data)
+	if err != nil {
+		return nil, err
+	}
+	return load(d)
+}
+
+func load(d *document.Document) (*Settings, error) {
+	schema, err := loadSchema()
+	if err != nil {
+		return nil, err
+	}
+	if err := schema.Check(d); err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	if err := d.Decode(s); err != nil {
+		return nil, err
+	}
+	fillDefaults(s)
+	return s, check(d, s)
+}
+
+func fillDefaults(s *Settings) {
+	if s.Log == nil {
+		s.Log = &wire.SettingsLog{}
+	}
+	if s.Log.Level == "" {
+		s.Log.Level = wire.SettingsLogLevelInfo
+	}
+	if s.Tls == nil {
+		s.Tls = &wire.SettingsTLS{}
+	}
+}
+
+// check returns the faults that a schema can't express.
+func check(d *document.Document, s *Settings) error {
+	var faults []ErrSettings
+	if s.Tls.Peers == nil && !isLoopback(s.Listen.Peers) {
+		faults = append(faults, loopbackFault(d, "peers"))
+	}
+	if s.Tls.Operators == nil && !isLoopback(s.Listen.Operators) {
+		faults = append(faults, loopbackFault(d, "operators"))
+	}
+	faults = append(faults, checkListen(d, s)...)
+	faults = append(faults, checkPeers(d, s)...)
+	return d.Join(faults...)
+}
+
+func loopbackFault(d *document.Document, listener string) ErrSettings {
+	return d.Fault([]string{"listen", listener}, "", "a loopback address, or certificates in tls."+listener)
+}
+
+func isLoopback(address string) bool {
+	ap, err := netip.ParseAddrPort(address)
+	return err == nil && ap.Addr().Unmap().IsLoopback()
+}
+
+// checkListen refuses one address for two listeners.
+func checkListen(d *document.Document, s *Settings) []ErrSettings {
+	var faults []ErrSettings
+	seen := map[string]string{}
+	for _, l := range []struct{ name, address string }{
+		{"callers", s.Listen.Callers},
+		{"peers", s.Listen.Peers},
+		{"operators", s.Listen.Operators},
+	} {
+		ap, err := netip.ParseAddrPort(l.address)
+		if err != nil || ap.Port() == 0 {
+			continue
+		}
+		other, taken := seen[l.address]
+		if taken {
+			faults = append(faults, d.Fault([]string{"listen", l.name}, "", "an address other than that of listen."+other))
+		}
+		seen[l.address] = l.name
+	}
+	return faults
+}
+
+// checkPeers refuses an instance that is its own peer or is listed twice.
+func checkPeers(d *document.Document, s *Settings) []ErrSettings {
+	var faults []ErrSettings
+	seen := map[string]bool{s.Instance: true}
+	for i, p := range s.Peers {
+		if seen[p.Instance] {
+			path := []string{"peers", strconv.Itoa(i), "instance"}
+			faults = append(faults, d.Fault(path, "", "each instance once, and not this one"))
+		}
+		seen[p.Instance] = true
+	}
+	return faults
+}
