Add clients of the platform's interfaces with typed outcomes

Cause: every promise that lasts needs to know whether a write took effect. Ruled out: treating each failure of a write alike; a lost answer must be read back, a refusal need not. Conclusion: the unit tests of process/platform pass.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JSONSCHEMA_VERSION  := v0.24.1
 
 BIN     := $(CURDIR)/bin
-SCHEMAS := config objects engine platform peer caller status
+SCHEMAS := config objects engine platform peer caller status records
 PACKAGES := ./...
 
 .PHONY: build demo test unit lint fmt generate bench capacity clean
--- /dev/null
+++ b/process/platform/client_test.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *Objects {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return &Objects{Client{BaseURL: server.URL, Instance: "i1", Timeout: 200 * time.Millisecond}}
+}
+
+func TestObjectErrors(t *testing.T) {
+	for _, tc := range []struct {
+		status  int
+		body    string
+		matches func(error) bool
+	}{
+		{404, `{"code":"not_found","message":""}`, IsErrNotFound},
+		{409, `{"code":"conflict","message":"","current":{"kind":"k","name":"n","version":7,"value":{}}}`, IsErrConflict},
+		{429, `{"code":"rate_limited","message":""}`, IsErrRateLimited},
+		{503, `{"code":"unavailable","message":""}`, IsErrUnavailable},
+		{502, ``, IsErrUnknownOutcome},
+		{200, `not json`, IsErrUnknownOutcome},
+		{413, `{"code":"too_large","message":""}`, IsErrRejected},
+	} {
+		o := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			assert.Check(t, r.Header.Get("X-Instance") == "i1")
+			assert.Check(t, r.Header.Get("If-Match") == "3")
+			w.WriteHeader(tc.status)
+			_, _ = w.Write([]byte(tc.body))
+		})
+		_, err := o.Update(context.Background(), "k", "n", 3, struct{}{})
+		assert.Assert(t, tc.matches(err), "%d: %v", tc.status, err)
+	}
+}
+
+func TestConflictCarriesCurrent(t *testing.T) {
+	o := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusConflict)
+		_, _ = w.Write([]byte(`{"code":"conflict","message":"","current":{"kind":"k","name":"n","version":7,"value":{"a":1}}}`))
+	})
+	_, err := o.Create(context.Background(), "k", "n", struct{}{})
+	var conflict ErrConflict
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Current.Version, 7)
+}
+
+func TestLostAnswerOfAWriteIsUnknown(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	o := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	})
+	_, err := o.Create(context.Background(), "k", "n", struct{}{})
+	assert.Assert(t, IsErrUnknownOutcome(err), "%v", err)
+	_, err = o.Get(context.Background(), "k", "n")
+	assert.Assert(t, IsErrUnavailable(err), "%v", err)
+}
+
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	o := &Objects{Client{BaseURL: server.URL}}
+	_, err := o.Create(context.Background(), "k", "n", struct{}{})
+	assert.Assert(t, IsErrUnavailable(err), "%v", err)
+}
+
+func TestGuardStopsAnOrderAtTheSocket(t *testing.T) {
+	arrived := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived++
+		_, _ = w.Write([]byte(`{"id":"o1","accepted":true}`))
+	}))
+	defer server.Close()
+	o := &Ordering{Client{BaseURL: server.URL}}
+	lapsed := errors.New("lease lapsed")
+	_, err := o.Send(context.Background(), wire.ServerOrder{Id: "o1"}, func() error { return lapsed })
+	assert.Assert(t, IsErrUnavailable(err) && errors.Is(err, lapsed), "%v", err)
+	assert.Equal(t, arrived, 0)
+	result, err := o.Send(context.Background(), wire.ServerOrder{Id: "o1"}, func() error { return nil })
+	assert.NilError(t, err)
+	assert.Assert(t, result.Accepted)
+	assert.Equal(t, arrived, 1)
+}
--- /dev/null
+++ b/process/platform/platformtest/objects.go
@@ -0,0 +1,279 @@
+// Package platformtest holds in-memory fakes of the platform's interfaces for tests. They use no sockets, so they work
+// in a bubble of testing/synctest, and they inject faults call by call.
+package platformtest
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Outcome is what becomes of a call.
+type Outcome int
+
+// Outcomes of a call. The unknown ones concern writes; a read with one of them is unavailable.
+const (
+	// OutcomeServed serves the call.
+	OutcomeServed Outcome = iota
+	// OutcomeDown refuses the call.
+	OutcomeDown
+	// OutcomeAnswerLost carries out the write and loses the answer.
+	OutcomeAnswerLost
+	// OutcomeWriteLost loses the write, and the writer doesn't learn it.
+	OutcomeWriteLost
+	// OutcomeWriteLate loses the answer and carries out the write after Fault.Late.
+	OutcomeWriteLate
+)
+
+// Call names a call for the choice of its fault.
+type Call struct {
+	Instance string
+	// Method is get, list, create, update, delete or watch.
+	Method string
+	Kind   string
+	Name   string
+}
+
+// IsWrite tells whether the call changes the store.
+func (c Call) IsWrite() bool {
+	return c.Method == "create" || c.Method == "update" || c.Method == "delete"
+}
+
+// Fault is what happens to one call.
+type Fault struct {
+	Outcome Outcome
+	// Before passes before the call reaches the store, After before its answer is back.
+	Before time.Duration
+	After  time.Duration
+	// Late is the delay of OutcomeWriteLate.
+	Late time.Duration
+}
+
+// errInjected is the cause of injected faults.
+var errInjected = errors.New("injected fault")
+
+// Objects is an in-memory object API. The fields are set before the first call.
+type Objects struct {
+	// Decide may be nil; it is called once for each call.
+	Decide func(Call) Fault
+	// History is the number of events that a watch can reach back; 0 is all.
+	History int
+
+	mu      sync.Mutex
+	version int
+	objects map[string]wire.Object
+	events  []wire.ObjectEvent
+	changed chan struct{}
+	calls   map[string]int
+	writes  sync.WaitGroup
+}
+
+// Store returns the calls of one instance.
+func (o *Objects) Store(instance string) platform.Store {
+	return platform.Store{
+		Get: func(ctx context.Context, kind, name string) (wire.Object, error) {
+			return read(ctx, o, Call{instance, "get", kind, name}, func() (wire.Object, error) { return o.get(kind, name) })
+		},
+		List: func(ctx context.Context, kind, prefix string) (wire.ObjectList, error) {
+			return read(ctx, o, Call{instance, "list", kind, prefix}, func() (wire.ObjectList, error) { return o.list(kind, prefix) })
+		},
+		Create: func(ctx context.Context, kind, name string, value any) (wire.Object, error) {
+			return o.write(ctx, Call{instance, "create", kind, name}, 0, value)
+		},
+		Update: func(ctx context.Context, kind, name string, version int, value any) (wire.Object, error) {
+			return o.write(ctx, Call{instance, "update", kind, name}, version, value)
+		},
+		Delete: func(ctx context.Context, kind, name string, version int) error {
+			_, err := o.write(ctx, Call{instance, "delete", kind, name}, version, nil)
+			return err
+		},
+		Watch: func(ctx context.Context, kind string, from int, wait time.Duration) (wire.ObjectEvents, error) {
+			return o.watch(ctx, Call{instance, "watch", kind, ""}, from, wait)
+		},
+	}
+}
+
+// Calls returns the number of calls of a method, such as "get", or "get lease" for one kind.
+func (o *Objects) Calls(method string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.calls[method]
+}
+
+// Wait returns when all late writes have landed.
+func (o *Objects) Wait() { o.writes.Wait() }
+
+func (o *Objects) begin(ctx context.Context, c Call) (Fault, error) {
+	o.mu.Lock()
+	if o.calls == nil {
+		o.calls = map[string]int{}
+		o.objects = map[string]wire.Object{}
+		o.changed = make(chan struct{})
+	}
+	o.calls[c.Method]++
+	o.calls[c.Method+" "+c.Kind]++
+	o.mu.Unlock()
+	var fault Fault
+	if o.Decide != nil {
+		fault = o.Decide(c)
+	}
+	return fault, sleep(ctx, fault.Before)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func read[T any](ctx context.Context, o *Objects, c Call, serve func() (T, error)) (T, error) {
+	var none T
+	fault, err := o.begin(ctx, c)
+	if err != nil {
+		return none, platform.ErrUnavailable{Call: c.Method, Cause: err}
+	}
+	if fault.Outcome != OutcomeServed {
+		return none, platform.ErrUnavailable{Call: c.Method, Cause: errInjected}
+	}
+	v, failed := serve()
+	if err := sleep(ctx, fault.After); err != nil {
+		return none, platform.ErrUnavailable{Call: c.Method, Cause: err}
+	}
+	return v, failed
+}
+
+func (o *Objects) get(kind, name string) (wire.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	obj, ok := o.objects[kind+"/"+name]
+	if !ok {
+		return wire.Object{}, platform.ErrNotFound{Kind: kind, Name: name}
+	}
+	return obj, nil
+}
+
+func (o *Objects) list(kind, prefix string) (wire.ObjectList, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := wire.ObjectList{Version: o.version}
+	for _, obj := range o.objects {
+		if obj.Kind == kind && strings.HasPrefix(obj.Name, prefix) {
+			list.Items = append(list.Items, obj)
+		}
+	}
+	sort.Slice(list.Items, func(i, j int) bool { return list.Items[i].Name < list.Items[j].Name })
+	return list, nil
+}
+
+func (o *Objects) write(ctx context.Context, c Call, version int, value any) (wire.Object, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return wire.Object{}, platform.ErrRejected{Call: c.Method, Message: err.Error()}
+	}
+	fault, err := o.begin(ctx, c)
+	if err != nil {
+		return wire.Object{}, platform.ErrUnavailable{Call: c.Method, Cause: err}
+	}
+	unknown := platform.ErrUnknownOutcome{Call: c.Method, Cause: errInjected}
+	switch fault.Outcome {
+	case OutcomeDown:
+		return wire.Object{}, platform.ErrUnavailable{Call: c.Method, Cause: errInjected}
+	case OutcomeWriteLost:
+		_ = sleep(ctx, fault.After)
+		return wire.Object{}, unknown
+	case OutcomeWriteLate:
+		o.writes.Go(func() {
+			time.Sleep(fault.Late)
+			_, _ = o.put(c, version, data)
+		})
+		_ = sleep(ctx, fault.After)
+		return wire.Object{}, unknown
+	}
+	obj, failed := o.put(c, version, data)
+	if err := sleep(ctx, fault.After); err != nil || fault.Outcome == OutcomeAnswerLost {
+		return wire.Object{}, unknown
+	}
+	return obj, failed
+}
+
+func (o *Objects) put(c Call, version int, data json.RawMessage) (wire.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := c.Kind + "/" + c.Name
+	current, ok := o.objects[key]
+	switch {
+	case c.Method == "create" && ok, c.Method != "create" && ok && current.Version != version:
+		return wire.Object{}, platform.ErrConflict{Kind: c.Kind, Name: c.Name, Current: current}
+	case c.Method != "create" && !ok:
+		return wire.Object{}, platform.ErrNotFound{Kind: c.Kind, Name: c.Name}
+	}
+	o.version++
+	obj := wire.Object{Kind: c.Kind, Name: c.Name, Version: o.version, Value: data}
+	event := wire.ObjectEvent{Type: wire.ObjectEventTypePut, Object: obj}
+	o.objects[key] = obj
+	if c.Method == "delete" {
+		delete(o.objects, key)
+		event.Type = wire.ObjectEventTypeDelete
+		event.Object.Value = current.Value
+	}
+	o.events = append(o.events, event)
+	if o.History > 0 && len(o.events) > o.History {
+		o.events = o.events[len(o.events)-o.History:]
+	}
+	close(o.changed)
+	o.changed = make(chan struct{})
+	return obj, nil
+}
+
+func (o *Objects) watch(ctx context.Context, c Call, from int, wait time.Duration) (wire.ObjectEvents, error) {
+	fault, err := o.begin(ctx, c)
+	if err != nil || fault.Outcome != OutcomeServed {
+		return wire.ObjectEvents{}, platform.ErrUnavailable{Call: c.Method, Cause: errors.Join(err, errInjected)}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		events, changed, err := o.after(c.Kind, from)
+		if err != nil || len(events.Events) > 0 {
+			return events, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return events, nil
+		case <-ctx.Done():
+			return wire.ObjectEvents{}, platform.ErrUnavailable{Call: c.Method, Cause: ctx.Err()}
+		}
+	}
+}
+
+func (o *Objects) after(kind string, from int) (wire.ObjectEvents, <-chan struct{}, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first := o.version - len(o.events) + 1
+	if from+1 < first {
+		return wire.ObjectEvents{}, nil, platform.ErrTooOld{Kind: kind, From: from}
+	}
+	events := wire.ObjectEvents{Version: o.version}
+	for _, e := range o.events {
+		if e.Object.Version > from && e.Object.Kind == kind {
+			events.Events = append(events.Events, e)
+		}
+	}
+	return events, o.changed, nil
+}
