Add leases with fencing numbers

Cause: two processes must never both believe that they are in charge. Ruled out: the runtime's monotonic clock, which doesn't count suspension; wall clocks, which step. Change: process/lease with conditional updates, read-back of lost answers, waits of the taker, release on stop.

--- /dev/null
+++ b/process/lease/lease_test.go
@@ -0,0 +1,111 @@
+package lease
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/process/platform/platformtest"
+)
+
+// testClock returns a clock that runs at the given rate of the bubble's clock.
+func testClock(rate float64) func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Duration(float64(time.Since(start)) * rate) }
+}
+
+func newLease(api *platformtest.Objects, holder string) *Lease {
+	return &Lease{
+		DataCentre: "suva-a", Job: "orders", Holder: holder, RunID: holder + "-1",
+		Duration: DefaultDuration, Margin: DefaultMargin, MaxInFlight: DefaultMaxInFlight,
+		Objects: api.Store(holder), Now: testClock(1),
+	}
+}
+
+func waitHeld(t *testing.T, l *Lease, limit time.Duration) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for time.Since(start) < limit {
+		if l.Check() == nil {
+			return time.Since(start)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s doesn't hold the lease after %s", l.Holder, limit)
+	return 0
+}
+
+func TestGracefulReleaseHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &platformtest.Objects{}
+		a, b := newLease(api, "a"), newLease(api, "b")
+		actx, stopA := context.WithCancel(t.Context())
+		go a.Run(actx)
+		waitHeld(t, a, time.Second)
+		go b.Run(t.Context())
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, a.Check())
+		assert.Assert(t, IsErrNotHeld(b.Check()))
+		stopA()
+		taken := waitHeld(t, b, 2*pollInterval)
+		fence, _, _ := b.Held()
+		assert.Equal(t, fence, 2)
+		assert.Assert(t, IsErrNotHeld(a.Check()))
+		t.Logf("taken %s after the release", taken)
+	})
+}
+
+func TestTakerWaitsOutALostHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &platformtest.Objects{}
+		var lost atomic.Bool
+		api.Decide = func(c platformtest.Call) platformtest.Fault {
+			if lost.Load() && c.Instance == "a" {
+				return platformtest.Fault{Outcome: platformtest.OutcomeDown}
+			}
+			return platformtest.Fault{}
+		}
+		a, b := newLease(api, "a"), newLease(api, "b")
+		go a.Run(t.Context())
+		waitHeld(t, a, time.Second)
+		go b.Run(t.Context())
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		lost.Store(true)
+		taken := waitHeld(t, b, time.Minute)
+		assert.Assert(t, IsErrNotHeld(a.Check()))
+		longest := b.Duration + b.Margin + b.MaxInFlight + pollInterval
+		assert.Assert(t, taken <= longest, "%s", taken)
+	})
+}
+
+func TestLostAnswersKeepTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		api := &platformtest.Objects{}
+		api.Decide = func(c platformtest.Call) platformtest.Fault {
+			if !c.IsWrite() {
+				return platformtest.Fault{}
+			}
+			n++
+			return platformtest.Fault{Outcome: []platformtest.Outcome{
+				platformtest.OutcomeAnswerLost, platformtest.OutcomeWriteLost, platformtest.OutcomeWriteLate,
+			}[n%3], Late: 300 * time.Millisecond}
+		}
+		l := newLease(api, "a")
+		go l.Run(t.Context())
+		waitHeld(t, l, time.Minute)
+		fence, _, _ := l.Held()
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			assert.NilError(t, l.Check())
+		}
+		after, _, _ := l.Held()
+		assert.Equal(t, after, fence)
+		api.Wait()
+	})
+}
--- a/process/platform/platformtest/objects.go
+++ b/process/platform/platformtest/objects.go
@@ -41,9 +41,16 @@
 	Name   string
 }
 
+// Methods of the calls that write.
+const (
+	methodCreate = "create"
+	methodUpdate = "update"
+	methodDelete = "delete"
+)
+
 // IsWrite tells whether the call changes the store.
 func (c Call) IsWrite() bool {
-	return c.Method == "create" || c.Method == "update" || c.Method == "delete"
+	return c.Method == methodCreate || c.Method == methodUpdate || c.Method == methodDelete
 }
 
 // Fault is what happens to one call.
@@ -85,13 +92,13 @@
 			return read(ctx, o, Call{instance, "list", kind, prefix}, func() (wire.ObjectList, error) { return o.list(kind, prefix) })
 		},
 		Create: func(ctx context.Context, kind, name string, value any) (wire.Object, error) {
-			return o.write(ctx, Call{instance, "create", kind, name}, 0, value)
+			return o.write(ctx, Call{instance, methodCreate, kind, name}, 0, value)
 		},
 		Update: func(ctx context.Context, kind, name string, version int, value any) (wire.Object, error) {
-			return o.write(ctx, Call{instance, "update", kind, name}, version, value)
+			return o.write(ctx, Call{instance, methodUpdate, kind, name}, version, value)
 		},
 		Delete: func(ctx context.Context, kind, name string, version int) error {
-			_, err := o.write(ctx, Call{instance, "delete", kind, name}, version, nil)
+			_, err := o.write(ctx, Call{instance, methodDelete, kind, name}, version, nil)
 			return err
 		},
 		Watch: func(ctx context.Context, kind string, from int, wait time.Duration) (wire.ObjectEvents, error) {
@@ -217,16 +224,16 @@
 	key := c.Kind + "/" + c.Name
 	current, ok := o.objects[key]
 	switch {
-	case c.Method == "create" && ok, c.Method != "create" && ok && current.Version != version:
+	case c.Method == methodCreate && ok, c.Method != methodCreate && ok && current.Version != version:
 		return wire.Object{}, platform.ErrConflict{Kind: c.Kind, Name: c.Name, Current: current}
-	case c.Method != "create" && !ok:
+	case c.Method != methodCreate && !ok:
 		return wire.Object{}, platform.ErrNotFound{Kind: c.Kind, Name: c.Name}
 	}
 	o.version++
 	obj := wire.Object{Kind: c.Kind, Name: c.Name, Version: o.version, Value: data}
 	event := wire.ObjectEvent{Type: wire.ObjectEventTypePut, Object: obj}
 	o.objects[key] = obj
-	if c.Method == "delete" {
+	if c.Method == methodDelete {
 		delete(o.objects, key)
 		event.Type = wire.ObjectEventTypeDelete
 		event.Object.Value = current.Value
