--- /dev/null
+++ b/process/burn/html.go
@@ -0,0 +1,50 @@
+package burn
+
+import (
+	"io"
+
+	"github.com/go-echarts/go-echarts/v2/charts"
+	"github.com/go-echarts/go-echarts/v2/components"
+	"github.com/go-echarts/go-echarts/v2/opts"
+)
+
+// HTML writes the summary as a page of plots.
+func (s *Summary) HTML(w io.Writer) error {
+	page := components.NewPage()
+	page.PageTitle = "toucanroute service-level burn"
+	page.AddCharts(burnChart("Burn by class", s.Classes), causeChart(s.Classes), burnChart("Burn by workspace", s.Workspaces))
+	return page.Render(w)
+}
+
+// burnChart shows the burn over both windows.
+func burnChart(title string, lines []*Line) *charts.Bar {
+	var names []string
+	var short, long []opts.BarData
+	for _, l := range lines {
+		names = append(names, l.Class+" "+l.Workspace)
+		short = append(short, opts.BarData{Value: l.ShortBurn})
+		long = append(long, opts.BarData{Value: l.LongBurn})
+	}
+	bar := charts.NewBar()
+	bar.SetGlobalOptions(charts.WithTitleOpts(opts.Title{Title: title, Subtitle: "misses as a multiple of the error budget"}))
+	bar.SetXAxis(names).AddSeries("5 minutes", short).AddSeries("1 hour", long)
+	return bar
+}
+
+// causeChart shows what burned the budget of each class.
+func causeChart(lines []*Line) *charts.Bar {
+	var names []string
+	var queueing, server, refusal, eviction []opts.BarData
+	for _, l := range lines {
+		names = append(names, l.Class)
+		queueing = append(queueing, opts.BarData{Value: l.Long.Queueing})
+		server = append(server, opts.BarData{Value: l.Long.Server})
+		refusal = append(refusal, opts.BarData{Value: l.Long.Refusal})
+		eviction = append(eviction, opts.BarData{Value: l.Long.Eviction})
+	}
+	bar := charts.NewBar()
+	bar.SetGlobalOptions(charts.WithTitleOpts(opts.Title{Title: "What burned it", Subtitle: "requests in 1 hour"}))
+	bar.SetXAxis(names).AddSeries("queueing", queueing).AddSeries("server", server).
+		AddSeries("refusal", refusal).AddSeries("eviction", eviction)
+	return bar
+}
--- /dev/null
+++ b/process/burn/table.go
@@ -0,0 +1,58 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Table writes the summary as text.
+func (s *Summary) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	s.section(t, "class", s.Classes, func(l *Line) string { return l.Class })
+	s.section(t, "class in data centre", s.DataCentres, func(l *Line) string { return l.Class + " " + l.DataCentre })
+	s.section(t, "class in workspace", s.Workspaces, func(l *Line) string { return l.Class + " " + l.Workspace })
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "cost %.4f, per good request %.6f; usage reports sent %d, late %d, off %d\ninstances %s%s\n",
+		s.Cost, s.CostPerGood, s.Reports.Sent, s.Reports.Late, s.Reports.Off, strings.Join(s.Instances, " "), s.missing())
+	return err
+}
+
+// section writes one group of lines.
+func (s *Summary) section(w io.Writer, title string, lines []*Line, name func(*Line) string) {
+	_, _ = fmt.Fprintf(w, "tier\t%s\ttarget\tgood 1h\tmissed 1h\tbudget left\tburn 5m\tburn 1h\tburned by\tcheap share\tcheap harm\t\n", title)
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(w, "%d\t%s\t%.3f\t%d\t%d\t%.2f\t%.2f\t%.2f\t%s\t%.2f\t%.2f\t\n", l.Tier, name(l), l.Target, l.Long.Good,
+			missed(l.Long), l.BudgetLeft, l.ShortBurn, l.LongBurn, causesOf(l.Long), l.CheapShare, l.CheapHarm)
+	}
+	_, _ = fmt.Fprintf(w, "\t\t\t\t\t\t\t\t\t\t\t\n")
+}
+
+// causesOf names what burned the budget, with numbers of requests.
+func causesOf(c wire.BurnCounts) string {
+	var list []string
+	for _, p := range []struct {
+		name string
+		n    int
+	}{{"queueing", c.Queueing}, {"server", c.Server}, {"refusal", c.Refusal}, {"eviction", c.Eviction}} {
+		if p.n > 0 {
+			list = append(list, fmt.Sprintf("%s %d", p.name, p.n))
+		}
+	}
+	if len(list) == 0 {
+		return "nothing"
+	}
+	return strings.Join(list, " ")
+}
+
+func (s *Summary) missing() string {
+	if len(s.Missing) == 0 {
+		return ""
+	}
+	return "; NOT ANSWERING " + strings.Join(s.Missing, " ")
+}
--- a/wire/burn.go
+++ b/wire/burn.go
@@ -13,8 +13,14 @@
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance"`
 
+	// Reports corresponds to the JSON schema field "reports".
+	Reports *ReportCounts `json:"reports,omitempty,omitzero"`
+
 	// Rows corresponds to the JSON schema field "rows".
 	Rows []BurnRow `json:"rows"`
+
+	// Servers corresponds to the JSON schema field "servers".
+	Servers []PaidServer `json:"servers,omitempty,omitzero"`
 }
 
 // Service-level counts of one instance, answered at GET /burn.
@@ -76,3 +82,34 @@
 	// Workspace corresponds to the JSON schema field "workspace".
 	Workspace string `json:"workspace"`
 }
+
+// PaidServer is what a backend server has cost.
+type PaidServer struct {
+	// CostPerHour corresponds to the JSON schema field "cost_per_hour".
+	CostPerHour float64 `json:"cost_per_hour"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind string `json:"kind"`
+
+	// Running time that is paid for, in milliseconds.
+	PaidMs int `json:"paid_ms"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
+}
+
+// ReportCounts counts the usage reports that this instance sent.
+type ReportCounts struct {
+	// Reports sent later than one window after their window's end.
+	Late int `json:"late"`
+
+	// Reports that the intake refused, for a window already reported with other
+	// figures or an old fencing number.
+	Off int `json:"off"`
+
+	// Sent corresponds to the JSON schema field "sent".
+	Sent int `json:"sent"`
+}
