Add the scheduling home of a pool with its pure decisions

Cause: a request needs one place per pool that orders the waiting requests and counts the slots. Change: queue (strict tiers, turns, fair shares, deadlines), admission (predicted wait, headroom, rate limits), pick, prefix, attempt (budget, hedger, breaker, stragglers), estimate, and process/pool.Home that drives them under one lock. The grant messages gain Resume, Paused and GrantsHeld.

--- /dev/null
+++ b/process/pool/grants.go
@@ -0,0 +1,250 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/toucanroute/toucanroute/request/queue"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// grantKey names a grant: numbers of two homes may meet, those of one holder seldom do.
+type grantKey struct {
+	holder string
+	number int
+}
+
+// held is a grant that is out.
+type held struct {
+	key       grantKey
+	ask       int
+	server    *server
+	class     string
+	tier      int
+	workspace string
+	prefix    string
+	// estimated is the length that the workspace was charged, in tokens.
+	estimated float64
+	since     time.Time
+	// rate is the share of the server's rate that belongs to the grant.
+	rate float64
+	// turn tells that a turn brought the grant; it isn't preempted.
+	turn      bool
+	resumable bool
+	preempted bool
+	resumed   bool
+	// declared tells that an earlier home gave the grant.
+	declared bool
+	grant    *Grant
+}
+
+// give makes the grant of a request.
+func (h *Home) give(w *waiter, s *server, turn queue.Turn, now time.Time) *Grant {
+	holder := w.holder
+	g := NewGrant(s.Name, h.Instance, w.item.Number, func(r wire.GrantRelease) { h.Release(holder, r) })
+	if s.Slow {
+		h.slow.Probed(s.Name, now)
+	}
+	if w.ask.Prefix != "" {
+		h.prefixes.Place(w.ask.Prefix, s.Name, max(1, h.prefixes.Cached(w.ask.Prefix, s.Name)))
+	}
+	h.hold(&held{
+		key:       grantKey{holder: holder, number: w.item.Number},
+		ask:       w.item.Number,
+		server:    s,
+		class:     w.item.Class,
+		tier:      w.item.Tier,
+		workspace: w.item.Workspace,
+		prefix:    w.ask.Prefix,
+		estimated: w.item.Tokens,
+		since:     now,
+		turn:      !turn.IsZero(),
+		resumable: w.class.Resumable,
+		resumed:   w.ask.Resume != "",
+		grant:     g,
+	})
+	return g
+}
+
+func (h *Home) hold(g *held) {
+	g.rate = 1 / max(h.service.Hold(g.class), time.Millisecond).Seconds()
+	g.server.Running++
+	g.server.rate += g.rate
+	h.grants[g.key] = g
+	if g.mayPreempt() {
+		h.preemptible[g.tier]++
+	}
+}
+
+func (g *held) mayPreempt() bool { return g.resumable && !g.turn && !g.preempted }
+
+// end takes a grant back.
+func (h *Home) end(g *held) {
+	delete(h.grants, g.key)
+	g.server.Running--
+	g.server.rate -= g.rate
+	if g.server.Running == 0 {
+		g.server.rate = 0
+	}
+	if g.mayPreempt() {
+		h.preemptible[g.tier]--
+	}
+	if g.preempted {
+		h.coming--
+	}
+	h.trace(Event{Kind: EventReleased, Ask: g.ask, Class: g.class, Tier: g.tier, Workspace: g.workspace, Server: g.server.Name})
+	h.forgetUnused(g.server)
+}
+
+// Release takes a slot back with what was observed.
+func (h *Home) Release(holder string, r wire.GrantRelease) {
+	h.lock()
+	defer h.unlock()
+	g := h.grants[grantKey{holder: holder, number: r.Grant}]
+	if g == nil {
+		return
+	}
+	now := time.Now()
+	h.observe(g, r, now)
+	h.end(g)
+	h.schedule(now)
+}
+
+// observe learns from a finished attempt.
+func (h *Home) observe(g *held, r wire.GrantRelease, now time.Time) {
+	h.queue.Settle(g.tier, g.workspace, g.estimated, float64(r.Tokens))
+	h.limits.Use(g.workspace, r.Tokens, now)
+	if r.FirstTokenMs <= 0 || r.Failed {
+		return
+	}
+	first := time.Duration(r.FirstTokenMs) * time.Millisecond
+	whole := time.Duration(r.DurationMs) * time.Millisecond
+	if !r.Paused && !g.resumed {
+		h.service.Observe(g.class, whole, first, r.Tokens)
+	}
+	var between time.Duration
+	if r.Tokens > 1 && whole > first {
+		between = (whole - first) / time.Duration(r.Tokens-1)
+	}
+	h.slow.Observe(g.server.Name, first, between)
+	h.observeSpeed(g.server)
+	g.server.Slow = h.slow.Slow(g.server.Name)
+	if g.prefix != "" {
+		h.prefixes.Place(g.prefix, g.server.Name, max(r.CachedTokens, 1))
+	}
+}
+
+// DropHolder takes back the grants of an instance that died and drops its waiting requests.
+func (h *Home) DropHolder(holder string) {
+	h.lock()
+	defer h.unlock()
+	for _, w := range h.waiters {
+		if w.holder == holder && h.drop(w) {
+			h.trace(w.event(EventLeft))
+			w.result <- outcome{err: ErrRefused{Reason: ReasonMoved}}
+		}
+	}
+	for key, g := range h.grants {
+		if key.holder == holder {
+			h.end(g)
+		}
+	}
+	delete(h.recovering, holder)
+	h.schedule(time.Now())
+}
+
+// Recover holds grants back until each of the instances has declared the grants that it holds by
+// Reclaim, or is dropped, but no longer than the wait. It is called on becoming home anew.
+func (h *Home) Recover(holders []string, wait time.Duration) {
+	h.lock()
+	defer h.unlock()
+	h.recovering = make(map[string]bool, len(holders))
+	for _, name := range holders {
+		h.recovering[name] = true
+	}
+	h.recoveringUntil = time.Now().Add(wait)
+	h.schedule(time.Now())
+}
+
+func (h *Home) isRecovering(now time.Time) bool {
+	return len(h.recovering) > 0 && now.Before(h.recoveringUntil)
+}
+
+// Reclaim takes in the grants that an instance holds from an earlier home. They keep their numbers.
+func (h *Home) Reclaim(holder string, grants []wire.GrantHeld) {
+	h.lock()
+	defer h.unlock()
+	for _, d := range grants {
+		h.reclaim(holder, d)
+	}
+	delete(h.recovering, holder)
+	h.schedule(time.Now())
+}
+
+func (h *Home) reclaim(holder string, d wire.GrantHeld) {
+	key := grantKey{holder: holder, number: d.Grant}
+	if h.grants[key] != nil {
+		return
+	}
+	tier, resumable := 0, false
+	if c := h.classes[d.Class]; c != nil {
+		tier, resumable = c.Tier, c.Resumable
+	}
+	h.hold(&held{
+		key:       key,
+		ask:       -1,
+		server:    h.server(d.Server),
+		class:     d.Class,
+		tier:      tier,
+		workspace: d.Workspace,
+		since:     time.Now(),
+		resumable: resumable,
+		declared:  true,
+	})
+	h.trace(Event{Kind: EventGranted, Ask: -1, Class: d.Class, Tier: tier, Workspace: d.Workspace, Server: d.Server})
+}
+
+// preemptOne asks for the slot of the lowest tier's newest grant back, where the request may use it.
+func (h *Home) preemptOne(w *waiter) {
+	var victim *held
+	for _, g := range h.grants {
+		if g.tier <= w.item.Tier || !g.mayPreempt() || !h.mayServe(g.server, w) {
+			continue
+		}
+		if victim == nil || g.before(victim) {
+			victim = g
+		}
+	}
+	if victim == nil {
+		return
+	}
+	h.preemptible[victim.tier]--
+	victim.preempted = true
+	h.coming++
+	h.trace(Event{
+		Kind: EventPreempted, Ask: victim.ask, Class: victim.class, Tier: victim.tier,
+		Workspace: victim.workspace, Server: victim.server.Name, ForTier: w.item.Tier,
+	})
+	h.calls = append(h.calls, func() { h.tell(victim) })
+}
+
+// before tells whether g is preempted before o.
+func (g *held) before(o *held) bool {
+	if g.tier != o.tier {
+		return g.tier > o.tier
+	}
+	if !g.since.Equal(o.since) {
+		return g.since.After(o.since)
+	}
+	return g.key.number > o.key.number
+}
+
+// tell asks the holder of a grant to pause its stream.
+func (h *Home) tell(g *held) {
+	if g.grant != nil {
+		g.grant.Preempt()
+	}
+	remote := g.declared || g.key.holder != h.Instance
+	if remote && h.Preempt != nil {
+		h.Preempt(g.key.holder, wire.GrantPreempt{Grant: g.key.number, Pool: h.Pool})
+	}
+}
--- /dev/null
+++ b/process/pool/home.go
@@ -0,0 +1,242 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/toucanroute/toucanroute/request/admission"
+	"github.com/toucanroute/toucanroute/request/attempt"
+	"github.com/toucanroute/toucanroute/request/estimate"
+	"github.com/toucanroute/toucanroute/request/pick"
+	"github.com/toucanroute/toucanroute/request/prefix"
+	"github.com/toucanroute/toucanroute/request/queue"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Reasons of refusals.
+const (
+	ReasonOverload  = "overload"
+	ReasonRateLimit = "rate_limit"
+	ReasonNoServer  = "no_server"
+	ReasonNoClass   = "unknown_class"
+	ReasonMoved     = "moved"
+)
+
+const (
+	// sweepEvery is the longest time between two looks at the waiting requests.
+	sweepEvery = 50 * time.Millisecond
+	// arrivalWindow is the time that the arrival rates remember.
+	arrivalWindow = 10 * time.Second
+	// prefixLimit is the number of prompt prefixes that a home remembers.
+	prefixLimit = 20_000
+	// turnShare is the share of the pool's slot time that the turns of all classes may take.
+	turnShare = 0.02
+	// turnAfterMin and turnAfterMax bound the wait until a class gets a turn.
+	turnAfterMin = 2 * time.Second
+	turnAfterMax = time.Minute
+	// retryAfterMin is the shortest time after which a refused request is asked to come back.
+	retryAfterMin = 100 * time.Millisecond
+	// noServerRetry is the time after which a request without any server may come back.
+	noServerRetry = time.Second
+	// numberRange bounds the random first number, so that the numbers of two homes seldom meet.
+	numberRange = 1 << 30
+)
+
+// Home is the scheduling home of one pool in one data centre: its only queue and its slots.
+// All state is under mu. Callbacks to holders run after mu is given up; Trace runs under it.
+type Home struct {
+	// Pool is the name of the pool.
+	Pool string
+	// Instance is the name of the instance that runs the home.
+	Instance string
+	// Policy chooses among backend servers; the zero value reads as pick.Observed.
+	Policy pick.Policy
+	// Share divides the slots of each server, rounded up, for an instance that serves without
+	// reaching the pool's home; 0 and 1 are the whole.
+	Share int
+	// ExpectedTokens is the usual length of an answer before any is observed.
+	ExpectedTokens int
+	// Preempt asks another instance to pause the stream of a grant. It must not block.
+	Preempt func(holder string, p wire.GrantPreempt)
+	// Trace gets each decision in order, under the home's lock; it must not call the home.
+	Trace func(Event)
+
+	mu       sync.Mutex
+	closed   bool
+	classes  map[string]*classInfo
+	servers  []*server
+	byName   map[string]*server
+	queue    queue.Queue
+	waiters  map[int]*waiter
+	grants   map[grantKey]*held
+	service  admission.Service
+	limits   admission.Limits
+	slow     attempt.Stragglers
+	prefixes prefix.Map
+	number   int
+	// arrivals holds the arrival rate of each tier.
+	arrivals map[int]*estimate.Rate
+	// preemptible counts by tier the grants that may be paused and aren't being paused.
+	preemptible map[int]int
+	// coming is the number of grants that are being paused.
+	coming int
+	// recovering holds the instances that have yet to declare their grants.
+	recovering      map[string]bool
+	recoveringUntil time.Time
+	timer           *time.Timer
+	calls           []func()
+	candidates      []*pick.Server
+}
+
+type classInfo struct {
+	wire.Class
+	// CheapAllowed tells that servers of the cheap kind may take the class.
+	CheapAllowed bool
+}
+
+type waiter struct {
+	item   queue.Item
+	ask    wire.GrantAsk
+	holder string
+	class  *classInfo
+	// deadline is the time by which the first token should come; zero is no target.
+	deadline time.Time
+	result   chan outcome
+}
+
+// outcome is what a waiting request gets; exactly one is sent.
+type outcome struct {
+	grant *Grant
+	err   error
+}
+
+// Ask waits for a slot. It returns an ErrRefused as soon as the request can't make its class's
+// target, and the error of ctx once that is done; a slot given meanwhile is returned.
+func (h *Home) Ask(ctx context.Context, holder string, ask wire.GrantAsk) (*Grant, error) {
+	w, err := h.join(holder, ask)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case out := <-w.result:
+		return out.grant, out.err
+	case <-ctx.Done():
+	}
+	if !h.leave(w) {
+		if out := <-w.result; out.grant != nil {
+			out.grant.Release(wire.GrantRelease{Pool: h.Pool})
+		}
+	}
+	return nil, ctx.Err()
+}
+
+// join puts a request in the queue or refuses it.
+func (h *Home) join(holder string, ask wire.GrantAsk) (*waiter, error) {
+	h.lock()
+	defer h.unlock()
+	now := time.Now()
+	w, err := h.admit(holder, ask, now)
+	if err != nil {
+		return nil, err
+	}
+	h.waiters[w.item.Number] = w
+	h.queue.Push(&w.item)
+	h.trace(w.event(EventAsked))
+	h.schedule(now)
+	return w, nil
+}
+
+// leave takes a request out whose asker gave up; it tells false where an outcome was sent already.
+func (h *Home) leave(w *waiter) bool {
+	h.lock()
+	defer h.unlock()
+	if !h.drop(w) {
+		return false
+	}
+	h.trace(w.event(EventLeft))
+	h.schedule(time.Now())
+	return true
+}
+
+// drop takes a request out of the queue; it tells false where it isn't waiting.
+func (h *Home) drop(w *waiter) bool {
+	if !h.queue.Remove(&w.item) {
+		return false
+	}
+	delete(h.waiters, w.item.Number)
+	return true
+}
+
+// Status returns the numbers of waiting requests, of grants and of slots of serving servers.
+func (h *Home) Status() (waiting, running, slots int) {
+	h.lock()
+	defer h.unlock()
+	for _, s := range h.servers {
+		if s.serving() {
+			slots += s.Slots
+		}
+	}
+	return h.queue.Len(), len(h.grants), slots
+}
+
+// Close refuses the waiting requests with ReasonMoved and all later ones; grants stay until they
+// are released. It is called where another instance becomes home.
+func (h *Home) Close() {
+	h.lock()
+	defer h.unlock()
+	h.closed = true
+	h.queue.Items(func(it *queue.Item) {
+		h.refuse(h.waiters[it.Number], ReasonMoved, 0)
+	})
+	h.timer.Stop()
+}
+
+func (h *Home) lock() {
+	h.mu.Lock()
+	if h.grants == nil {
+		h.init()
+	}
+}
+
+// unlock gives up the lock and then tells the holders whose grants are wanted back.
+func (h *Home) unlock() {
+	calls := h.calls
+	h.calls = nil
+	h.mu.Unlock()
+	for _, call := range calls {
+		call()
+	}
+}
+
+func (h *Home) init() {
+	h.classes = make(map[string]*classInfo)
+	h.byName = make(map[string]*server)
+	h.waiters = make(map[int]*waiter)
+	h.grants = make(map[grantKey]*held)
+	h.arrivals = make(map[int]*estimate.Rate)
+	h.preemptible = make(map[int]int)
+	h.queue.TurnAfter = turnAfterMin
+	h.prefixes.Limit = prefixLimit
+	h.service.ExpectedTokens = h.ExpectedTokens
+	h.number = rand.IntN(numberRange)
+	if h.Policy.Choose == nil {
+		h.Policy = pick.Observed()
+	}
+	h.timer = time.AfterFunc(sweepEvery, h.sweep)
+	h.timer.Stop()
+}
+
+func (w *waiter) event(kind EventKind) Event {
+	return Event{
+		Kind:         kind,
+		Ask:          w.item.Number,
+		Class:        w.item.Class,
+		Tier:         w.item.Tier,
+		Workspace:    w.item.Workspace,
+		Exclude:      w.ask.Exclude,
+		Resume:       w.ask.Resume,
+		CheapAllowed: w.class.CheapAllowed,
+	}
+}
--- /dev/null
+++ b/process/pool/schedule.go
@@ -0,0 +1,205 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/toucanroute/toucanroute/request/pick"
+	"github.com/toucanroute/toucanroute/request/queue"
+)
+
+// schedule gives free slots to waiting requests, asks for slots back where a higher tier would miss
+// its target, and arms the next sweep.
+func (h *Home) schedule(now time.Time) {
+	if h.isRecovering(now) {
+		h.arm(now)
+		return
+	}
+	for h.free() > 0 {
+		it, turn := h.queue.Next(now, func(it *queue.Item, byTurn bool) bool {
+			return h.fits(h.waiters[it.Number], byTurn, now)
+		})
+		if it == nil {
+			break
+		}
+		h.assign(h.waiters[it.Number], turn, now)
+	}
+	h.preemptFor(now)
+	h.arm(now)
+}
+
+func (h *Home) free() int {
+	if h.queue.Len() == 0 {
+		return 0
+	}
+	n := 0
+	for _, s := range h.servers {
+		if s.serving() {
+			n += s.Free()
+		}
+	}
+	return n
+}
+
+// fits tells whether the request may have a free slot now. Without a turn it leaves the headroom of
+// higher tiers alone and avoids stragglers.
+func (h *Home) fits(w *waiter, byTurn bool, now time.Time) bool {
+	if !byTurn && h.free() <= h.headroom(w.item.Tier, now) {
+		return false
+	}
+	return len(h.choices(w, byTurn, now)) > 0
+}
+
+// choices returns the servers with a free slot that may take the request. The slice is valid until
+// the next call.
+func (h *Home) choices(w *waiter, byTurn bool, now time.Time) []*pick.Server {
+	h.candidates = h.candidates[:0]
+	ask := h.pickAsk(w, now)
+	for _, s := range h.servers {
+		if s.Free() == 0 || !h.mayServe(s, w) {
+			continue
+		}
+		if s.Slow {
+			s.ProbeDue = h.slow.ProbeDue(s.Name, now)
+		}
+		if byTurn || pick.Fits(&s.Server, ask) {
+			h.candidates = append(h.candidates, &s.Server)
+		}
+	}
+	return h.candidates
+}
+
+func (h *Home) pickAsk(w *waiter, now time.Time) pick.Ask {
+	ask := pick.Ask{
+		BetweenTokens: time.Duration(w.class.TbtMs) * time.Millisecond,
+		CheapAllowed:  w.class.CheapAllowed,
+	}
+	if !w.deadline.IsZero() {
+		ask.FirstTokenIn = max(1, w.deadline.Sub(now))
+	}
+	if w.ask.Prefix != "" {
+		ask.Cached = func(server string) int { return h.prefixes.Cached(w.ask.Prefix, server) }
+	}
+	return ask
+}
+
+// assign gives the request a slot.
+func (h *Home) assign(w *waiter, turn queue.Turn, now time.Time) {
+	s := h.choose(w, !turn.IsZero(), now)
+	unfit := h.passedOver(w, s)
+	h.queue.Grant(&w.item, now)
+	delete(h.waiters, w.item.Number)
+	g := h.give(w, s, turn, now)
+	e := w.event(EventGranted)
+	e.Server, e.TurnDue, e.Unfit = s.Name, turn.Due, unfit
+	h.trace(e)
+	w.result <- outcome{grant: g}
+}
+
+func (h *Home) choose(w *waiter, byTurn bool, now time.Time) *server {
+	choices := h.choices(w, byTurn, now)
+	for _, s := range choices {
+		if s.Name == w.ask.Resume {
+			return h.byName[s.Name]
+		}
+	}
+	return h.byName[h.Policy.Choose(choices, h.pickAsk(w, now)).Name]
+}
+
+// passedOver returns the waiting requests of higher tiers that the rules let on the server, but that
+// would miss their targets there.
+func (h *Home) passedOver(w *waiter, s *server) []int {
+	if h.Trace == nil {
+		return nil
+	}
+	var unfit []int
+	h.queue.Items(func(it *queue.Item) {
+		other := h.waiters[it.Number]
+		if it.Tier < w.item.Tier && h.mayServe(s, other) && !pick.Fits(&s.Server, h.pickAsk(other, time.Now())) {
+			unfit = append(unfit, it.Number)
+		}
+	})
+	return unfit
+}
+
+// preemptFor asks for slots of lower tiers back for the waiting requests that would miss their
+// targets otherwise.
+func (h *Home) preemptFor(now time.Time) {
+	if !h.anyPreemptible() {
+		return
+	}
+	ahead := 0
+	h.queue.Items(func(it *queue.Item) {
+		w := h.waiters[it.Number]
+		ahead++
+		if it.Latest.IsZero() || !h.preemptibleBelow(it.Tier) {
+			return
+		}
+		l := h.load(w, now, false)
+		l.Ahead = ahead - 1
+		if l.Wait() > it.Latest.Sub(now) {
+			h.preemptOne(w)
+		}
+	})
+}
+
+func (h *Home) anyPreemptible() bool {
+	return h.queue.Len() > 0 && h.preemptibleBelow(0)
+}
+
+func (h *Home) preemptibleBelow(tier int) bool {
+	for t, n := range h.preemptible {
+		if t > tier && n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// arm sets the time of the next sweep while requests wait.
+func (h *Home) arm(now time.Time) {
+	if h.queue.Len() == 0 {
+		h.timer.Stop()
+		return
+	}
+	next := now.Add(sweepEvery)
+	h.queue.Items(func(it *queue.Item) {
+		if !it.Latest.IsZero() && it.Latest.Before(next) {
+			next = it.Latest
+		}
+	})
+	h.timer.Reset(max(0, next.Sub(now)) + time.Microsecond)
+}
+
+// sweep refuses the waiting requests that can't make their targets any more.
+func (h *Home) sweep() {
+	h.lock()
+	defer h.unlock()
+	now := time.Now()
+	h.queue.Items(func(it *queue.Item) {
+		w := h.waiters[it.Number]
+		if !h.anyServer(w) {
+			h.refuse(w, ReasonNoServer, noServerRetry)
+			return
+		}
+		if !it.Latest.IsZero() && now.After(it.Latest) {
+			h.refuse(w, ReasonOverload, h.load(w, now, false).Wait())
+		}
+	})
+	h.setTurnAfter()
+	h.schedule(now)
+}
+
+// setTurnAfter sets the wait for a turn so that the turns of all classes take a small share of the slots.
+func (h *Home) setTurnAfter() {
+	slots, hold := 0, time.Duration(0)
+	for _, s := range h.servers {
+		if s.serving() {
+			slots += s.Slots
+		}
+	}
+	for name := range h.classes {
+		hold += h.service.Hold(name)
+	}
+	after := time.Duration(float64(hold) / (turnShare * float64(max(slots, 1))))
+	h.queue.TurnAfter = min(max(after, turnAfterMin), turnAfterMax)
+}
--- /dev/null
+++ b/request/queue/heap.go
@@ -0,0 +1,84 @@
+package queue
+
+import (
+	"cmp"
+	"time"
+)
+
+// itemHeap orders the requests of a workspace by their latest start; those without one go last.
+type itemHeap []*Item
+
+func compareItems(a, b *Item) int {
+	if c := compareLatest(a.Latest, b.Latest); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Number, b.Number)
+}
+
+func compareLatest(a, b time.Time) int {
+	switch {
+	case a.Equal(b):
+		return 0
+	case a.IsZero():
+		return 1
+	case b.IsZero():
+		return -1
+	}
+	return a.Compare(b)
+}
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return compareItems(h[i], h[j]) < 0 }
+
+func (h itemHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *itemHeap) Push(x any) {
+	it := x.(*Item)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+func (h *itemHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	it.index = -1
+	return it
+}
+
+// flowHeap orders the workspaces of a tier by start tag: the worst-served goes first.
+type flowHeap []*flow
+
+func compareFlows(a, b *flow) int {
+	if c := cmp.Compare(a.tag, b.tag); c != 0 {
+		return c
+	}
+	return compareItems(a.items[0], b.items[0])
+}
+
+func (h flowHeap) Len() int           { return len(h) }
+func (h flowHeap) Less(i, j int) bool { return compareFlows(h[i], h[j]) < 0 }
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.index = -1
+	return f
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -22,6 +22,9 @@
 	// Estimated tokens.
 	Tokens int `json:"t,omitempty,omitzero"`
 
+	// Backend server that holds the paused stream which is to be resumed.
+	Resume string `json:"u,omitempty,omitzero"`
+
 	// Workspace.
 	Workspace string `json:"w"`
 
@@ -29,6 +32,21 @@
 	Exclude []string `json:"x,omitempty,omitzero"`
 }
 
+// GrantHeld is one grant that a holder declares to a new home of the pool.
+type GrantHeld struct {
+	// Class.
+	Class string `json:"c"`
+
+	// Grant number at the home that gave it.
+	Grant int `json:"g"`
+
+	// Backend server.
+	Server string `json:"s"`
+
+	// Workspace.
+	Workspace string `json:"w"`
+}
+
 // GrantPreempt asks the holder of a grant to pause its stream and return the slot.
 type GrantPreempt struct {
 	// Grant corresponds to the JSON schema field "g".
@@ -60,6 +78,9 @@
 
 	// Pool.
 	Pool string `json:"p"`
+
+	// The stream was paused, so its time and length are not whole.
+	Paused bool `json:"z,omitempty,omitzero"`
 }
 
 // GrantReply gives a slot or a refusal.
@@ -77,6 +98,15 @@
 	Server string `json:"s,omitempty,omitzero"`
 }
 
+// GrantsHeld declares all grants of a pool that the sender holds.
+type GrantsHeld struct {
+	// Grants corresponds to the JSON schema field "h".
+	Grants []GrantHeld `json:"h"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
 type Hello struct {
 	// Configuration version in force at the sender.
 	Config int `json:"config,omitempty,omitzero"`
@@ -100,6 +130,9 @@
 	// Ask corresponds to the JSON schema field "ask".
 	Ask *GrantAsk `json:"ask,omitempty,omitzero"`
 
+	// Held corresponds to the JSON schema field "held".
+	Held *GrantsHeld `json:"held,omitempty,omitzero"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
