--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -198,7 +198,7 @@
 }
 
 // Claim tells the peer which slots this instance holds from an earlier home.
-func (l *Link) Claim(ctx context.Context, c wire.GrantClaim) error {
+func (l *Link) Claim(ctx context.Context, c wire.GrantsHeld) error {
 	return l.notify(ctx, methodClaim, c)
 }
 
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -31,7 +31,7 @@
 	// Release takes a slot back.
 	Release func(from string, r wire.GrantRelease)
 	// Claim hears which slots a peer holds from an earlier home.
-	Claim func(from string, c wire.GrantClaim)
+	Claim func(from string, c wire.GrantsHeld)
 	// Sync returns the objects that are newer than the asker's.
 	Sync func(ask wire.SyncAsk) wire.SyncReply
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
@@ -239,7 +239,7 @@
 }
 
 func (s *session) claim(from string, req *jsonrpc2.Request) (any, error) {
-	c, err := decode[wire.GrantClaim](req)
+	c, err := decode[wire.GrantsHeld](req)
 	if err != nil {
 		return nil, err
 	}
--- a/process/home/router.go
+++ b/process/home/router.go
@@ -31,7 +31,7 @@
 	// Release returns a slot.
 	Release func(ctx context.Context, r wire.GrantRelease) error
 	// Claim tells which slots this instance holds from an earlier home.
-	Claim func(ctx context.Context, c wire.GrantClaim) error
+	Claim func(ctx context.Context, c wire.GrantsHeld) error
 }
 
 // Router gets grants for the requests of this instance. Set the fields before use.
@@ -206,12 +206,12 @@
 
 // Reclaim tells the new homes of each pool which slots this instance holds from a lost home.
 func (r *Router) Reclaim(lost string) {
-	claims := map[string][]wire.HeldGrant{}
+	claims := map[string][]wire.GrantHeld{}
 	r.mu.Lock()
 	for key, h := range r.held {
 		if key.home == lost {
-			claims[key.pool] = append(claims[key.pool], wire.HeldGrant{
-				RequestID: h.ask.RequestID,
+			claims[key.pool] = append(claims[key.pool], wire.GrantHeld{
+				Grant:     key.number,
 				Server:    h.grant.Server(),
 				Class:     h.ask.Class,
 				Workspace: h.ask.Workspace,
@@ -225,7 +225,7 @@
 			continue
 		}
 		if peer, ok := r.Peer(homes[0]); ok {
-			_ = peer.Claim(context.Background(), wire.GrantClaim{Pool: name, Grants: grants})
+			_ = peer.Claim(context.Background(), wire.GrantsHeld{Pool: name, Grants: grants})
 		}
 	}
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -22,6 +22,9 @@
 	// Estimated tokens.
 	Tokens int `json:"t,omitempty,omitzero"`
 
+	// Backend server that holds the paused stream which is to be resumed.
+	Resume string `json:"u,omitempty,omitzero"`
+
 	// Workspace.
 	Workspace string `json:"w"`
 
@@ -38,14 +41,19 @@
 	Pool string `json:"p"`
 }
 
-// GrantClaim tells a pool's new home which slots the sender holds from an earlier
-// home.
-type GrantClaim struct {
-	// Grants corresponds to the JSON schema field "grants".
-	Grants []HeldGrant `json:"grants"`
+// GrantHeld is one grant that a holder declares to a new home of the pool.
+type GrantHeld struct {
+	// Class.
+	Class string `json:"c"`
 
-	// Pool.
-	Pool string `json:"p"`
+	// Grant number at the home that gave it.
+	Grant int `json:"g"`
+
+	// Backend server.
+	Server string `json:"s"`
+
+	// Workspace.
+	Workspace string `json:"w"`
 }
 
 // GrantPreempt asks the holder of a grant to pause its stream and return the slot.
@@ -79,6 +87,9 @@
 
 	// Pool.
 	Pool string `json:"p"`
+
+	// The stream was paused, so its time and length are not whole.
+	Paused bool `json:"z,omitempty,omitzero"`
 }
 
 // GrantReply gives a slot or a refusal.
@@ -96,18 +107,13 @@
 	Server string `json:"s,omitempty,omitzero"`
 }
 
-type HeldGrant struct {
-	// Class.
-	Class string `json:"c"`
-
-	// Request id.
-	RequestID string `json:"i"`
-
-	// Backend server.
-	Server string `json:"s"`
+// GrantsHeld declares all grants of a pool that the sender holds.
+type GrantsHeld struct {
+	// Grants corresponds to the JSON schema field "h".
+	Grants []GrantHeld `json:"h"`
 
-	// Workspace.
-	Workspace string `json:"w"`
+	// Pool.
+	Pool string `json:"p"`
 }
 
 type Hello struct {
@@ -142,8 +148,8 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *GrantCancel `json:"cancel,omitempty,omitzero"`
 
-	// Claim corresponds to the JSON schema field "claim".
-	Claim *GrantClaim `json:"claim,omitempty,omitzero"`
+	// Held corresponds to the JSON schema field "held".
+	Held *GrantsHeld `json:"held,omitempty,omitzero"`
 
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
