Exchange version digests and usage counts over the links

Cause: versions are compared by digest and usage is handed to one collector. Change: methods exchange, announce and usage in connection/peer; the sync method that stood for them is gone.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -202,11 +202,21 @@
 	return l.notify(ctx, methodClaim, c)
 }
 
-// Sync asks the peer for the objects that are newer than this instance's.
-func (l *Link) Sync(ctx context.Context, ask wire.SyncAsk) (wire.SyncReply, error) {
-	var reply wire.SyncReply
-	err := l.call(ctx, methodSync, ask, &reply)
-	return reply, err
+// Exchange sends the digest of this instance's versions and returns what it lacks.
+func (l *Link) Exchange(ctx context.Context, digest wire.VersionDigest) (wire.VersionOffer, error) {
+	var offer wire.VersionOffer
+	err := l.call(ctx, methodExchange, digest, &offer)
+	return offer, err
+}
+
+// Announce tells the peer which versions this instance has.
+func (l *Link) Announce(ctx context.Context, digest wire.VersionDigest) error {
+	return l.notify(ctx, methodAnnounce, digest)
+}
+
+// Usage hands counts over to the peer; after an error they are still the sender's.
+func (l *Link) Usage(ctx context.Context, counts []wire.UsageCount) error {
+	return l.call(ctx, methodUsage, counts, nil)
 }
 
 func (l *Link) notify(ctx context.Context, method string, params any) error {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -42,7 +42,9 @@
 	methodRelease = "release"
 	methodClaim   = "claim"
 	methodPreempt = "preempt"
-	methodSync    = "sync"
+	methodExchange = "exchange"
+	methodAnnounce = "announce"
+	methodUsage   = "usage"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -53,7 +53,6 @@
 		Ask:     ask,
 		Release: func(_ string, r wire.GrantRelease) { p.released <- r },
 		Claim:   func(string, wire.GrantsHeld) {},
-		Sync:    func(wire.SyncAsk) wire.SyncReply { return wire.SyncReply{} },
 		Lost:    func(instance string) { p.lost <- instance },
 	}
 	p.link = &Link{
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -32,8 +32,12 @@
 	Release func(from string, r wire.GrantRelease)
 	// Claim hears which slots a peer holds from an earlier home.
 	Claim func(from string, c wire.GrantsHeld)
-	// Sync returns the objects that are newer than the asker's.
-	Sync func(ask wire.SyncAsk) wire.SyncReply
+	// Exchange returns the versions that a peer with the digest lacks.
+	Exchange func(from string, digest wire.VersionDigest) wire.VersionOffer
+	// Announced hears that a peer has the digest.
+	Announced func(from string, digest wire.VersionDigest)
+	// Usage takes counts of a peer over; an error leaves them with the peer.
+	Usage func(from string, counts []wire.UsageCount) error
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
 	Lost func(instance string)
 
@@ -153,8 +157,12 @@
 		return s.release(from, req)
 	case methodClaim:
 		return s.claim(from, req)
-	case methodSync:
-		return s.sync(req)
+	case methodExchange:
+		return s.exchange(from, req)
+	case methodAnnounce:
+		return s.announce(from, req)
+	case methodUsage:
+		return s.usage(from, req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -247,12 +255,29 @@
 	return nil, nil
 }
 
-func (s *session) sync(req *jsonrpc2.Request) (any, error) {
-	ask, err := decode[wire.SyncAsk](req)
+func (s *session) exchange(from string, req *jsonrpc2.Request) (any, error) {
+	digest, err := decode[wire.VersionDigest](req)
 	if err != nil {
 		return nil, err
 	}
-	return s.server.Sync(ask), nil
+	return s.server.Exchange(from, digest), nil
+}
+
+func (s *session) announce(from string, req *jsonrpc2.Request) (any, error) {
+	digest, err := decode[wire.VersionDigest](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.Announced(from, digest)
+	return nil, nil
+}
+
+func (s *session) usage(from string, req *jsonrpc2.Request) (any, error) {
+	counts, err := decode[[]wire.UsageCount](req)
+	if err != nil {
+		return nil, err
+	}
+	return nil, s.server.Usage(from, counts)
 }
 
 // end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -34,8 +34,6 @@
 	dataCentre string
 	state      State
 	config     int
-	keys       int
-	fleet      int
 	heard      time.Time
 }
 
@@ -98,8 +96,6 @@
 	old := m.state
 	m.dataCentre = h.DataCentre
 	m.config = h.Config
-	m.keys = h.Keys
-	m.fleet = h.Fleet
 	m.heard = time.Now()
 	m.state = StateLive
 	if h.Leaving {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -123,18 +123,12 @@
 	// DataCentre corresponds to the JSON schema field "data_centre".
 	DataCentre string `json:"data_centre"`
 
-	// Highest object version of the fleet records in force at the sender.
-	Fleet int `json:"fleet,omitempty,omitzero"`
-
 	// Version of the message format; neighbours work together.
 	Format int `json:"format"`
 
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance"`
 
-	// Highest object version of the keyrings in force at the sender.
-	Keys int `json:"keys,omitempty,omitzero"`
-
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 }
@@ -162,28 +156,4 @@
 
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *GrantReply `json:"reply,omitempty,omitzero"`
-
-	// SyncAsk corresponds to the JSON schema field "syncAsk".
-	SyncAsk *SyncAsk `json:"syncAsk,omitempty,omitzero"`
-
-	// SyncReply corresponds to the JSON schema field "syncReply".
-	SyncReply *SyncReply `json:"syncReply,omitempty,omitzero"`
-}
-
-// SyncAsk asks for what is newer than the given versions.
-type SyncAsk struct {
-	// Configuration version in force at the sender.
-	Config int `json:"config"`
-
-	// Highest object version of the sender's fleet records.
-	Fleet int `json:"fleet"`
-
-	// Highest object version of the sender's keyrings.
-	Keys int `json:"keys"`
-}
-
-// SyncReply holds the objects that are newer.
-type SyncReply struct {
-	// Objects corresponds to the JSON schema field "objects".
-	Objects []Object `json:"objects"`
 }
