--- a/wire/records.go
+++ b/wire/records.go
@@ -2,6 +2,8 @@
 
 package wire
 
+import "encoding/json"
+
 // ClaimRecord is the only right to send a request that may not be repeated.
 type ClaimRecord struct {
 	// Hash of the request, 16 hex digits.
@@ -34,6 +36,15 @@
 const ClaimRecordStateSent ClaimRecordState = "sent"
 const ClaimRecordStateUnknown ClaimRecordState = "unknown"
 
+// ConfigHead names the newest accepted configuration.
+type ConfigHead struct {
+	// Name of the configversion object.
+	Document string `json:"document"`
+
+	// Version of the configuration.
+	Version int `json:"version"`
+}
+
 // CountedRun tells which sequence numbers of a run are in a seal.
 type CountedRun struct {
 	// Counted sequence numbers above through, ascending.
@@ -104,6 +115,21 @@
 const IntentRecordStateOpen IntentRecordState = "open"
 const IntentRecordStateRefused IntentRecordState = "refused"
 
+// KeyringObject is a workspace's keyring with its object version.
+type KeyringObject struct {
+	// The keyring is gone and all its keys are withdrawn.
+	Deleted bool `json:"deleted,omitempty,omitzero"`
+
+	// The stored keyring.
+	Value *json.RawMessage `json:"value,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version"`
+
+	// Workspace corresponds to the JSON schema field "workspace".
+	Workspace string `json:"workspace"`
+}
+
 // LeaseRecord is the value of a lease: who holds a job of a data centre.
 type LeaseRecord struct {
 	// Milliseconds for which a renewal holds.
@@ -136,6 +162,9 @@
 	// ClaimRecord corresponds to the JSON schema field "claim_record".
 	ClaimRecord *ClaimRecord `json:"claim_record,omitempty,omitzero"`
 
+	// ConfigHead corresponds to the JSON schema field "config_head".
+	ConfigHead *ConfigHead `json:"config_head,omitempty,omitzero"`
+
 	// IntentRecord corresponds to the JSON schema field "intent_record".
 	IntentRecord *IntentRecord `json:"intent_record,omitempty,omitzero"`
 
@@ -150,6 +179,9 @@
 
 	// UsageSeal corresponds to the JSON schema field "usage_seal".
 	UsageSeal *UsageSeal `json:"usage_seal,omitempty,omitzero"`
+
+	// VersionOffer corresponds to the JSON schema field "version_offer".
+	VersionOffer *VersionOffer `json:"version_offer,omitempty,omitzero"`
 }
 
 // StopRecord is a planned stop of a backend server.
@@ -238,3 +270,31 @@
 	// Unix time in milliseconds.
 	WindowStartMs int `json:"window_start_ms"`
 }
+
+// VersionDigest tells which versions an instance has.
+type VersionDigest struct {
+	// Milliseconds since the versions were known to be the object API's newest; -1 is
+	// never.
+	AgeMs int `json:"age_ms"`
+
+	// Highest configuration version that is known; 0 is none.
+	Config int `json:"config"`
+
+	// Hash over workspace and object version of all keyrings, 16 hex digits.
+	KeyringsHash string `json:"keyrings_hash"`
+
+	// Highest object version among the keyrings; 0 is none.
+	KeyringsThrough int `json:"keyrings_through"`
+}
+
+// VersionOffer passes versions on that the receiver lacks.
+type VersionOffer struct {
+	// The configuration as stored.
+	Config *json.RawMessage `json:"config,omitempty,omitzero"`
+
+	// Digest corresponds to the JSON schema field "digest".
+	Digest VersionDigest `json:"digest"`
+
+	// Keyrings corresponds to the JSON schema field "keyrings".
+	Keyrings []KeyringObject `json:"keyrings,omitempty,omitzero"`
+}
