Carry a completion from the caller to an engine and back

Cause: no request path existed. Change: request (parsed body, key carriers, answers), request/dispatch (rights, slot, attempts, stream, retries, observation), connection/caller (nbhttp listener with bounds on headers, bodies, time and slow readers), connection/engine and connection/service (net/http transports). Each answer is streamed from the engine, also for callers who want it whole: the router then sees the first token and the gaps, may pause, and may repeat a request of which nothing was shown. A call that may not be repeated gets a new connection, since net/http repeats a request with an Idempotency-Key by itself on a connection that it reuses.

--- /dev/null
+++ b/connection/caller/answer.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/request"
+)
+
+const (
+	headerRetryAfter  = "Retry-After"
+	headerShouldRetry = "X-Should-Retry"
+	contentJSON       = "application/json"
+)
+
+// modelList is the answer of the models path.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(c *call, rest string) error {
+	if err := allow(c, allowGet); err != nil {
+		return err
+	}
+	names, err := s.Dispatcher.Models(s.meta(c).Key)
+	if err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: make([]modelInfo, 0, len(names))}
+	for _, name := range names {
+		info := modelInfo{ID: name, Object: "model", OwnedBy: "toucanroute"}
+		if name == strings.TrimPrefix(rest, "/") {
+			return c.w.json(http.StatusOK, info)
+		}
+		list.Data = append(list.Data, info)
+	}
+	if rest != "" && rest != "/" {
+		return request.Refuse(http.StatusNotFound, request.CodeUnknownModel, "no such model")
+	}
+	return c.w.json(http.StatusOK, list)
+}
+
+// fail sends an error: as the whole answer, or as the last event of a stream that has begun.
+func (s *Server) fail(c *call, answer request.ErrAnswer) {
+	s.Log.Info("request_failed",
+		zap.String("request_id", c.id),
+		zap.Int("status", answer.Status),
+		zap.String("code", answer.Code),
+		zap.Bool("not_run", answer.NotRun),
+	)
+	if c.guard.isClosed() {
+		return
+	}
+	if c.w.begun {
+		body, _ := json.Marshal(answer.Body(c.id))
+		c.w.event(body)
+		c.guard.closeSoon()
+		return
+	}
+	setErrorHeaders(c.w.Header(), answer)
+	_ = c.w.json(answer.Status, answer.Body(c.id))
+}
+
+// setErrorHeaders tells when to come back, and clients that repeat by themselves whether they may.
+func setErrorHeaders(h http.Header, answer request.ErrAnswer) {
+	if answer.RetryAfter > 0 {
+		h.Set(headerRetryAfter, retryAfter(answer.RetryAfter))
+		return
+	}
+	h.Set(headerShouldRetry, "false")
+}
+
+// writeRefusal answers a request that never became whole.
+func (s *Server) writeRefusal(conn net.Conn, answer request.ErrAnswer) {
+	id := ulid.Make().String()
+	s.Log.Info("input_refused",
+		zap.String("request_id", id),
+		zap.Int("status", answer.Status),
+		zap.String("code", answer.Code),
+		zap.String("remote", conn.RemoteAddr().String()),
+	)
+	body, err := json.Marshal(answer.Body(id))
+	if err != nil {
+		return
+	}
+	res := http.Response{
+		StatusCode:    answer.Status,
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        http.Header{"Content-Type": {contentJSON}, HeaderRequestID: {id}},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+		Close:         true,
+	}
+	setErrorHeaders(res.Header, answer)
+	var b bytes.Buffer
+	if res.Write(&b) == nil {
+		_, _ = conn.Write(b.Bytes())
+	}
+}
--- /dev/null
+++ b/connection/caller/certificate.go
@@ -0,0 +1,94 @@
+package caller
+
+import (
+	"os"
+	"sync"
+	"time"
+
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/samber/oops"
+)
+
+const certificateCheck = time.Second
+
+// Certificate is a TLS certificate that is read again when its files change. Its fields are set before first use.
+type Certificate struct {
+	// CertFile is a PEM file with the certificate and its chain.
+	CertFile string
+	// KeyFile is a PEM file with the private key.
+	KeyFile string
+	// OnReload, if not nil, is told of each reload; an error leaves the former certificate in force.
+	OnReload func(err error)
+
+	mu      sync.Mutex
+	checked time.Time
+	changed time.Time
+	current *tls.Certificate
+}
+
+// Load reads the files and returns the error that they give.
+func (c *Certificate) Load() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.load()
+}
+
+func (c *Certificate) load() error {
+	changed, err := c.modified()
+	if err != nil {
+		return err
+	}
+	pair, err := tls.LoadX509KeyPair(c.CertFile, c.KeyFile)
+	if err != nil {
+		return oops.In("caller").With("cert", c.CertFile, "key", c.KeyFile).Wrap(err)
+	}
+	c.current, c.changed, c.checked = &pair, changed, time.Now()
+	return nil
+}
+
+// modified returns the later time of change of the two files.
+func (c *Certificate) modified() (time.Time, error) {
+	var latest time.Time
+	for _, name := range []string{c.CertFile, c.KeyFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return latest, oops.In("caller").Wrap(err)
+		}
+		if info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest, nil
+}
+
+// get returns the certificate in force.
+func (c *Certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		err := c.load()
+		return c.current, err
+	}
+	if time.Since(c.checked) >= certificateCheck {
+		c.reload()
+	}
+	return c.current, nil
+}
+
+func (c *Certificate) reload() {
+	c.checked = time.Now()
+	changed, err := c.modified()
+	if err == nil && changed.Equal(c.changed) {
+		return
+	}
+	if err == nil {
+		err = c.load()
+	}
+	if c.OnReload != nil {
+		c.OnReload(err)
+	}
+}
+
+func (c *Certificate) config() *tls.Config {
+	return &tls.Config{GetCertificate: c.get, MinVersion: tls.VersionTLS12}
+}
--- /dev/null
+++ b/connection/caller/server.go
@@ -0,0 +1,250 @@
+// Package caller is the callers' listener: the completions API, plain services, and clear answers to bad input.
+//
+// Lock order: guard.mu and Server.mu are leaves; neither is held while the other is taken.
+package caller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/request/dispatch"
+)
+
+// Defaults of the fields of Server.
+const (
+	DefaultMaxBody        = 4 << 20
+	DefaultMaxHeader      = 32 << 10
+	DefaultMaxBuffered    = 64 << 20
+	DefaultMaxConnections = 20_000
+	DefaultMaxRequests    = 8_192
+	DefaultRequestTimeout = 20 * time.Second
+	DefaultIdleTimeout    = 120 * time.Second
+	DefaultStallTimeout   = 20 * time.Second
+	DefaultStreamBuffer   = 256 << 10
+)
+
+const (
+	maxWriteBuffer  = 16 << 20
+	readBufferBytes = 16 << 10
+	watchInterval   = 200 * time.Millisecond
+	spareHandlers   = 1024
+)
+
+// Server serves callers. Its fields are set before Run; sizes, counts and times of 0 take the defaults.
+type Server struct {
+	// Listen is the IP address and port; port 0 takes a free one.
+	Listen string
+	// Certificate, if not nil, turns on TLS.
+	Certificate *Certificate
+	// Dispatcher runs the requests.
+	Dispatcher *dispatch.Dispatcher
+	// Log takes the lines of refused input.
+	Log *zap.Logger
+
+	// MaxBody is the largest body in bytes; a larger one gets 413.
+	MaxBody int
+	// MaxHeader bounds the request line and headers in bytes; more gets 431.
+	MaxHeader int
+	// MaxBuffered bounds the bytes of all bodies that are held; more gets 503.
+	MaxBuffered int64
+	// MaxConnections bounds the open connections; further ones are closed at once.
+	MaxConnections int
+	// MaxRequests bounds the running requests; further ones get 503.
+	MaxRequests int64
+	// RequestTimeout bounds the time in which a request must arrive whole; a slower one gets 408.
+	RequestTimeout time.Duration
+	// IdleTimeout bounds the time between two requests of a connection.
+	IdleTimeout time.Duration
+	// StallTimeout bounds the time in which a slow reader must take something; then its connection is closed.
+	StallTimeout time.Duration
+	// StreamBuffer is the number of bytes that wait for a slow reader before its stream is held up.
+	StreamBuffer int64
+
+	http     *nbhttp.Server
+	address  string
+	draining atomic.Bool
+	running  atomic.Int64
+	buffered atomic.Int64
+	started  chan struct{}
+	once     sync.Once
+
+	mu sync.Mutex
+	// calls holds the running requests, so that one goroutine can watch all their connections.
+	calls map[*call]struct{}
+}
+
+func (s *Server) setDefaults() {
+	setDefault(&s.MaxBody, DefaultMaxBody)
+	setDefault(&s.MaxHeader, DefaultMaxHeader)
+	setDefault(&s.MaxBuffered, DefaultMaxBuffered)
+	setDefault(&s.MaxConnections, DefaultMaxConnections)
+	setDefault(&s.MaxRequests, DefaultMaxRequests)
+	setDefault(&s.RequestTimeout, DefaultRequestTimeout)
+	setDefault(&s.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&s.StallTimeout, DefaultStallTimeout)
+	setDefault(&s.StreamBuffer, DefaultStreamBuffer)
+	if s.Log == nil {
+		s.Log = zap.NewNop()
+	}
+}
+
+func setDefault[T int | int64 | time.Duration](v *T, value T) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+func (s *Server) startedChan() chan struct{} {
+	s.once.Do(func() { s.started = make(chan struct{}) })
+	return s.started
+}
+
+// Started is closed once the listener is open.
+func (s *Server) Started() <-chan struct{} { return s.startedChan() }
+
+// Address returns the listener's address; it is known once Started is closed.
+func (s *Server) Address() string { return s.address }
+
+// Run serves until ctx ends; Drain before that lets the running requests finish.
+func (s *Server) Run(ctx context.Context) error {
+	s.setDefaults()
+	s.calls = make(map[*call]struct{})
+	logging.SetLogger(engineLog{log: s.Log.Sugar()})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	cfg := s.config()
+	s.http = nbhttp.NewServer(cfg)
+	s.http.Engine.Engine.OnOpen(s.onOpen)
+	s.http.Engine.Engine.OnWrittenSize(onWritten)
+	if err := s.http.Start(); err != nil {
+		return oops.In("caller").With("listen", s.Listen).Wrap(err)
+	}
+	close(s.startedChan())
+	s.watch(ctx)
+	stopCtx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	_ = s.http.Shutdown(stopCtx)
+	return nil
+}
+
+func (s *Server) config() nbhttp.Config {
+	cfg := nbhttp.Config{
+		Name:                   "callers",
+		Network:                "tcp",
+		Handler:                s,
+		MaxLoad:                s.MaxConnections,
+		ReadLimit:              s.MaxBody + s.MaxHeader + readBufferBytes,
+		ReadBufferSize:         readBufferBytes,
+		MaxWriteBufferSize:     maxWriteBuffer,
+		KeepaliveTime:          s.IdleTimeout,
+		MessageHandlerPoolSize: int(s.MaxRequests) + spareHandlers,
+		SupportServerOnly:      true,
+		Listen:                 s.listen,
+	}
+	if s.Certificate == nil {
+		cfg.Addrs = []string{s.Listen}
+		return cfg
+	}
+	cfg.AddrsTLS = []string{s.Listen}
+	cfg.TLSConfig = s.Certificate.config()
+	return cfg
+}
+
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	ln, err := net.Listen(network, address)
+	if err == nil {
+		s.address = ln.Addr().String()
+	}
+	return ln, err
+}
+
+// Drain refuses new requests and waits until the running ones are done or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	t := time.NewTicker(watchInterval / 10)
+	defer t.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+// Draining tells whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Running returns the number of running requests.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// watch ends the requests whose caller has left.
+func (s *Server) watch(ctx context.Context) {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.cancelAll()
+			return
+		case <-t.C:
+			s.cancelGone()
+		}
+	}
+}
+
+func (s *Server) cancelGone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		if c.guard.isClosed() {
+			c.cancel(dispatch.ErrCallerGone{})
+			continue
+		}
+		c.clearDeadline()
+	}
+}
+
+func (s *Server) cancelAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.calls {
+		c.cancel(context.Canceled)
+	}
+}
+
+// onOpen puts the guard between a connection and its parser, before the first byte is read.
+func (s *Server) onOpen(conn *nbio.Conn) {
+	parser, ok := conn.Session().(*nbhttp.Parser)
+	if !ok {
+		return
+	}
+	g := &guard{Processor: parser.Processor, server: s, conn: conn, parser: parser}
+	parser.Processor = g
+	conn.SetSession(g)
+}
+
+// onWritten tells a connection's guard that n bytes have gone out.
+func onWritten(conn *nbio.Conn, _ []byte, n int) {
+	if g, ok := conn.Session().(*guard); ok {
+		g.written(int64(n))
+	}
+}
+
+// engineLog passes the library's own lines on.
+type engineLog struct{ log *zap.SugaredLogger }
+
+func (l engineLog) Debug(format string, v ...any) { l.log.Debugf("nbio "+format, v...) }
+func (l engineLog) Info(format string, v ...any)  { l.log.Debugf("nbio "+format, v...) }
+func (l engineLog) Warn(format string, v ...any)  { l.log.Warnf("nbio "+format, v...) }
+func (l engineLog) Error(format string, v ...any) { l.log.Warnf("nbio "+format, v...) }
--- /dev/null
+++ b/connection/caller/stack_test.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/connection/engine"
+	"github.com/toucanroute/toucanroute/connection/service"
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/request"
+	"github.com/toucanroute/toucanroute/request/dispatch"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+const (
+	testKey   = "sk-test-1234"
+	testModel = "guide"
+)
+
+// fakeEngine streams a fixed number of tokens and keeps what it was sent.
+type fakeEngine struct {
+	tokens int
+	pause  time.Duration
+	text   string
+
+	cancelled atomic.Int32
+	ended     atomic.Int32
+	mu        sync.Mutex
+	bodies    []map[string]any
+	headers   []http.Header
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/cancel") {
+		e.cancelled.Add(1)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	var fields map[string]any
+	_ = json.Unmarshal(body, &fields)
+	e.mu.Lock()
+	e.bodies = append(e.bodies, fields)
+	e.headers = append(e.headers, r.Header.Clone())
+	e.mu.Unlock()
+	defer e.ended.Add(1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	id := r.Header.Get("X-Request-Id")
+	for i := range e.tokens {
+		if !e.emit(w, r, id, i) {
+			return
+		}
+	}
+	_, _ = fmt.Fprintf(w, `data: {"id":%q,"object":"chat.completion.chunk","created":1,"model":"guide","choices":[],"usage":{"prompt_tokens":7,"completion_tokens":%d,"total_tokens":%d}}`+"\n\n", id, e.tokens, 7+e.tokens)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (e *fakeEngine) emit(w http.ResponseWriter, r *http.Request, id string, i int) bool {
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(e.pause):
+	}
+	reason := "null"
+	if i == e.tokens-1 {
+		reason = `"stop"`
+	}
+	text := e.text
+	if text == "" {
+		text = fmt.Sprintf("t%d ", i)
+	}
+	_, err := fmt.Fprintf(w, `data: {"id":%q,"object":"chat.completion.chunk","created":1,"model":"guide","choices":[{"index":0,"delta":{"content":%q},"finish_reason":%s}],"usage":null}`+"\n\n", id, text, reason)
+	w.(http.Flusher).Flush()
+	return err == nil
+}
+
+// last returns what the engine was sent last.
+func (e *fakeEngine) last() (map[string]any, http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bodies[len(e.bodies)-1], e.headers[len(e.headers)-1]
+}
+
+// stack is a listener in front of one backend server.
+type stack struct {
+	server     *Server
+	dispatcher *dispatch.Dispatcher
+	url        string
+	address    string
+
+	mu       sync.Mutex
+	outcomes []dispatch.Outcome
+	releases []wire.GrantRelease
+}
+
+func (s *stack) observe(o dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, o)
+}
+
+func (s *stack) acquire(context.Context, wire.GrantAsk) (*pool.Grant, error) {
+	return pool.NewGrant("s1", "home", 1, func(r wire.GrantRelease) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.releases = append(s.releases, r)
+	}), nil
+}
+
+func (s *stack) released() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.releases)
+}
+
+func resolve(ask dispatch.Ask) (dispatch.Rights, error) {
+	switch {
+	case ask.Key == "":
+		return dispatch.Rights{}, request.Refuse(http.StatusUnauthorized, request.CodeNoKey, "a key is needed")
+	case ask.Key != testKey:
+		return dispatch.Rights{}, request.Refuse(http.StatusUnauthorized, request.CodeBadKey, "the key is not valid")
+	case ask.Kind == wire.RouteKindModel && ask.Route != testModel:
+		return dispatch.Rights{}, request.Refuse(http.StatusNotFound, request.CodeUnknownModel, "no such model")
+	case ask.Class == "forbidden":
+		return dispatch.Rights{}, request.Refuse(http.StatusForbidden, request.CodeClassDenied, "the class is not in the key's rights")
+	}
+	return dispatch.Rights{
+		Workspace: "w1", KeyID: "k1", Idempotent: true,
+		Route: wire.Route{Name: ask.Route, Pool: "p1"},
+		Class: wire.Class{Name: "guide", Tier: 2},
+	}, nil
+}
+
+// newStack starts a listener; change, if not nil, alters it before it runs.
+func newStack(t testing.TB, backend http.Handler, change func(*stack)) *stack {
+	t.Helper()
+	upstream := httptest.NewServer(backend)
+	t.Cleanup(upstream.Close)
+	client, services := &engine.Client{}, &service.Client{}
+	t.Cleanup(client.Close)
+	t.Cleanup(services.Close)
+	s := &stack{address: strings.TrimPrefix(upstream.URL, "http://")}
+	s.dispatcher = &dispatch.Dispatcher{
+		Resolve: resolve,
+		Models:  func(string) ([]string, error) { return []string{testModel}, nil },
+		Acquire: s.acquire,
+		Address: func(string) string { return s.address },
+		Observe: s.observe,
+		Stream:  client.Stream,
+		Pause:   client.Pause,
+		Cancel:  client.Cancel,
+		Call:    services.Call,
+	}
+	s.server = &Server{Listen: "127.0.0.1:0", Dispatcher: s.dispatcher}
+	if change != nil {
+		change(s)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.server.Run(ctx) }()
+	select {
+	case <-s.server.Started():
+	case err := <-done:
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	s.url = "http://" + s.server.Address()
+	return s
+}
+
+func chatBody(stream bool) string {
+	return fmt.Sprintf(`{"model":"guide","stream":%t,"messages":[{"role":"user","content":"is it safe to swim?"}]}`, stream)
+}
+
+// post sends a body with the test key and returns status, headers and answer.
+func (s *stack) post(t testing.TB, path, body string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, s.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	return do(t, req)
+}
+
+func do(t testing.TB, req *http.Request) (int, http.Header, string) {
+	t.Helper()
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, res.Header, string(body)
+}
+
+// eventually polls until ok holds or the time is up.
+func eventually(t testing.TB, within time.Duration, what string, ok func() bool) {
+	t.Helper()
+	limit := time.Now().Add(within)
+	for !ok() {
+		if time.Now().After(limit) {
+			t.Fatalf("not within %s: %s", within, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/connection/engine/events.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/toucanroute/toucanroute/request"
+)
+
+const (
+	readerBytes  = 4 << 10
+	drainTimeout = 20 * time.Millisecond
+)
+
+var (
+	dataField  = []byte("data:")
+	eventEnd   = []byte("\n\n")
+	doneData   = []byte("[DONE]")
+	pausedData = []byte(`{"paused":true}`)
+)
+
+var errEventTooLarge = errors.New("event of the stream is too large")
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readerBytes) }}
+
+// read passes the data of each event to onData until the stream's end.
+func (c *Client) read(body io.ReadCloser, onData func(data []byte, more bool) error) error {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(body)
+	defer func() {
+		r.Reset(nil)
+		readers.Put(r)
+	}()
+	for {
+		data, err := c.nextData(r)
+		if err != nil {
+			return request.ErrAttempt{Sent: true, Err: unexpected(err)}
+		}
+		if bytes.Equal(data, doneData) {
+			drain(body, r)
+			return nil
+		}
+		if bytes.Equal(data, pausedData) {
+			return request.ErrPaused{}
+		}
+		if err := onData(data, hasEvent(r)); err != nil {
+			return err
+		}
+	}
+}
+
+// nextData returns the value of the next data field; it is valid until the next call.
+func (c *Client) nextData(r *bufio.Reader) ([]byte, error) {
+	for {
+		line, err := r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			line, err = c.longLine(r, line)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if value, ok := bytes.CutPrefix(line, dataField); ok {
+			return bytes.TrimSpace(value), nil
+		}
+	}
+}
+
+func (c *Client) longLine(r *bufio.Reader, head []byte) ([]byte, error) {
+	line := bytes.Clone(head)
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > c.MaxEvent {
+			return nil, errEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// hasEvent tells whether a whole event is buffered.
+func hasEvent(r *bufio.Reader) bool {
+	n := r.Buffered()
+	if n <= 1 {
+		return false
+	}
+	buffered, _ := r.Peek(n)
+	return bytes.Contains(buffered[1:], eventEnd)
+}
+
+// drain reads the end of the answer, so that the connection may be reused. An engine that doesn't end its answer
+// in time loses the connection and holds nobody up.
+func drain(body io.Closer, r io.Reader) {
+	late := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
+	_, _ = io.CopyN(io.Discard, r, readerBytes)
+	late.Stop()
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/request/dispatch/completion.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/request"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Complete runs a request of the completions API and writes its answer to w. An error is a request.ErrAnswer;
+// it is the caller's answer, or the last event of a stream that has begun.
+func (d *Dispatcher) Complete(ctx context.Context, w http.ResponseWriter, meta request.Meta, c *request.Completion) error {
+	r, err := d.start(ctx, meta, Ask{Key: meta.Key, Kind: wire.RouteKindModel, Route: c.Model(), Class: meta.Class})
+	if err != nil {
+		return r.end(err)
+	}
+	defer r.withDeadline()()
+	s := &stream{run: r, c: c, answer: newAnswer(w, c, meta.ID)}
+	err = s.complete()
+	s.observe(err)
+	return r.end(err)
+}
+
+// stream is a completion on its way through one or more attempts.
+type stream struct {
+	*run
+	c      *request.Completion
+	answer *answer
+	body   []byte
+
+	// chunks is the number of events that the running stream has brought; a resumed stream goes on behind them.
+	chunks int
+	// resumes is the number of times that the stream was resumed.
+	resumes int
+	// left is true once the running attempt's backend server has left.
+	left bool
+	// attemptStart is the time at which the running attempt was sent.
+	attemptStart time.Time
+	first        time.Time
+	last         time.Time
+	betweenMax   time.Duration
+	// wasted is the number of tokens of attempts that were given up.
+	wasted int
+}
+
+func (s *stream) complete() error {
+	var err error
+	s.body, err = s.c.EngineBody(s.rights.Class.Tier, s.rights.Class.MaxTokens)
+	if err != nil {
+		return err
+	}
+	for s.attempt = 1; ; s.attempt++ {
+		err = s.try()
+		if err == nil {
+			return s.answer.finish()
+		}
+		if !s.mayRetry(err, s.answer.shown()) {
+			return err
+		}
+		s.wasted += s.answer.reset()
+		s.chunks = 0
+	}
+}
+
+// try runs one attempt, through its pauses, to its end.
+func (s *stream) try() error {
+	grant, address, err := s.acquire(s.estimate(), s.c.Prefix())
+	if err != nil {
+		return err
+	}
+	s.out.Attempts++
+	s.attemptStart = time.Now()
+	a := request.Attempt{
+		ID:      s.attemptID(),
+		Address: address,
+		Path:    s.c.Path(),
+		Body:    s.body,
+		Fresh:   !s.rights.Idempotent,
+	}
+	err = s.hold(grant, a)
+	for request.IsErrPaused(err) {
+		grant, err = s.reacquire(grant.Server())
+		if err != nil {
+			return err
+		}
+		a.Resume, a.After = true, s.chunks
+		err = s.hold(grant, a)
+	}
+	if err != nil && request.IsErrAttempt(err) {
+		s.exclude = append(s.exclude, grant.Server())
+	}
+	return err
+}
+
+// hold streams while it holds the grant, and releases the grant when the engine's slot is free.
+func (s *stream) hold(grant *pool.Grant, a request.Attempt) error {
+	begin := time.Now()
+	before := s.answer.tokens()
+	err := s.send(grant, a)
+	for s.mayResume(err) {
+		s.resumes++
+		a.Resume, a.After = true, s.chunks
+		err = s.send(grant, a)
+	}
+	var attempt request.ErrAttempt
+	failed := errors.As(err, &attempt) && !isCallersFault(attempt.Status) && s.ctx.Err() == nil
+	release := wire.GrantRelease{
+		Pool:         s.rights.Route.Pool,
+		DurationMs:   int(time.Since(begin).Milliseconds()),
+		Failed:       failed,
+		Tokens:       max(s.answer.tokens()-before, 0),
+		CachedTokens: s.answer.cachedTokens(),
+	}
+	if !s.first.IsZero() && !s.first.Before(begin) {
+		release.FirstTokenMs = max(int(s.first.Sub(begin).Milliseconds()), 1)
+	}
+	grant.Release(release)
+	return err
+}
+
+// send runs one exchange with the engine. A stream that ends early is cancelled there before send returns.
+func (s *stream) send(grant *pool.Grant, a request.Attempt) error {
+	ctx, cancel := s.beginAttempt(grant.Server())
+	defer s.endAttempt(cancel)
+	if s.rights.Class.Resumable && s.d.Pause != nil {
+		go s.watchPreempt(ctx, grant, a)
+	}
+	err := s.d.Stream(ctx, a, s.onData)
+	s.left = errors.Is(context.Cause(ctx), ErrServerLeft{})
+	var attempt request.ErrAttempt
+	if err == nil || !errors.As(err, &attempt) || attempt.Sent {
+		s.sent = true
+	}
+	if err != nil && !request.IsErrPaused(err) && s.sent && s.d.Cancel != nil {
+		s.cancelAtEngine(ctx, err, a)
+	}
+	return err
+}
+
+// watchPreempt pauses the engine's stream when the home wants the slot back.
+func (s *stream) watchPreempt(ctx context.Context, grant *pool.Grant, a request.Attempt) {
+	select {
+	case <-ctx.Done():
+	case <-grant.Preempted():
+		_ = s.d.Pause(ctx, a.Address, a.ID)
+	}
+}
+
+// cancelAtEngine frees the engine's slot unless the engine itself ended the exchange.
+func (s *stream) cancelAtEngine(ctx context.Context, err error, a request.Attempt) {
+	var attempt request.ErrAttempt
+	if errors.As(err, &attempt) && attempt.Status != 0 {
+		return
+	}
+	if s.mayResume(err) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlWait)
+	defer cancel()
+	_ = s.d.Cancel(ctx, a.Address, a.ID)
+}
+
+// mayResume tells whether the same engine may go on with a stream whose connection broke.
+func (s *stream) mayResume(err error) bool {
+	var attempt request.ErrAttempt
+	if !errors.As(err, &attempt) || attempt.Status != 0 || !attempt.Sent || s.left {
+		return false
+	}
+	return s.chunks > 0 && s.resumes < maxResumes && s.ctx.Err() == nil && s.rights.Class.Resumable
+}
+
+// reacquire waits for a slot of the backend server that holds the paused stream.
+func (s *stream) reacquire(server string) (*pool.Grant, error) {
+	exclude := s.exclude
+	defer func() { s.exclude = exclude }()
+	if s.d.Siblings != nil {
+		s.exclude = append(exclude[:len(exclude):len(exclude)], s.d.Siblings(server)...)
+	}
+	for {
+		grant, _, err := s.acquire(s.estimate(), s.c.Prefix())
+		if err != nil {
+			return nil, err
+		}
+		if grant.Server() == server {
+			return grant, nil
+		}
+		grant.Release(wire.GrantRelease{Pool: s.rights.Route.Pool})
+		s.exclude = append(s.exclude, grant.Server())
+	}
+}
+
+// estimate is the number of tokens that the request may take, as far as it is known.
+func (s *stream) estimate() int {
+	return s.c.PromptTokens()
+}
+
+// onData takes one event of the engine's stream.
+func (s *stream) onData(data []byte, more bool) error {
+	s.chunks++
+	isToken, err := s.answer.add(data, more)
+	if !isToken {
+		return err
+	}
+	now := time.Now()
+	if s.first.IsZero() {
+		s.first = now
+	} else {
+		s.betweenMax = max(s.betweenMax, now.Sub(s.last))
+	}
+	s.last = now
+	return err
+}
+
+// observe fills the request's record and counts its usage: a whole answer by the engine's count, a stream that
+// ended early by the tokens that the caller was shown.
+func (s *stream) observe(err error) {
+	tokens := s.answer.tokens()
+	if !s.first.IsZero() {
+		s.out.FirstToken = s.first.Sub(s.meta.Arrived)
+	}
+	if n := s.answer.chunkTokens(); n > 1 {
+		s.out.BetweenMean = s.last.Sub(s.first) / time.Duration(n-1)
+		s.out.BetweenMax = s.betweenMax
+	}
+	s.out.PromptTokens = s.answer.promptTokens()
+	s.out.WastedTokens = s.wasted
+	counted := err == nil || s.answer.shown()
+	if err != nil {
+		s.out.WastedTokens += tokens
+	}
+	if !counted {
+		return
+	}
+	s.out.CompletionTokens = tokens
+	if s.d.Count != nil {
+		s.d.Count(s.rights.Workspace, s.rights.Class.Name, s.out.PromptTokens, tokens)
+	}
+}
--- /dev/null
+++ b/request/key.go
@@ -0,0 +1,97 @@
+package request
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+)
+
+// Headers and query parameters that may carry a key.
+const (
+	headerAuthorization = "Authorization"
+	headerXAPIKey       = "X-Api-Key"
+	headerAPIKey        = "Api-Key"
+	bearerPrefix        = "bearer "
+)
+
+var (
+	keyHeaders = []string{headerAuthorization, "Proxy-Authorization", headerXAPIKey, headerAPIKey, "Cookie"}
+	keyParams  = []string{"key", "api_key"}
+)
+
+// Key returns the key that came with a request; empty is none. The Authorization header goes first.
+func Key(h http.Header, u *url.URL) string {
+	if auth := h.Get(headerAuthorization); len(auth) > len(bearerPrefix) && strings.EqualFold(auth[:len(bearerPrefix)], bearerPrefix) {
+		return strings.TrimSpace(auth[len(bearerPrefix):])
+	}
+	for _, name := range []string{headerXAPIKey, headerAPIKey} {
+		if key := h.Get(name); key != "" {
+			return key
+		}
+	}
+	if u.RawQuery == "" {
+		return ""
+	}
+	query := u.Query()
+	for name, values := range query {
+		if isKeyParam(name) && len(values) > 0 && values[0] != "" {
+			return values[0]
+		}
+	}
+	return ""
+}
+
+// StripKeyHeaders removes each header that may carry a key, also any header that holds the key itself.
+func StripKeyHeaders(h http.Header, key string) {
+	for _, name := range keyHeaders {
+		delete(h, name)
+	}
+	if key == "" {
+		return
+	}
+	for name, values := range h {
+		for _, v := range values {
+			if strings.Contains(v, key) {
+				delete(h, name)
+				break
+			}
+		}
+	}
+}
+
+// StripKeyQuery returns the raw query without the parameters that may carry a key or hold the key itself.
+func StripKeyQuery(raw, key string) string {
+	if raw == "" {
+		return ""
+	}
+	kept := make([]string, 0, strings.Count(raw, "&")+1)
+	for part := range strings.SplitSeq(raw, "&") {
+		name, value, _ := strings.Cut(part, "=")
+		name = unescape(name)
+		if isKeyParam(name) {
+			continue
+		}
+		if key != "" && (strings.Contains(unescape(value), key) || strings.Contains(name, key)) {
+			continue
+		}
+		kept = append(kept, part)
+	}
+	return strings.Join(kept, "&")
+}
+
+func isKeyParam(name string) bool {
+	for _, p := range keyParams {
+		if strings.EqualFold(name, p) {
+			return true
+		}
+	}
+	return false
+}
+
+func unescape(s string) string {
+	plain, err := url.QueryUnescape(s)
+	if err != nil {
+		return s
+	}
+	return plain
+}
