--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -36,15 +36,15 @@
 
 // Methods of the protocol.
 const (
-	methodHello   = "hello"
-	methodAsk     = "ask"
-	methodCancel  = "cancel"
-	methodRelease = "release"
-	methodClaim   = "claim"
-	methodPreempt = "preempt"
+	methodHello    = "hello"
+	methodAsk      = "ask"
+	methodCancel   = "cancel"
+	methodRelease  = "release"
+	methodClaim    = "claim"
+	methodPreempt  = "preempt"
 	methodExchange = "exchange"
 	methodAnnounce = "announce"
-	methodUsage   = "usage"
+	methodUsage    = "usage"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
