--- /dev/null
+++ b/connection/operator/server.go
@@ -0,0 +1,94 @@
+// Package operator is the operators' listener of an instance: health, readiness, metrics, status and burn.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/lesismal/llib/std/crypto/tls"
+	"github.com/lesismal/nbio/nbhttp"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Bounds of the listener.
+const (
+	maxBody      = 1 << 16
+	maxLoad      = 1 << 10
+	keepalive    = 60 * time.Second
+	stopInterval = 2 * time.Second
+)
+
+// Server answers operators. Set the fields before Run.
+type Server struct {
+	// Listen is the IP address and port.
+	Listen string
+	// TLS, if not nil, returns the configuration that authenticates both ends.
+	TLS *tls.Config
+	// Log gets one line for each event.
+	Log *zap.Logger
+	// Ready tells whether the instance may get requests.
+	Ready func() bool
+	// Status returns what the instance sees.
+	Status func() wire.Status
+	// Burn returns the instance's service-level counts.
+	Burn func() wire.Burn
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	cfg := nbhttp.Config{
+		Network:                 "tcp",
+		Name:                    "operators",
+		Handler:                 s.handler(),
+		MaxHTTPBodySize:         maxBody,
+		MaxLoad:                 maxLoad,
+		KeepaliveTime:           keepalive,
+		ReleaseWebsocketPayload: true,
+	}
+	if s.TLS != nil {
+		cfg.AddrsTLS = []string{s.Listen}
+		cfg.TLSConfig = s.TLS
+	} else {
+		cfg.Addrs = []string{s.Listen}
+	}
+	engine := nbhttp.NewEngine(cfg)
+	if err := engine.Start(); err != nil {
+		return err
+	}
+	s.Log.Info("operators_listening", zap.String("addr", s.Listen), zap.Bool("tls", s.TLS != nil))
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopInterval)
+	defer cancel()
+	return engine.Shutdown(stop)
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { s.answer(w, s.Status()) })
+	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { s.answer(w, s.Burn()) })
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// answer writes v as JSON.
+func (s *Server) answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		s.Log.Warn("operator_answer_failed", zap.Error(err))
+	}
+}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -182,12 +182,25 @@
 		s.server.Log.Warn("peer_refused", zap.String("peer", hello.Instance), zap.Error(err))
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
 	}
+	if err := s.authenticate(hello.Instance); err != nil {
+		s.server.Log.Warn("peer_refused", zap.String("peer", hello.Instance), zap.Error(err))
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+	}
 	s.idle.Reset(HeartbeatTimeout)
 	s.register(hello.Instance)
 	s.server.Heard(hello)
 	return s.server.Self(), nil
 }
 
+// authenticate checks that the peer's certificate is for the instance that it says it is.
+func (s *session) authenticate(instance string) error {
+	secure, ok := s.raw.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	return secure.ConnectionState().PeerCertificates[0].VerifyHostname(instance)
+}
+
 // register makes the session the newest one of its peer.
 func (s *session) register(instance string) {
 	s.mu.Lock()
--- a/process/home/router.go
+++ b/process/home/router.go
@@ -58,21 +58,29 @@
 	Serves func(pool, dataCentre string) bool
 
 	mu sync.Mutex
-	// held has each grant that this instance holds, by its home and number.
+	// held has each grant that this instance holds.
 	held map[heldKey]*held
+	// homes has the home of each pool as of the last Rehome.
+	homes map[poolKey]string
 }
 
-// heldKey names a grant.
+// heldKey names a grant of this instance: homes draw their numbers so that those of two seldom meet.
 type heldKey struct {
-	home   string
 	pool   string
 	number int
 }
 
+// poolKey names the part of a pool that one home schedules.
+type poolKey struct {
+	pool       string
+	dataCentre string
+}
+
 // held is a grant with the ask that it answered.
 type held struct {
-	grant *pool.Grant
-	ask   wire.GrantAsk
+	grant      *pool.Grant
+	ask        wire.GrantAsk
+	dataCentre string
 }
 
 // Acquire returns a slot for ask, or pool.ErrRefused with the time to come back.
@@ -91,7 +99,7 @@
 // own gets a grant in this data centre.
 func (r *Router) own(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
 	if !r.Serves(ask.Pool, r.DataCentre) {
-		return nil, pool.ErrRefused{Reason: "no_server", RetryAfter: time.Second}
+		return nil, pool.ErrRefused{Reason: pool.ReasonNoServer, RetryAfter: time.Second}
 	}
 	homes := r.Homes(ask.Pool, r.DataCentre)
 	if len(homes) > maxHomes {
@@ -99,8 +107,8 @@
 	}
 	for _, instance := range homes {
 		ask.WaitedMs = int(time.Since(arrived).Milliseconds())
-		g, err := r.askHome(ctx, instance, ask)
-		if err == nil || pool.IsErrRefused(err) || ctx.Err() != nil {
+		g, err := r.askHome(ctx, instance, r.DataCentre, ask)
+		if err == nil || isFinal(err) || ctx.Err() != nil {
 			return g, err
 		}
 		r.Log.Warn("home_unreachable", zap.String("pool", ask.Pool), zap.String("home", instance), zap.Error(err))
@@ -109,10 +117,16 @@
 	return r.Share(ask.Pool).Ask(ctx, r.Instance, ask)
 }
 
+// isFinal tells whether a refusal holds for the pool, whichever instance is its home.
+func isFinal(err error) bool {
+	var refused pool.ErrRefused
+	return errors.As(err, &refused) && refused.Reason != pool.ReasonMoved
+}
+
 // maySpill tells whether another data centre may be asked after err.
 func (r *Router) maySpill(ask wire.GrantAsk, arrived time.Time, err error) bool {
 	var refused pool.ErrRefused
-	if !errors.As(err, &refused) || refused.Reason == "rate_limit" {
+	if !errors.As(err, &refused) || refused.Reason == pool.ReasonRateLimit {
 		return false
 	}
 	left := 1 - float64(time.Since(arrived))/float64(r.Target(ask.Class))
@@ -127,7 +141,7 @@
 			continue
 		}
 		ask.WaitedMs = int(time.Since(arrived).Milliseconds())
-		if g, err := r.askHome(ctx, homes[0], ask); err == nil {
+		if g, err := r.askHome(ctx, homes[0], dc, ask); err == nil {
 			return g, true
 		}
 		if ctx.Err() != nil {
@@ -147,10 +161,14 @@
 	return names
 }
 
-// askHome asks one instance's home of the pool.
-func (r *Router) askHome(ctx context.Context, instance string, ask wire.GrantAsk) (*pool.Grant, error) {
+// askHome asks one instance's home of the pool in a data centre.
+func (r *Router) askHome(ctx context.Context, instance, dataCentre string, ask wire.GrantAsk) (*pool.Grant, error) {
 	if instance == r.Instance {
-		return r.Local(ask.Pool).Ask(ctx, r.Instance, ask)
+		g, err := r.Local(ask.Pool).Ask(ctx, r.Instance, ask)
+		if err == nil {
+			r.hold(g, instance, dataCentre, ask)
+		}
+		return g, err
 	}
 	peer, ok := r.Peer(instance)
 	if !ok {
@@ -166,67 +184,112 @@
 	if reply.Grant == 0 {
 		return nil, pool.ErrRefused{Reason: reply.Reason, RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
 	}
-	return r.hold(instance, ask, reply), nil
+	g := pool.NewGrant(reply.Server, instance, reply.Grant, func(wire.GrantRelease) {})
+	r.hold(g, instance, dataCentre, ask)
+	return g, nil
 }
 
-// hold keeps a peer's grant until it is released.
-func (r *Router) hold(instance string, ask wire.GrantAsk, reply wire.GrantReply) *pool.Grant {
-	key := heldKey{home: instance, pool: ask.Pool, number: reply.Grant}
-	g := pool.NewGrant(reply.Server, instance, reply.Grant, func(rel wire.GrantRelease) {
-		rel.Pool = ask.Pool
-		r.drop(key)
-		if peer, ok := r.Peer(instance); ok {
-			_ = peer.Release(context.Background(), rel)
-		}
-	})
+// hold keeps a grant until it is released to its home.
+func (r *Router) hold(g *pool.Grant, home, dataCentre string, ask wire.GrantAsk) {
+	key := heldKey{pool: ask.Pool, number: g.Number()}
 	r.mu.Lock()
 	if r.held == nil {
 		r.held = map[heldKey]*held{}
 	}
-	r.held[key] = &held{grant: g, ask: ask}
+	r.held[key] = &held{grant: g, ask: ask, dataCentre: dataCentre}
 	r.mu.Unlock()
-	return g
+	g.Redirect(home, r.releaser(key, home))
 }
 
-func (r *Router) drop(key heldKey) {
-	r.mu.Lock()
-	delete(r.held, key)
-	r.mu.Unlock()
+// releaser returns what a release of the grant does while it belongs to home.
+func (r *Router) releaser(key heldKey, home string) func(wire.GrantRelease) {
+	return func(rel wire.GrantRelease) {
+		rel.Pool = key.pool
+		r.mu.Lock()
+		delete(r.held, key)
+		r.mu.Unlock()
+		if home == r.Instance {
+			r.Local(key.pool).Release(r.Instance, rel)
+			return
+		}
+		if peer, ok := r.Peer(home); ok {
+			_ = peer.Release(context.Background(), rel)
+		}
+	}
 }
 
-// Preempt closes the grant's Preempted channel on the word of its home.
-func (r *Router) Preempt(home string, p wire.GrantPreempt) {
+// Preempt closes the Preempted channel of a grant on the word of its home.
+func (r *Router) Preempt(p wire.GrantPreempt) {
 	r.mu.Lock()
-	h := r.held[heldKey{home: home, pool: p.Pool, number: p.Grant}]
+	h := r.held[heldKey{pool: p.Pool, number: p.Grant}]
 	r.mu.Unlock()
 	if h != nil {
 		h.grant.Preempt()
 	}
 }
 
-// Reclaim tells the new homes of each pool which slots this instance holds from a lost home.
-func (r *Router) Reclaim(lost string) {
-	claims := map[string][]wire.GrantHeld{}
+// Rehome looks at the home of each pool anew. Where it has changed, the grants held go over to the new home, which is
+// told of them; became is called before where this instance is the new home, and ceased where it was the old one.
+func (r *Router) Rehome(pools []string, became, ceased func(pool string)) {
+	for _, dc := range r.DataCentres() {
+		for _, name := range pools {
+			homes := r.Homes(name, dc)
+			if len(homes) == 0 {
+				continue
+			}
+			r.rehome(poolKey{pool: name, dataCentre: dc}, homes[0], became, ceased)
+		}
+	}
+}
+
+func (r *Router) rehome(key poolKey, home string, became, ceased func(pool string)) {
 	r.mu.Lock()
-	for key, h := range r.held {
-		if key.home == lost {
-			claims[key.pool] = append(claims[key.pool], wire.GrantHeld{
-				Grant:     key.number,
-				Server:    h.grant.Server(),
-				Class:     h.ask.Class,
-				Workspace: h.ask.Workspace,
-			})
+	if r.homes == nil {
+		r.homes = map[poolKey]string{}
+	}
+	old := r.homes[key]
+	r.homes[key] = home
+	r.mu.Unlock()
+	if old == home {
+		return
+	}
+	if old == r.Instance {
+		ceased(key.pool)
+	}
+	if home == r.Instance {
+		became(key.pool)
+	}
+	r.declare(key, home)
+}
+
+// declare gives the grants held of a pool to its home and tells it of them, also that there are none.
+func (r *Router) declare(key poolKey, home string) {
+	r.mu.Lock()
+	mine := map[heldKey]*held{}
+	for k, h := range r.held {
+		if k.pool == key.pool && h.dataCentre == key.dataCentre {
+			mine[k] = h
 		}
 	}
 	r.mu.Unlock()
-	for name, grants := range claims {
-		homes := r.Homes(name, r.DataCentre)
-		if len(homes) == 0 || homes[0] == r.Instance {
+	claim := wire.GrantsHeld{Pool: key.pool, Grants: []wire.GrantHeld{}}
+	for k, h := range mine {
+		if !h.grant.Redirect(home, r.releaser(k, home)) {
 			continue
 		}
-		if peer, ok := r.Peer(homes[0]); ok {
-			_ = peer.Claim(context.Background(), wire.GrantsHeld{Pool: name, Grants: grants})
-		}
+		claim.Grants = append(claim.Grants, wire.GrantHeld{
+			Grant:     k.number,
+			Server:    h.grant.Server(),
+			Class:     h.ask.Class,
+			Workspace: h.ask.Workspace,
+		})
+	}
+	if home == r.Instance {
+		r.Local(key.pool).Reclaim(r.Instance, claim.Grants)
+		return
+	}
+	if peer, ok := r.Peer(home); ok {
+		_ = peer.Claim(context.Background(), claim)
 	}
 }
 
--- /dev/null
+++ b/process/instance/homes.go
@@ -0,0 +1,147 @@
+package instance
+
+import (
+	"sync"
+
+	"github.com/toucanroute/toucanroute/connection/peer"
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/request/pick"
+	"github.com/toucanroute/toucanroute/version/route"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// homes holds this instance's homes of pools.
+//
+// Lock order: mu, then the lock of a pool.Home.
+type homes struct {
+	instance   string
+	dataCentre string
+	policy     pick.Policy
+	// table returns the configuration in force; it is never nil once a request is served.
+	table func() *route.Table
+	// state returns whether a backend server may get new work.
+	state func(server string) pool.ServerState
+	// live returns the number of live instances of this data centre.
+	live func() int
+	// others returns the other live instances of this data centre.
+	others func() []string
+	// preempt asks another instance to pause the stream of a grant.
+	preempt func(holder string, p wire.GrantPreempt)
+
+	mu sync.Mutex
+	// local has the home of each pool for which this instance was asked.
+	local map[string]*pool.Home
+	// share has the home of each pool that this instance served by share.
+	share map[string]*pool.Home
+}
+
+// get returns this instance's home of a pool and makes one where there is none.
+func (h *homes) get(name string) *pool.Home {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if hm := h.local[name]; hm != nil {
+		return hm
+	}
+	hm := h.make(name, 0)
+	if h.local == nil {
+		h.local = map[string]*pool.Home{}
+	}
+	h.local[name] = hm
+	return hm
+}
+
+// getShare returns this instance's home of a pool with its share of the slots.
+func (h *homes) getShare(name string) *pool.Home {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if hm := h.share[name]; hm != nil {
+		return hm
+	}
+	hm := h.make(name, max(h.live(), 1))
+	if h.share == nil {
+		h.share = map[string]*pool.Home{}
+	}
+	h.share[name] = hm
+	return hm
+}
+
+// make returns a configured home. The caller holds mu.
+func (h *homes) make(name string, share int) *pool.Home {
+	spec, _ := h.table().Pool(name)
+	hm := &pool.Home{
+		Pool:           name,
+		Instance:       h.instance,
+		Policy:         h.policy,
+		Share:          share,
+		ExpectedTokens: spec.ExpectedTokens,
+		Preempt:        h.preempt,
+	}
+	h.configureOne(hm)
+	return hm
+}
+
+// became starts a fresh home of a pool, which waits for the others to declare their grants.
+func (h *homes) became(name string) {
+	h.mu.Lock()
+	hm := h.make(name, 0)
+	hm.Recover(append(h.others(), h.instance), peer.HeartbeatTimeout)
+	if h.local == nil {
+		h.local = map[string]*pool.Home{}
+	}
+	h.local[name] = hm
+	h.mu.Unlock()
+}
+
+// ceased refuses the waiting requests of a pool, which then go to the new home.
+func (h *homes) ceased(name string) {
+	h.mu.Lock()
+	hm := h.local[name]
+	h.mu.Unlock()
+	if hm != nil {
+		hm.Close()
+	}
+}
+
+// configure takes in a new version or a changed state of a backend server.
+func (h *homes) configure() {
+	for _, hm := range h.all() {
+		h.configureOne(hm)
+	}
+}
+
+func (h *homes) configureOne(hm *pool.Home) {
+	cfg := h.table().Config()
+	var specs []pool.ServerSpec
+	for _, s := range h.table().Servers(hm.Pool, h.dataCentre) {
+		specs = append(specs, pool.ServerSpec{Server: s, State: h.state(s.Name)})
+	}
+	hm.Configure(cfg.Classes, cfg.Workspaces, specs)
+}
+
+// all returns all homes.
+func (h *homes) all() []*pool.Home {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []*pool.Home
+	for _, hm := range h.local {
+		list = append(list, hm)
+	}
+	for _, hm := range h.share {
+		list = append(list, hm)
+	}
+	return list
+}
+
+// lookup returns this instance's home of a pool, or nil.
+func (h *homes) lookup(name string) *pool.Home {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.local[name]
+}
+
+// dropHolder takes back the slots of an instance that is lost.
+func (h *homes) dropHolder(holder string) {
+	for _, hm := range h.all() {
+		hm.DropHolder(holder)
+	}
+}
--- a/process/pool/grant.go
+++ b/process/pool/grant.go
@@ -31,11 +31,14 @@
 // Grant is a slot of one backend server, held by one attempt until Release.
 type Grant struct {
 	server    string
-	home      string
 	number    int
 	preempted chan struct{}
 	preempt   sync.Once
-	release   sync.Once
+
+	// mu is a leaf; onRelease is called without it.
+	mu   sync.Mutex
+	home string
+	// onRelease is nil once the grant is released.
 	onRelease func(wire.GrantRelease)
 }
 
@@ -53,8 +56,25 @@
 // Server returns the name of the backend server.
 func (g *Grant) Server() string { return g.server }
 
-// Home returns the name of the instance that gave the grant.
-func (g *Grant) Home() string { return g.home }
+// Home returns the name of the instance to which the grant belongs.
+func (g *Grant) Home() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.home
+}
+
+// Redirect gives the grant to another home, whose onRelease takes the place of the earlier one. It tells false where
+// the grant is released already.
+func (g *Grant) Redirect(home string, onRelease func(wire.GrantRelease)) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.onRelease == nil {
+		return false
+	}
+	g.home = home
+	g.onRelease = onRelease
+	return true
+}
 
 // Number returns the grant's number at its home.
 func (g *Grant) Number() int { return g.number }
@@ -67,8 +87,13 @@
 
 // Release returns the slot with what was observed; calls after the first do nothing.
 func (g *Grant) Release(r wire.GrantRelease) {
-	g.release.Do(func() {
-		r.Grant = g.number
-		g.onRelease(r)
-	})
+	g.mu.Lock()
+	onRelease := g.onRelease
+	g.onRelease = nil
+	g.mu.Unlock()
+	if onRelease == nil {
+		return
+	}
+	r.Grant = g.number
+	onRelease(r)
 }
