--- a/wire/settings.go
+++ b/wire/settings.go
@@ -26,7 +26,7 @@
 	Tls *SettingsTLS `json:"tls,omitempty,omitzero"`
 }
 
-// SettingsCertificate is a certificate with its private key.
+// SettingsCertificate names a certificate with its private key.
 type SettingsCertificate struct {
 	// File with the certificate chain, PEM.
 	Cert string `json:"cert"`
@@ -61,7 +61,7 @@
 const SettingsLogLevelInfo SettingsLogLevel = "info"
 const SettingsLogLevelWarn SettingsLogLevel = "warn"
 
-// SettingsMutualCertificate is a certificate with the authority that signs the
+// SettingsMutualCertificate names a certificate with the authority that signs the
 // other end's certificate.
 type SettingsMutualCertificate struct {
 	// File with the certificates that may sign the other end's certificate, PEM.
@@ -74,7 +74,7 @@
 	Key string `json:"key"`
 }
 
-// SettingsPeer is another instance.
+// SettingsPeer describes another instance.
 type SettingsPeer struct {
 	// Address of its listener for peers.
 	Address string `json:"address"`
