--- a/process/instance/homes.go
+++ b/process/instance/homes.go
@@ -33,6 +33,10 @@
 	local map[string]*pool.Home
 	// share has the home of each pool that this instance served by share.
 	share map[string]*pool.Home
+	// closed tells for which pools the home in local was closed.
+	closed map[string]bool
+	// declared has the instances that declared their grants to the open home of each pool.
+	declared map[string]map[string]bool
 }
 
 // get returns this instance's home of a pool and makes one where there is none.
@@ -42,11 +46,20 @@
 	if hm := h.local[name]; hm != nil {
 		return hm
 	}
-	hm := h.make(name, 0)
+	return h.open(name)
+}
+
+// open starts a fresh home of a pool. The caller holds mu.
+func (h *homes) open(name string) *pool.Home {
 	if h.local == nil {
 		h.local = map[string]*pool.Home{}
+		h.closed = map[string]bool{}
+		h.declared = map[string]map[string]bool{}
 	}
+	hm := h.make(name, 0)
 	h.local[name] = hm
+	delete(h.closed, name)
+	delete(h.declared, name)
 	return hm
 }
 
@@ -80,22 +93,46 @@
 	return hm
 }
 
-// became starts a fresh home of a pool, which waits for the others to declare their grants.
+// became opens the home of a pool, which waits for the others to declare their grants. A home that peers have asked
+// before this instance knew that it is the home stays as it is.
 func (h *homes) became(name string) {
 	h.mu.Lock()
-	hm := h.make(name, 0)
-	hm.Recover(append(h.others(), h.instance), peer.HeartbeatTimeout)
-	if h.local == nil {
-		h.local = map[string]*pool.Home{}
+	defer h.mu.Unlock()
+	hm := h.local[name]
+	if hm == nil || h.closed[name] {
+		hm = h.open(name)
 	}
-	h.local[name] = hm
-	h.mu.Unlock()
+	var missing []string
+	for _, holder := range append(h.others(), h.instance) {
+		if !h.declared[name][holder] {
+			missing = append(missing, holder)
+		}
+	}
+	hm.Recover(missing, peer.HeartbeatTimeout)
+}
+
+// claim takes in the grants that a peer declares to the home of a pool.
+func (h *homes) claim(from string, c wire.GrantsHeld) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	hm := h.local[c.Pool]
+	if hm == nil || h.closed[c.Pool] {
+		hm = h.open(c.Pool)
+	}
+	if h.declared[c.Pool] == nil {
+		h.declared[c.Pool] = map[string]bool{}
+	}
+	h.declared[c.Pool][from] = true
+	hm.Reclaim(from, c.Grants)
 }
 
 // ceased refuses the waiting requests of a pool, which then go to the new home.
 func (h *homes) ceased(name string) {
 	h.mu.Lock()
 	hm := h.local[name]
+	if hm != nil {
+		h.closed[name] = true
+	}
 	h.mu.Unlock()
 	if hm != nil {
 		hm.Close()
--- /dev/null
+++ b/process/instance/instance_test.go
@@ -0,0 +1,66 @@
+package instance
+
+import (
+	"context"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/version/settings"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// testConfig is one pool with one backend server of one slot.
+func testConfig() *wire.Config {
+	return &wire.Config{
+		Version: 1, Deployment: "test", DataCentres: []string{"dc"},
+		Classes:    []wire.Class{{Name: "question", Tier: 1, TtftMs: 1000, Attainment: 0.9, Idempotent: true}},
+		Workspaces: []wire.Workspace{{Name: "shop", Classes: []string{"question"}}},
+		Routes:     []wire.Route{{Name: "assistant", Kind: wire.RouteKindModel, Pool: "chat", Class: "question"}},
+		Pools:      []wire.PoolSpec{{Name: "chat", Kind: wire.PoolSpecKindModel}},
+		Servers: []wire.Server{{
+			Name: "s1", DataCentre: "dc", Pool: "chat", Address: "127.0.0.1:9", Slots: 1, Kind: wire.ServerKindRegular,
+		}},
+	}
+}
+
+// newInstance returns a built instance that does not run.
+func newInstance(t *testing.T) *Instance {
+	t.Helper()
+	i := &Instance{
+		Settings: &settings.Settings{Instance: "a", DataCentre: "dc", Platform: wire.SettingsPlatform{Objects: "127.0.0.1:9"}},
+		Log:      zap.NewNop(),
+	}
+	i.build(context.Background())
+	return i
+}
+
+func TestClaimBeforeTheFirstConfigurationIsLeft(t *testing.T) {
+	i := newInstance(t)
+	i.answerClaim("b", wire.GrantsHeld{Pool: "chat"})
+	assert.NilError(t, i.setTable(testConfig()))
+	i.answerClaim("b", wire.GrantsHeld{Pool: "no-such-pool"})
+}
+
+func TestGrantsDeclaredBeforeTheHomeKnowsItselfAreKept(t *testing.T) {
+	i := newInstance(t)
+	assert.NilError(t, i.setTable(testConfig()))
+	i.homes.ceased("chat")
+	i.answerClaim("b", wire.GrantsHeld{Pool: "chat", Grants: []wire.GrantHeld{{Grant: 5, Server: "s1", Class: "question", Workspace: "shop"}}})
+	i.homes.became("chat")
+	_, running, slots := i.homes.get("chat").Status()
+	assert.Equal(t, running, 1)
+	assert.Equal(t, slots, 1)
+}
+
+func TestCeasedHomeSendsAsksOn(t *testing.T) {
+	i := newInstance(t)
+	assert.NilError(t, i.setTable(testConfig()))
+	i.homes.get("chat")
+	i.homes.ceased("chat")
+	reply := i.answerAsk(context.Background(), "b", wire.GrantAsk{RequestID: "r", Pool: "chat", Class: "question", Workspace: "shop"})
+	assert.Equal(t, reply.Grant, 0)
+	assert.Equal(t, reply.Reason, pool.ReasonMoved)
+}
--- a/process/instance/links.go
+++ b/process/instance/links.go
@@ -15,9 +15,10 @@
 // links holds the dialled link to each other instance.
 type links struct {
 	// ctx ends all links.
-	ctx  context.Context
-	log  *zap.Logger
-	tls  func() *tls.Config
+	ctx context.Context
+	log *zap.Logger
+	// tls returns the configuration for a link to an instance; nil is plain TCP.
+	tls  func(instance string) *tls.Config
 	self func() wire.Hello
 	// heard, down and preempt are called by the links; see peer.Link.
 	heard   func(wire.Hello)
@@ -49,7 +50,7 @@
 	link := &peer.Link{
 		Peer:    instance,
 		Address: address,
-		TLS:     l.tls(),
+		TLS:     l.tls(instance),
 		Log:     l.log,
 		Self:    l.self,
 		Heard:   l.heard,
@@ -63,16 +64,6 @@
 	go link.Run(ctx)
 }
 
-// drop ends the link to an instance.
-func (l *links) drop(instance string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if old := l.byName[instance]; old != nil {
-		old.stop()
-		delete(l.byName, instance)
-	}
-}
-
 // get returns the live link to an instance.
 func (l *links) get(instance string) (*peer.Link, bool) {
 	l.mu.Lock()
