--- /dev/null
+++ b/scenario/request_test.go
@@ -0,0 +1,272 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// requestTimeout bounds a request that names no timeout.
+	requestTimeout = 20 * time.Second
+	// readyTimeout bounds the time in which a process must begin to answer.
+	readyTimeout = 15 * time.Second
+	// pollInterval is the time between two tries.
+	pollInterval = 20 * time.Millisecond
+	// anySuccess stands for a status of 200 to 299.
+	anySuccess = 0
+)
+
+// requestSpec is what the options of http ask for.
+type requestSpec struct {
+	method  string
+	url     string
+	header  http.Header
+	body    string
+	status  int
+	timeout time.Duration
+	// head shows status and header before the body.
+	head bool
+}
+
+const httpUsage = "http [-status CODE] [-timeout DURATION] [-H 'NAME: VALUE']... [-i] METHOD URL [BODY|@FILE]"
+
+// http sends a request and writes the answer's body: see httpUsage.
+func (s *session) http(args []string, out io.Writer) error {
+	spec, err := s.parseRequest(args)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), spec.timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, spec.method, spec.url, strings.NewReader(spec.body))
+	if err != nil {
+		return errUsage{err.Error()}
+	}
+	r.Header = spec.header
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if spec.head {
+		_, _ = fmt.Fprintf(out, "status: %d\n", resp.StatusCode)
+		_ = resp.Header.Write(out)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_, _ = out.Write(body)
+	if err != nil {
+		return err
+	}
+	return spec.checkStatus(resp.StatusCode, body)
+}
+
+func (spec requestSpec) checkStatus(status int, body []byte) error {
+	if spec.status == anySuccess && status/100 == 2 || spec.status == status {
+		return nil
+	}
+	return fmt.Errorf("status %d: %s", status, body)
+}
+
+func (s *session) parseRequest(args []string) (requestSpec, error) {
+	spec := requestSpec{header: http.Header{}, timeout: requestTimeout}
+	for len(args) > 0 && strings.HasPrefix(args[0], "-") {
+		if args[0] == "-i" {
+			spec.head = true
+			args = args[1:]
+			continue
+		}
+		if len(args) < 2 {
+			return spec, errUsage{httpUsage}
+		}
+		if err := spec.option(args[0], args[1]); err != nil {
+			return spec, err
+		}
+		args = args[2:]
+	}
+	if len(args) < 2 || len(args) > 3 {
+		return spec, errUsage{httpUsage}
+	}
+	spec.method = args[0]
+	spec.url = withScheme(args[1])
+	if len(args) == 2 {
+		return spec, nil
+	}
+	body, err := s.text(args[2])
+	spec.body = body
+	return spec, err
+}
+
+func (spec *requestSpec) option(name, value string) error {
+	var err error
+	switch name {
+	case "-status":
+		spec.status, err = strconv.Atoi(value)
+	case "-timeout":
+		spec.timeout, err = time.ParseDuration(value)
+	case "-H":
+		field, text, ok := strings.Cut(value, ":")
+		if !ok {
+			return errUsage{httpUsage}
+		}
+		spec.header.Add(strings.TrimSpace(field), strings.TrimSpace(text))
+	default:
+		return errUsage{httpUsage}
+	}
+	if err != nil {
+		return errUsage{err.Error()}
+	}
+	return nil
+}
+
+// text returns the argument, or the content of the file behind an @.
+func (s *session) text(arg string) (string, error) {
+	file, ok := strings.CutPrefix(arg, "@")
+	if !ok {
+		return arg, nil
+	}
+	data, err := os.ReadFile(s.path(file))
+	return string(data), err
+}
+
+func withScheme(address string) string {
+	if strings.Contains(address, "://") {
+		return address
+	}
+	return "http://" + address
+}
+
+// waitReady waits until addresses take connections or URLs answer with success: waitready ADDRESS|URL...
+func (s *session) waitReady(args []string, out io.Writer) error {
+	for _, target := range args {
+		err := poll(readyTimeout, func() error {
+			if strings.Contains(target, "/") {
+				return s.http([]string{"-timeout", "2s", "GET", target}, io.Discard)
+			}
+			return connect(target)
+		})
+		if err != nil {
+			return fmt.Errorf("%s: %w", target, err)
+		}
+	}
+	return nil
+}
+
+func connect(address string) error {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// fault sets the faults of a stand-in: fault ADDRESS JSON.
+func (s *session) fault(args []string, out io.Writer) error {
+	if len(args) != 2 {
+		return errUsage{"fault ADDRESS JSON"}
+	}
+	return s.http([]string{"POST", args[0] + "/admin/faults", args[1]}, out)
+}
+
+// stat compares a field of an address's figures: stat ADDRESS|URL FIELD OPERATOR VALUE
+//
+// A bare address asks a stand-in's /admin/stats. FIELD is a path such as calls.lease.put or accepted.0.id;
+// the element "length" is the length of a list. A missing field reads as 0.
+func (s *session) stat(args []string, out io.Writer) error {
+	if len(args) != 4 {
+		return errUsage{"stat ADDRESS|URL FIELD OPERATOR VALUE"}
+	}
+	url := args[0]
+	if !strings.Contains(url, "/") {
+		url += "/admin/stats"
+	}
+	var buf bytes.Buffer
+	if err := s.http([]string{"GET", url}, &buf); err != nil {
+		return err
+	}
+	got, err := field(buf.Bytes(), args[1])
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(out, got)
+	ok, err := compare(got, args[2], args[3])
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return fmt.Errorf("%s is %s, want %s %s", args[1], got, args[2], args[3])
+	}
+	return nil
+}
+
+// field returns the value at a path of a JSON document as text.
+func field(doc []byte, path string) (string, error) {
+	var v any
+	if err := json.Unmarshal(doc, &v); err != nil {
+		return "", err
+	}
+	for _, name := range strings.Split(path, ".") {
+		v = step(v, name)
+	}
+	switch v := v.(type) {
+	case nil:
+		return "0", nil
+	case string:
+		return v, nil
+	default:
+		text, err := json.Marshal(v)
+		return string(text), err
+	}
+}
+
+// step returns the element of v with a name, or nil.
+func step(v any, name string) any {
+	switch v := v.(type) {
+	case map[string]any:
+		return v[name]
+	case []any:
+		if name == "length" {
+			return len(v)
+		}
+		if i, err := strconv.Atoi(name); err == nil && i >= 0 && i < len(v) {
+			return v[i]
+		}
+	}
+	return nil
+}
+
+// compare compares as numbers where both are, and as text otherwise.
+func compare(got, operator, want string) (bool, error) {
+	a, errA := strconv.ParseFloat(got, 64)
+	b, errB := strconv.ParseFloat(want, 64)
+	numbers := errA == nil && errB == nil
+	switch operator {
+	case "==":
+		return got == want || numbers && a == b, nil
+	case "!=":
+		return got != want && (!numbers || a != b), nil
+	}
+	if !numbers {
+		return false, errUsage{fmt.Sprintf("%q %s %q compares no numbers", got, operator, want)}
+	}
+	switch operator {
+	case "<":
+		return a < b, nil
+	case "<=":
+		return a <= b, nil
+	case ">":
+		return a > b, nil
+	case ">=":
+		return a >= b, nil
+	}
+	return false, errUsage{"operator " + operator}
+}
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,80 @@
+// Package scenario runs scripted scenarios of separate processes: the daemon, its command and the stand-ins.
+//
+// A scenario is a testscript file in testdata. Beside testscript's own commands it has those of commands in
+// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers.
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// binaries are the packages built for the scenarios, with the race detector.
+var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin"}
+
+func TestMain(m *testing.M) {
+	os.Exit(runWithBinaries(m))
+}
+
+// runWithBinaries runs the tests with the binaries on PATH.
+func runWithBinaries(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "scenario-bin")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if err := build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, "build for scenarios:", err)
+		return 1
+	}
+	path := dir + string(filepath.ListSeparator) + os.Getenv("PATH")
+	if err := os.Setenv("PATH", path); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// build writes the binaries to dir.
+func build(dir string) error {
+	args := append([]string{"build", "-race", "-buildvcs=false", "-o", dir + "/"}, binaries...)
+	cmd := exec.CommandContext(context.Background(), "go", args...)
+	cmd.Dir = ".."
+	cmd.Stdout = os.Stderr
+	cmd.Stderr = os.Stderr
+	return cmd.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds:                scriptCommands(),
+	})
+}
+
+// setup gives a script its addresses and its session.
+func setup(env *testscript.Env) error {
+	block, err := reservePorts()
+	if err != nil {
+		return err
+	}
+	env.Defer(block.free)
+	for i := range portsPerScript {
+		port := block.first + i
+		env.Setenv(fmt.Sprintf("P%d", i), fmt.Sprintf("127.0.0.1:%d", port))
+		env.Setenv(fmt.Sprintf("N%d", i), fmt.Sprint(port))
+	}
+	s := newSession(env)
+	env.Values[sessionKey{}] = s
+	env.Defer(s.end)
+	return nil
+}
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -142,8 +142,9 @@
 	how := s.generate(ctx, stops, st, out, after)
 	s.slots.release()
 	s.noteLoad()
-	if how == finished {
-		web.Sleep(ctx, web.Millis(s.faults.Get().FinishLateMs))
+	if late := s.faults.Get().FinishLateMs; how == finished && late > 0 {
+		out.flush()
+		web.Sleep(ctx, web.Millis(late))
 	}
 	return how
 }
