--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -52,8 +52,7 @@
 		Heard:   func(wire.Hello) {},
 		Ask:     ask,
 		Release: func(_ string, r wire.GrantRelease) { p.released <- r },
-		Claim:   func(string, wire.GrantClaim) {},
-		Sync:    func(wire.SyncAsk) wire.SyncReply { return wire.SyncReply{} },
+		Claim:   func(string, wire.GrantsHeld) {},
 		Lost:    func(instance string) { p.lost <- instance },
 	}
 	p.link = &Link{
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -31,9 +31,13 @@
 	// Release takes a slot back.
 	Release func(from string, r wire.GrantRelease)
 	// Claim hears which slots a peer holds from an earlier home.
-	Claim func(from string, c wire.GrantClaim)
-	// Sync returns the objects that are newer than the asker's.
-	Sync func(ask wire.SyncAsk) wire.SyncReply
+	Claim func(from string, c wire.GrantsHeld)
+	// Exchange returns the versions that a peer with the digest lacks.
+	Exchange func(from string, digest wire.VersionDigest) wire.VersionOffer
+	// Announced hears that a peer has the digest.
+	Announced func(from string, digest wire.VersionDigest)
+	// Usage takes counts of a peer over; an error leaves them with the peer.
+	Usage func(from string, counts []wire.UsageCount) error
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
 	Lost func(instance string)
 
@@ -153,8 +157,12 @@
 		return s.release(from, req)
 	case methodClaim:
 		return s.claim(from, req)
-	case methodSync:
-		return s.sync(req)
+	case methodExchange:
+		return s.exchange(from, req)
+	case methodAnnounce:
+		return s.announce(from, req)
+	case methodUsage:
+		return s.usage(from, req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -174,12 +182,25 @@
 		s.server.Log.Warn("peer_refused", zap.String("peer", hello.Instance), zap.Error(err))
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
 	}
+	if err := s.authenticate(hello.Instance); err != nil {
+		s.server.Log.Warn("peer_refused", zap.String("peer", hello.Instance), zap.Error(err))
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+	}
 	s.idle.Reset(HeartbeatTimeout)
 	s.register(hello.Instance)
 	s.server.Heard(hello)
 	return s.server.Self(), nil
 }
 
+// authenticate checks that the peer's certificate is for the instance that it says it is.
+func (s *session) authenticate(instance string) error {
+	secure, ok := s.raw.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	return secure.ConnectionState().PeerCertificates[0].VerifyHostname(instance)
+}
+
 // register makes the session the newest one of its peer.
 func (s *session) register(instance string) {
 	s.mu.Lock()
@@ -239,7 +260,7 @@
 }
 
 func (s *session) claim(from string, req *jsonrpc2.Request) (any, error) {
-	c, err := decode[wire.GrantClaim](req)
+	c, err := decode[wire.GrantsHeld](req)
 	if err != nil {
 		return nil, err
 	}
@@ -247,12 +268,29 @@
 	return nil, nil
 }
 
-func (s *session) sync(req *jsonrpc2.Request) (any, error) {
-	ask, err := decode[wire.SyncAsk](req)
+func (s *session) exchange(from string, req *jsonrpc2.Request) (any, error) {
+	digest, err := decode[wire.VersionDigest](req)
+	if err != nil {
+		return nil, err
+	}
+	return s.server.Exchange(from, digest), nil
+}
+
+func (s *session) announce(from string, req *jsonrpc2.Request) (any, error) {
+	digest, err := decode[wire.VersionDigest](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.Announced(from, digest)
+	return nil, nil
+}
+
+func (s *session) usage(from string, req *jsonrpc2.Request) (any, error) {
+	counts, err := decode[[]wire.UsageCount](req)
 	if err != nil {
 		return nil, err
 	}
-	return s.server.Sync(ask), nil
+	return nil, s.server.Usage(from, counts)
 }
 
 // end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
