--- a/process/pool/admit.go
+++ b/process/pool/admit.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/toucanroute/toucanroute/request/admission"
 	"github.com/toucanroute/toucanroute/request/estimate"
+	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/request/queue"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -26,20 +26,34 @@
 			return nil, h.refusal(w, ReasonRateLimit, after)
 		}
 	}
-	h.arrival(w.class.Tier).Add(1, now)
+	h.arrival(lane{tier: w.class.Tier, cheap: w.class.CheapAllowed}).Add(1, now)
 	if !h.anyServer(w) {
 		return nil, h.refusal(w, ReasonNoServer, noServerRetry)
 	}
 	if resumed || w.item.Latest.IsZero() {
 		return w, nil
 	}
-	wait := h.load(w, now, true).Wait()
-	if slack := w.item.Latest.Sub(now); wait > slack {
-		return nil, h.refusal(w, ReasonOverload, h.load(w, now, false).Wait()-slack)
+	slack := w.item.Latest.Sub(now)
+	if slack < 0 {
+		return nil, h.refusal(w, ReasonLate, 0)
+	}
+	if h.load(w, now, true).Wait() > slack && !h.lowerTierServed(w, now.Add(-slack)) {
+		return nil, h.overload(w, now)
 	}
 	return w, nil
 }
 
+// lowerTierServed tells whether a lower tier got a slot that the request may use after the time.
+// Then the slots don't all go to what is ahead of the request, whatever the prediction says.
+func (h *Home) lowerTierServed(w *waiter, after time.Time) bool {
+	for l, at := range h.lastGrant {
+		if l.tier > w.class.Tier && at.After(after) && (w.class.CheapAllowed || !l.cheap) {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Home) newWaiter(holder string, ask wire.GrantAsk, now time.Time) *waiter {
 	h.number++
 	w := &waiter{ask: ask, holder: holder, class: h.classes[ask.Class], result: make(chan outcome, 1)}
@@ -53,6 +67,7 @@
 	if w.class == nil {
 		return w
 	}
+	w.item.CheapAllowed = w.class.CheapAllowed
 	w.item.Tier = w.class.Tier
 	if w.item.Tokens <= 0 {
 		w.item.Tokens = h.service.Tokens(ask.Class)
@@ -72,11 +87,11 @@
 	w.item.Latest = w.deadline.Add(-min(h.service.FirstToken(w.ask.Class), target))
 }
 
-func (h *Home) arrival(tier int) *estimate.Rate {
-	r := h.arrivals[tier]
+func (h *Home) arrival(l lane) *estimate.Rate {
+	r := h.arrivals[l]
 	if r == nil {
 		r = &estimate.Rate{Window: arrivalWindow}
-		h.arrivals[tier] = r
+		h.arrivals[l] = r
 	}
 	return r
 }
@@ -91,78 +106,17 @@
 	return false
 }
 
-// load returns what the request finds at the pool; with preempt, grants of lower tiers that
-// may be paused count as coming.
-func (h *Home) load(w *waiter, now time.Time, preempt bool) admission.Load {
-	l := admission.Load{Coming: h.coming, Ahead: h.queue.Ahead(&w.item, now)}
-	for _, s := range h.servers {
-		if !h.mayServe(s, w) {
-			continue
-		}
-		l.Free += s.Free()
-		l.Rate += s.rate
-	}
-	l.Free = max(0, l.Free-h.headroom(w.item.Tier, now))
-	for tier, r := range h.arrivals {
-		if tier < w.item.Tier {
-			l.Higher += r.PerSecond(now)
-		}
-	}
-	if !preempt {
-		return l
-	}
-	for tier, n := range h.preemptible {
-		if tier > w.item.Tier {
-			l.Coming += n
-		}
-	}
-	return l
-}
-
-// headroom returns the number of free slots that the tier leaves to the tiers above it. Grants that
-// may be paused for them count as ready.
-func (h *Home) headroom(tier int, now time.Time) int {
-	var higher, rate float64
-	slots, ready := 0, 0
-	for t, r := range h.arrivals {
-		if t < tier {
-			higher += r.PerSecond(now)
-		}
-	}
-	if higher <= 0 {
-		return 0
-	}
-	for _, s := range h.servers {
-		if s.serving() {
-			slots += s.Slots
-			rate += s.rate
-		}
-	}
-	for t, n := range h.preemptible {
-		if t >= tier {
-			ready += n
-		}
-	}
-	return max(0, admission.Headroom(higher, rate, h.slackAbove(tier), slots)-ready)
-}
-
-// slackAbove returns the shortest time that a class of a higher tier may wait for a slot.
-func (h *Home) slackAbove(tier int) time.Duration {
-	slack := time.Duration(-1)
-	for _, c := range h.classes {
-		if c.Tier >= tier || c.TtftMs <= 0 {
-			continue
-		}
-		target := time.Duration(c.TtftMs) * time.Millisecond
-		s := max(0, target-h.service.FirstToken(c.Name))
-		if slack < 0 || s < slack {
-			slack = s
-		}
-	}
-	return max(0, slack)
+// overload refuses a request for the load that it finds.
+func (h *Home) overload(w *waiter, now time.Time) error {
+	l := h.load(w, now, false)
+	e := w.event(EventRefused)
+	e.Reason, e.Ahead, e.Latest = ReasonOverload, l.Ahead, w.item.Latest
+	e.TooSlow, e.Recovering = h.tooSlow(w, now), h.isRecovering(now)
+	h.trace(e)
+	return ErrRefused{Reason: ReasonOverload, RetryAfter: retryAfter(ReasonOverload, l.Wait()-w.item.Latest.Sub(now))}
 }
 
-// refusal notes a refusal of a request that didn't join the queue.
+// refusal notes a refusal that isn't for load.
 func (h *Home) refusal(w *waiter, reason string, after time.Duration) error {
 	e := w.event(EventRefused)
 	e.Reason = reason
@@ -184,3 +138,25 @@
 	}
 	w.result <- outcome{err: h.refusal(w, reason, after)}
 }
+
+// refuseLate ends a waiting request that can't make its target any more.
+func (h *Home) refuseLate(w *waiter, now time.Time) {
+	if h.drop(w) {
+		w.result <- outcome{err: h.overload(w, now)}
+	}
+}
+
+// tooSlow returns the stragglers on which the request would miss its targets.
+func (h *Home) tooSlow(w *waiter, now time.Time) []string {
+	if h.Trace == nil {
+		return nil
+	}
+	var names []string
+	ask := h.pickAsk(w, now)
+	for _, s := range h.servers {
+		if pick.TooSlow(&s.Server, ask) {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -15,9 +15,11 @@
 
 // held is a grant that is out.
 type held struct {
-	key       grantKey
-	ask       int
-	server    *server
+	key    grantKey
+	ask    int
+	server *server
+	// cheap is the kind of the server when the grant was given.
+	cheap     bool
 	class     string
 	tier      int
 	workspace string
@@ -67,14 +69,17 @@
 
 func (h *Home) hold(g *held) {
 	g.rate = 1 / max(h.service.Hold(g.class), time.Millisecond).Seconds()
+	g.cheap = g.server.Cheap
 	g.server.Running++
 	g.server.rate += g.rate
 	h.grants[g.key] = g
 	if g.mayPreempt() {
-		h.preemptible[g.tier]++
+		h.preemptible[g.lane()]++
 	}
 }
 
+func (g *held) lane() lane { return lane{tier: g.tier, cheap: g.cheap} }
+
 func (g *held) mayPreempt() bool { return g.resumable && !g.turn && !g.preempted }
 
 // end takes a grant back.
@@ -86,10 +91,10 @@
 		g.server.rate = 0
 	}
 	if g.mayPreempt() {
-		h.preemptible[g.tier]--
+		h.preemptible[g.lane()]--
 	}
 	if g.preempted {
-		h.coming--
+		h.coming.add(g.lane().cheap, -1)
 	}
 	h.trace(Event{Kind: EventReleased, Ask: g.ask, Class: g.class, Tier: g.tier, Workspace: g.workspace, Server: g.server.Name})
 	h.forgetUnused(g.server)
@@ -217,9 +222,9 @@
 	if victim == nil {
 		return
 	}
-	h.preemptible[victim.tier]--
+	h.preemptible[victim.lane()]--
 	victim.preempted = true
-	h.coming++
+	h.coming.add(victim.lane().cheap, 1)
 	h.trace(Event{
 		Kind: EventPreempted, Ask: victim.ask, Class: victim.class, Tier: victim.tier,
 		Workspace: victim.workspace, Server: victim.server.Name, ForTier: w.item.Tier,
--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -17,16 +17,25 @@
 
 // Reasons of refusals.
 const (
-	ReasonOverload  = "overload"
+	// ReasonOverload is a target that can't be met for load.
+	ReasonOverload = "overload"
+	// ReasonLate is a target that had passed when the request came.
+	ReasonLate = "late"
+	// ReasonRateLimit is a rate limit of the workspace.
 	ReasonRateLimit = "rate_limit"
-	ReasonNoServer  = "no_server"
-	ReasonNoClass   = "unknown_class"
-	ReasonMoved     = "moved"
+	// ReasonNoServer is a pool without a server that may take the request.
+	ReasonNoServer = "no_server"
+	// ReasonNoClass is a class that the configuration doesn't name.
+	ReasonNoClass = "unknown_class"
+	// ReasonMoved is a home that is none any more, or a holder that is gone.
+	ReasonMoved = "moved"
 )
 
 const (
 	// sweepEvery is the longest time between two looks at the waiting requests.
 	sweepEvery = 50 * time.Millisecond
+	// preemptMargin is the time that a pause and the next look may take.
+	preemptMargin = 2 * sweepEvery
 	// arrivalWindow is the time that the arrival rates remember.
 	arrivalWindow = 10 * time.Second
 	// prefixLimit is the number of prompt prefixes that a home remembers.
@@ -76,12 +85,15 @@
 	slow     attempt.Stragglers
 	prefixes prefix.Map
 	number   int
-	// arrivals holds the arrival rate of each tier.
-	arrivals map[int]*estimate.Rate
-	// preemptible counts by tier the grants that may be paused and aren't being paused.
-	preemptible map[int]int
-	// coming is the number of grants that are being paused.
-	coming int
+	// arrivals holds the arrival rates by tier and by whether the cheap kind may serve.
+	arrivals map[lane]*estimate.Rate
+	// preemptible counts the grants that may be paused and aren't being paused, by tier and by the
+	// kind of their server.
+	preemptible map[lane]int
+	// coming counts the grants that are being paused, by the kind of their server.
+	coming kinds
+	// lastGrant holds the time of the last grant without a turn, by tier and kind of server.
+	lastGrant map[lane]time.Time
 	// recovering holds the instances that have yet to declare their grants.
 	recovering      map[string]bool
 	recoveringUntil time.Time
@@ -96,6 +108,23 @@
 	CheapAllowed bool
 }
 
+// lane is a tier on one kind of server.
+type lane struct {
+	tier  int
+	cheap bool
+}
+
+// kinds counts by the kind of server.
+type kinds struct{ regular, cheap int }
+
+func (k *kinds) add(cheap bool, n int) {
+	if cheap {
+		k.cheap += n
+		return
+	}
+	k.regular += n
+}
+
 type waiter struct {
 	item   queue.Item
 	ask    wire.GrantAsk
@@ -215,8 +244,9 @@
 	h.byName = make(map[string]*server)
 	h.waiters = make(map[int]*waiter)
 	h.grants = make(map[grantKey]*held)
-	h.arrivals = make(map[int]*estimate.Rate)
-	h.preemptible = make(map[int]int)
+	h.arrivals = make(map[lane]*estimate.Rate)
+	h.preemptible = make(map[lane]int)
+	h.lastGrant = make(map[lane]time.Time)
 	h.queue.TurnAfter = turnAfterMin
 	h.prefixes.Limit = prefixLimit
 	h.service.ExpectedTokens = h.ExpectedTokens
--- a/process/pool/schedule.go
+++ b/process/pool/schedule.go
@@ -10,11 +10,7 @@
 // schedule gives free slots to waiting requests, asks for slots back where a higher tier would miss
 // its target, and arms the next sweep.
 func (h *Home) schedule(now time.Time) {
-	if h.isRecovering(now) {
-		h.arm(now)
-		return
-	}
-	for h.free() > 0 {
+	for h.free() > 0 && !h.isRecovering(now) {
 		it, turn := h.queue.Next(now, func(it *queue.Item, byTurn bool) bool {
 			return h.fits(h.waiters[it.Number], byTurn, now)
 		})
@@ -40,24 +36,31 @@
 	return n
 }
 
-// fits tells whether the request may have a free slot now. Without a turn it leaves the headroom of
-// higher tiers alone and avoids stragglers.
+// fits tells whether the request may have a free slot now.
 func (h *Home) fits(w *waiter, byTurn bool, now time.Time) bool {
-	if !byTurn && h.free() <= h.headroom(w.item.Tier, now) {
-		return false
-	}
 	return len(h.choices(w, byTurn, now)) > 0
 }
 
-// choices returns the servers with a free slot that may take the request. The slice is valid until
-// the next call.
+// choices returns the servers with a free slot that may take the request. Without a turn it leaves
+// the headroom of higher tiers alone and avoids stragglers. The slice is valid until the next call.
 func (h *Home) choices(w *waiter, byTurn bool, now time.Time) []*pick.Server {
 	h.candidates = h.candidates[:0]
+	var keep reserve
+	if !byTurn {
+		keep = h.reserve(w.item.Tier, now)
+	}
+	regular, cheap := h.supplies(nil)
+	if keep.all > 0 && regular.free+cheap.free <= keep.all {
+		return nil
+	}
 	ask := h.pickAsk(w, now)
 	for _, s := range h.servers {
 		if s.Free() == 0 || !h.mayServe(s, w) {
 			continue
 		}
+		if !s.Cheap && keep.regular > 0 && regular.free <= keep.regular {
+			continue
+		}
 		if s.Slow {
 			s.ProbeDue = h.slow.ProbeDue(s.Name, now)
 		}
@@ -91,6 +94,10 @@
 	g := h.give(w, s, turn, now)
 	e := w.event(EventGranted)
 	e.Server, e.TurnDue, e.Unfit = s.Name, turn.Due, unfit
+	e.Preemptible = w.class.Resumable && turn.IsZero()
+	if turn.IsZero() {
+		h.lastGrant[lane{tier: w.item.Tier, cheap: s.Cheap}] = now
+	}
 	h.trace(e)
 	w.result <- outcome{grant: g}
 }
@@ -124,35 +131,26 @@
 // preemptFor asks for slots of lower tiers back for the waiting requests that would miss their
 // targets otherwise.
 func (h *Home) preemptFor(now time.Time) {
-	if !h.anyPreemptible() {
+	if h.queue.Len() == 0 || !h.anyPreemptibleBelow(0) {
 		return
 	}
 	ahead := 0
 	h.queue.Items(func(it *queue.Item) {
 		w := h.waiters[it.Number]
 		ahead++
-		if it.Latest.IsZero() || !h.preemptibleBelow(it.Tier) {
+		if it.Latest.IsZero() || !h.anyPreemptibleBelow(it.Tier) {
 			return
 		}
 		l := h.load(w, now, false)
-		l.Ahead = ahead - 1
-		if l.Wait() > it.Latest.Sub(now) {
+		l.Ahead = min(l.Ahead, ahead-1)
+		if l.Wait()+preemptMargin > it.Latest.Sub(now) {
 			h.preemptOne(w)
 		}
 	})
 }
 
-func (h *Home) anyPreemptible() bool {
-	return h.queue.Len() > 0 && h.preemptibleBelow(0)
-}
-
-func (h *Home) preemptibleBelow(tier int) bool {
-	for t, n := range h.preemptible {
-		if t > tier && n > 0 {
-			return true
-		}
-	}
-	return false
+func (h *Home) anyPreemptibleBelow(tier int) bool {
+	return h.preemptibleBelow(tier, false)+h.preemptibleBelow(tier, true) > 0
 }
 
 // arm sets the time of the next sweep while requests wait.
@@ -162,6 +160,9 @@
 		return
 	}
 	next := now.Add(sweepEvery)
+	if h.isRecovering(now) && h.recoveringUntil.Before(next) {
+		next = h.recoveringUntil
+	}
 	h.queue.Items(func(it *queue.Item) {
 		if !it.Latest.IsZero() && it.Latest.Before(next) {
 			next = it.Latest
@@ -182,7 +183,7 @@
 			return
 		}
 		if !it.Latest.IsZero() && now.After(it.Latest) {
-			h.refuse(w, ReasonOverload, h.load(w, now, false).Wait())
+			h.refuseLate(w, now)
 		}
 	})
 	h.setTurnAfter()
--- a/process/pool/trace.go
+++ b/process/pool/trace.go
@@ -44,8 +44,18 @@
 	TurnDue time.Time
 	// ForTier is the tier for which a grant was preempted.
 	ForTier int
+	// Preemptible tells in EventGranted that the grant may be preempted.
+	Preemptible bool
 	// Reason is the reason of a refusal.
 	Reason string
+	// Ahead is the number of waiting requests that a refusal for overload counted ahead, and Latest
+	// the latest start that would have met the target.
+	Ahead  int
+	Latest time.Time
+	// Recovering tells in a refusal that the home waited for other instances to declare their grants.
+	Recovering bool
+	// TooSlow tells in a refusal for overload on which servers the request would miss its targets.
+	TooSlow []string
 	// Slots, Cheap and Serving belong to EventServer.
 	Slots   int
 	Cheap   bool
--- a/request/admission/load.go
+++ b/request/admission/load.go
@@ -9,8 +9,10 @@
 type Load struct {
 	// Ahead is the number of waiting requests that go first.
 	Ahead int
-	// Free is the number of slots that the request may take now.
+	// Free is the number of free slots that the request may use.
 	Free int
+	// Headroom is the number of free slots that are left to higher tiers.
+	Headroom int
 	// Coming is the number of slots that are being, or can be, taken back from lower tiers.
 	Coming int
 	// Rate is the number of slots that come free in a second.
@@ -28,7 +30,7 @@
 
 // Wait returns the predicted time until the request gets a slot.
 func (l Load) Wait() time.Duration {
-	n := l.Ahead + 1 - l.Free - l.Coming
+	n := l.Ahead + 1 - max(0, l.Free-l.Headroom) - l.Coming
 	if n <= 0 {
 		return 0
 	}
--- a/request/pick/observed.go
+++ b/request/pick/observed.go
@@ -54,9 +54,10 @@
 
 // Fits tells whether the server may take the request: a straggler only where its observed times meet
 // the request's targets or where a probe is due.
-func Fits(s *Server, ask Ask) bool {
-	return !s.Slow || s.ProbeDue || meets(s, ask)
-}
+func Fits(s *Server, ask Ask) bool { return s.ProbeDue || !TooSlow(s, ask) }
+
+// TooSlow tells whether the server is a straggler whose observed times miss the request's targets.
+func TooSlow(s *Server, ask Ask) bool { return s.Slow && !meets(s, ask) }
 
 func meets(s *Server, ask Ask) bool {
 	if ask.FirstTokenIn > 0 && s.FirstToken > ask.FirstTokenIn {
--- a/request/queue/ahead.go
+++ b/request/queue/ahead.go
@@ -5,81 +5,95 @@
 	"time"
 )
 
-// Ahead returns how many waiting requests would be served before a new one of the class and
-// workspace, were no others to come: the higher tiers, the turns that are due, and in the own tier
-// what fair shares and deadlines put first. A request that its class's turn carries waits only for
-// the requests of higher tiers that joined before the turn came due.
-func (q *Queue) Ahead(it *Item, now time.Time) int {
-	normal := q.aheadByTier(it) + q.turnsAhead(it, now)
+// Place is where a new request would stand in the queue.
+type Place struct {
+	// Ahead counts the waiting requests that would be served before it, were no others to come.
+	Ahead Count
+	// ByTurn tells that its class's turn carries the request: then only those count that joined
+	// higher tiers before the turn came due.
+	ByTurn bool
+}
+
+// Place returns where a new request would stand: behind the higher tiers, the turns that are due,
+// and what fair shares and deadlines put first in its own tier.
+func (q *Queue) Place(it *Item, now time.Time) Place {
+	normal := q.aheadByTier(it)
+	normal.plus(q.turnsAhead(it, now))
 	c := q.classes[it.Class]
 	if c == nil || c.waiting > 0 {
-		return normal
+		return Place{Ahead: normal}
 	}
 	turn := q.turn(c, now)
 	if turn.IsZero() {
-		return normal
+		return Place{Ahead: normal}
 	}
-	return min(normal, q.aheadOfTurn(it.Tier, turn.Due))
+	return Place{Ahead: q.aheadOfTurn(it.Tier, turn.Due), ByTurn: true}
 }
 
-func (q *Queue) aheadByTier(it *Item) int {
-	n := 0
+func (q *Queue) aheadByTier(it *Item) Count {
+	var n Count
 	for _, t := range q.tiers {
 		if t.number < it.Tier {
-			n += t.n
+			n.plus(t.n)
 		}
 		if t.number == it.Tier {
-			n += q.aheadInTier(t, it)
+			n.plus(t.aheadInTier(it))
 		}
 	}
 	return n
 }
 
 // aheadInTier counts the requests of the tier whose start tags come before the new one's.
-func (q *Queue) aheadInTier(t *tier, it *Item) int {
+func (t *tier) aheadInTier(it *Item) Count {
 	own := t.flows[it.Workspace]
-	tag, n := t.virtual, 0
+	tag := t.virtual
+	var n Count
 	if own != nil {
 		tag, n = own.join(it)
 	}
 	for _, f := range t.backlog {
-		if f == own || f.tag > tag {
-			continue
+		if f != own && f.tag <= tag {
+			n.plus(f.before(tag))
 		}
-		each := max(1, f.tokens/float64(len(f.items))) / f.weight
-		n += min(len(f.items), int(math.Ceil((tag-f.tag)/each)))
 	}
 	return n
 }
 
 // join returns the start tag that a new request would have, and how many of the own go before it.
-func (f *flow) join(it *Item) (tag float64, n int) {
+func (f *flow) join(it *Item) (tag float64, n Count) {
 	tag = f.tag
 	if len(f.items) == 0 {
 		tag = max(f.tag, f.tier.virtual)
 	}
 	for _, own := range f.items {
 		if compareLatest(own.Latest, it.Latest) <= 0 {
-			n++
+			n.add(own, 1)
 			tag += own.Tokens / f.weight
 		}
 	}
 	return tag, n
 }
 
-// turnsAhead counts the due turns of other classes of lower tiers.
-func (q *Queue) turnsAhead(it *Item, now time.Time) int {
-	n := 0
+// before returns about how many of the flow's requests start before the tag.
+func (f *flow) before(tag float64) Count {
+	each := max(1, f.tokens/float64(f.n.All)) / f.weight
+	n := min(f.n.All, int(math.Ceil((tag-f.tag)/each)))
+	return Count{All: n, Cheap: n * f.n.Cheap / f.n.All}
+}
+
+// turnsAhead counts the due turns of classes of lower tiers.
+func (q *Queue) turnsAhead(it *Item, now time.Time) Count {
+	var n Count
 	for _, c := range q.order {
 		if c.tier > it.Tier && c.waiting > 0 && !q.turn(c, now).IsZero() {
-			n++
+			n.plus(Count{All: 1, Cheap: 1})
 		}
 	}
 	return n
 }
 
-func (q *Queue) aheadOfTurn(below int, due time.Time) int {
-	n := 0
+func (q *Queue) aheadOfTurn(below int, due time.Time) Count {
+	var n Count
 	for _, t := range q.tiers {
 		if t.number >= below {
 			break
@@ -88,7 +102,7 @@
 			if it.Since.After(due) {
 				break
 			}
-			n++
+			n.add(it, 1)
 		}
 	}
 	return n
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -28,6 +28,8 @@
 	Latest time.Time
 	// Tokens is the estimated length of the answer.
 	Tokens float64
+	// CheapAllowed tells that servers of the cheap kind may take the request.
+	CheapAllowed bool
 
 	flow  *flow
 	index int
@@ -65,7 +67,27 @@
 	backlog flowHeap
 	// arrivals holds the waiting items, oldest first.
 	arrivals []*Item
-	n        int
+	n        Count
+}
+
+// Count is a number of requests.
+type Count struct {
+	// All counts all requests.
+	All int
+	// Cheap counts those that servers of the cheap kind may take.
+	Cheap int
+}
+
+func (n *Count) add(it *Item, by int) {
+	n.All += by
+	if it.CheapAllowed {
+		n.Cheap += by
+	}
+}
+
+func (n *Count) plus(o Count) {
+	n.All += o.All
+	n.Cheap += o.Cheap
 }
 
 // flow is the waiting requests of one workspace in one tier.
@@ -76,6 +98,7 @@
 	tag    float64
 	tokens float64
 	items  itemHeap
+	n      Count
 	index  int
 }
 
@@ -198,7 +221,8 @@
 		heap.Push(&t.backlog, f)
 	}
 	t.arrivals = append(t.arrivals, it)
-	t.n++
+	t.n.add(it, 1)
+	f.n.add(it, 1)
 	q.n++
 	q.class(it.Class, it.Tier).waiting++
 }
@@ -219,7 +243,8 @@
 		t.arrivals = slices.Delete(t.arrivals, i, i+1)
 	}
 	it.flow = nil
-	t.n--
+	t.n.add(it, -1)
+	f.n.add(it, -1)
 	q.n--
 	q.class(it.Class, it.Tier).waiting--
 	return true
