Add baselines that give a backend server at once, for whole-process comparison

Cause: a baseline that only swaps the pick keeps the project's queue and admission, so that it measures the pick alone.

--- a/cmd/toucanrouted/main.go
+++ b/cmd/toucanrouted/main.go
@@ -28,7 +28,7 @@
 	Settings string `long:"settings" description:"settings file, JSON with comments" required:"true"`
 	Check    bool   `long:"check" description:"check the settings file and end"`
 	LogLevel string `long:"log-level" description:"override log.level of the settings" choice:"debug" choice:"info" choice:"warn" choice:"error"`
-	Policy   string `long:"policy" description:"choice of backend servers; all but toucan are baselines for experiments" default:"toucan" choice:"toucan" choice:"round-robin" choice:"least-reported"`
+	Baseline string `long:"baseline" description:"for experiments: give each request a backend server at once, without the project's scheduling" choice:"round-robin" choice:"least-reported"`
 }
 
 func main() {
@@ -75,7 +75,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	i := &instance.Instance{Settings: set, Log: log, Policy: policy(opts.Policy), Build: build()}
+	i := &instance.Instance{Settings: set, Log: log, Baseline: baseline(opts.Baseline), Build: build()}
 	if err := i.Run(ctx); err != nil {
 		log.Error("instance_failed", zap.Error(err))
 		return exitFailed
@@ -83,13 +83,13 @@
 	return 0
 }
 
-// policy returns the choice of backend servers of that name.
-func policy(name string) pick.Policy {
+// baseline returns the choice of backend servers of that name; without a name there is none.
+func baseline(name string) pick.Policy {
 	switch name {
 	case "round-robin":
 		return pick.RoundRobin()
 	case "least-reported":
 		return pick.LeastReported()
 	}
-	return pick.Observed()
+	return pick.Policy{}
 }
--- a/process/instance/health.go
+++ b/process/instance/health.go
@@ -32,6 +32,8 @@
 	servers func() []wire.Server
 	// home returns this instance's home of a pool, or nil.
 	home func(pool string) *pool.Home
+	// report takes each load report.
+	report func(s wire.Server, r wire.LoadReport)
 	// changed is called when a backend server becomes suspect or recovers.
 	changed func()
 	// isModel tells whether a pool's backend servers are engines.
@@ -70,13 +72,13 @@
 		return
 	}
 	h.note(s.Name, err)
-	hm := h.home(s.Pool)
-	if err != nil || hm == nil {
+	if err != nil {
 		return
 	}
 	report.Server = s.Name
-	hm.Report(report)
-	if h.isModel(s.Pool) {
+	h.report(s, report)
+	hm := h.home(s.Pool)
+	if hm != nil && h.isModel(s.Pool) {
 		h.events(ctx, s, hm)
 	}
 }
--- a/process/instance/homes.go
+++ b/process/instance/homes.go
@@ -5,7 +5,6 @@
 
 	"github.com/toucanroute/toucanroute/connection/peer"
 	"github.com/toucanroute/toucanroute/process/pool"
-	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/version/route"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -16,7 +15,6 @@
 type homes struct {
 	instance   string
 	dataCentre string
-	policy     pick.Policy
 	// table returns the configuration in force; it is never nil once a request is served.
 	table func() *route.Table
 	// state returns whether a backend server may get new work.
@@ -84,7 +82,6 @@
 	hm := &pool.Home{
 		Pool:           name,
 		Instance:       h.instance,
-		Policy:         h.policy,
 		Share:          share,
 		ExpectedTokens: spec.ExpectedTokens,
 		Preempt:        h.preempt,
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -48,8 +48,8 @@
 	Settings *settings.Settings
 	// Log gets one line for each event.
 	Log *zap.Logger
-	// Policy chooses among backend servers; the zero value is the project's own.
-	Policy pick.Policy
+	// Baseline, where it has a Choose, takes the place of the project's scheduling in experiments.
+	Baseline pick.Policy
 	// Build names the build in the status.
 	Build string
 
@@ -65,6 +65,8 @@
 	callers  *caller.Server
 	book     burn.Book
 	retries  retries
+	// baseline is nil but in experiments.
+	baseline *home.Baseline
 
 	// table and ring are what is in force; table is nil until the first configuration.
 	table atomic.Pointer[route.Table]
@@ -165,19 +167,22 @@
 		log:     i.Log,
 		servers: i.watchedServers,
 		home:    func(name string) *pool.Home { return i.homes.lookup(name) },
+		report:  i.report,
 		changed: func() { i.homes.configure() },
 		isModel: i.isModel,
 	}
 	i.homes = &homes{
 		instance:   i.Settings.Instance,
 		dataCentre: i.Settings.DataCentre,
-		policy:     i.Policy,
 		table:      i.table.Load,
 		state:      i.serverState,
 		live:       func() int { return i.members.Live(i.Settings.DataCentre) },
 		others:     i.others,
 		preempt:    func(holder string, p wire.GrantPreempt) { go i.peers.Preempt(holder, p) },
 	}
+	if i.Baseline.Choose != nil {
+		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
+	}
 	i.router = &home.Router{
 		Instance:    i.Settings.Instance,
 		DataCentre:  i.Settings.DataCentre,
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -67,6 +67,9 @@
 // acquire gets a slot and counts the request for the retry budget.
 func (i *Instance) acquire(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error) {
 	i.retries.get(ask.Pool).Request()
+	if i.baseline != nil {
+		return i.baseline.Acquire(ctx, ask)
+	}
 	return i.router.Acquire(ctx, ask)
 }
 
--- a/process/instance/version.go
+++ b/process/instance/version.go
@@ -83,13 +83,35 @@
 	var list []wire.Server
 	for _, p := range table.Pools() {
 		homes := i.members.Homes(p.Name, i.Settings.DataCentre)
-		if len(homes) > 0 && homes[0] == i.Settings.Instance {
+		isHome := len(homes) > 0 && homes[0] == i.Settings.Instance
+		if isHome || i.baseline != nil {
 			list = append(list, table.Servers(p.Name, i.Settings.DataCentre)...)
 		}
 	}
 	return list
 }
 
+// localServers returns the backend servers of a pool in this data centre that may get work.
+func (i *Instance) localServers(name string) []wire.Server {
+	var list []wire.Server
+	for _, s := range i.table.Load().Servers(name, i.Settings.DataCentre) {
+		if i.serverState(s.Name) == pool.ServerServing {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// report passes the load report of a backend server on.
+func (i *Instance) report(s wire.Server, r wire.LoadReport) {
+	if i.baseline != nil {
+		i.baseline.Report(r)
+	}
+	if hm := i.homes.lookup(s.Pool); hm != nil {
+		hm.Report(r)
+	}
+}
+
 func (i *Instance) isModel(name string) bool {
 	spec, _ := i.table.Load().Pool(name)
 	return spec.Kind == wire.PoolSpecKindModel
