--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -73,6 +73,7 @@
 		env.Setenv(fmt.Sprintf("P%d", i), fmt.Sprintf("127.0.0.1:%d", port))
 		env.Setenv(fmt.Sprintf("N%d", i), fmt.Sprint(port))
 	}
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSession(env)
 	env.Values[sessionKey{}] = s
 	env.Defer(s.end)
--- a/tools/standin/commands.go
+++ b/tools/standin/commands.go
@@ -26,6 +26,7 @@
 	add("ordering", "the interface that orders backend servers", &orderingCommand{app: a})
 	add("intake", "the usage intake", &intakeCommand{app: a})
 	add("instances", "the list of instances", &instancesCommand{app: a})
+	add("relay", "TCP between two places, to be cut, stalled or slowed", &relayCommand{app: a})
 }
 
 // objectAPICommand runs the object API.
