--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +20,8 @@
 const (
 	// terminateTimeout is the time in which a process must end after SIGTERM.
 	terminateTimeout = 20 * time.Second
+	// stopTimeout is the time in which a process must stand still after SIGSTOP.
+	stopTimeout = 5 * time.Second
 	// runTimeout bounds a command of the product that runs to its end.
 	runTimeout = 60 * time.Second
 )
@@ -139,8 +142,31 @@
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return err
 	}
-	if sig == syscall.SIGKILL {
+	switch sig {
+	case syscall.SIGKILL:
 		return p.waitFor(terminateTimeout)
+	case syscall.SIGSTOP:
+		return poll(stopTimeout, func() error { return isStopped(p.cmd.Process.Pid) })
+	}
+	return nil
+}
+
+// isStopped returns an error unless all threads of a process stand still; the signal takes effect a little after it
+// was sent.
+func isStopped(pid int) error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("no threads of process %d: %w", pid, err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		_, state, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return fmt.Errorf("%s: still runs", file)
+		}
 	}
 	return nil
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -10,11 +10,17 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/toucanroute/toucanroute/standin/port"
 )
 
+// portsPerScript is the number of addresses that a script gets.
+const portsPerScript = 40
+
 // binaries are the packages built for the scenarios, with the race detector.
 var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin"}
 
@@ -63,15 +69,14 @@
 
 // setup gives a script its addresses and its session.
 func setup(env *testscript.Env) error {
-	block, err := reservePorts()
+	block, err := port.Reserve()
 	if err != nil {
 		return err
 	}
-	env.Defer(block.free)
+	env.Defer(block.Free)
 	for i := range portsPerScript {
-		port := block.first + i
-		env.Setenv(fmt.Sprintf("P%d", i), fmt.Sprintf("127.0.0.1:%d", port))
-		env.Setenv(fmt.Sprintf("N%d", i), fmt.Sprint(port))
+		env.Setenv(fmt.Sprintf("P%d", i), block.Address(i))
+		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
 	}
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSession(env)
