Give operators their commands: apply, keys, stops, workspaces, classes, routes

Cause: operators have to change what runs and to see what is in force where.

Ruled out: JSON Patch and a formatter for edits of a questionnaire (they reformat what people wrote; a clone of the syntax tree loses trailing commas, seen in TestAppend); a second write without reading back after a lost answer; a head without a base check.

Change: cmd/toucanctl/operator writes conditionally and reads back lost answers; a conflict gives the difference; a head also names who applied it. Exit codes 0, 1, 2, 3 (conflict), 4 (not in force in time).

--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -4,8 +4,18 @@
 
 // addCommands adds each subcommand, one line a file.
 func addCommands(parser *flags.Parser) {
+	addApply(parser)
 	addArrivals(parser)
 	addBurn(parser)
+	addCheck(parser)
+	addClass(parser)
+	addDiff(parser)
+	addGenerate(parser)
+	addKey(parser)
 	addLoad(parser)
+	addReference(parser)
+	addRoute(parser)
 	addStatus(parser)
+	addStop(parser)
+	addWorkspace(parser)
 }
--- a/cmd/toucanctl/main.go
+++ b/cmd/toucanctl/main.go
@@ -6,14 +6,29 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/toucanroute/toucanroute/cmd/toucanctl/operator"
 )
 
 // Exit codes of toucanctl.
 const (
-	exitFailed = 1
-	exitUsage  = 2
+	exitFailed     = 1
+	exitUsage      = 2
+	exitConflict   = 3
+	exitNotInForce = 4
 )
 
+// errExit is an error with its exit code.
+type errExit struct {
+	code  int
+	cause error
+}
+
+func (e errExit) Error() string { return e.cause.Error() }
+
+// Unwrap returns the error itself.
+func (e errExit) Unwrap() error { return e.cause }
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -26,11 +41,23 @@
 	if err == nil {
 		return 0
 	}
+	return exitCode(err)
+}
+
+// exitCode returns the exit code for a command's error.
+func exitCode(err error) int {
+	var exit errExit
 	var flagErr *flags.Error
-	if !errors.As(err, &flagErr) {
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case operator.IsErrConflict(err):
+		return exitConflict
+	case operator.IsErrNotInForce(err):
+		return exitNotInForce
+	case !errors.As(err, &flagErr):
 		return exitFailed
-	}
-	if flagErr.Type == flags.ErrHelp {
+	case flagErr.Type == flags.ErrHelp:
 		return 0
 	}
 	return exitUsage
--- /dev/null
+++ b/cmd/toucanctl/operator/force.go
@@ -0,0 +1,136 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// askInterval passes between two rounds of questions to the instances.
+const askInterval = 200 * time.Millisecond
+
+// InForce is the answer of one instance.
+type InForce struct {
+	// Instance is its name, or its address where it gives no answer.
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre,omitempty"`
+	// Holds is what the instance has in force, in words.
+	Holds string `json:"holds"`
+	// InForce tells whether the change is in force there.
+	InForce bool `json:"in_force"`
+}
+
+// ErrNotInForce tells that a change isn't in force everywhere in time; it may still come into force.
+type ErrNotInForce struct {
+	// Where are the instances that lack it.
+	Where []string
+	// Waited is how long they were asked.
+	Waited time.Duration
+}
+
+func (e ErrNotInForce) Error() string {
+	return fmt.Sprintf("not in force after %s at %s", e.Waited, strings.Join(e.Where, ", "))
+}
+
+// IsErrNotInForce tells whether err is an ErrNotInForce.
+func IsErrNotInForce(err error) bool {
+	var lacking ErrNotInForce
+	return errors.As(err, &lacking)
+}
+
+// Watcher asks instances what is in force. The fields are set before use.
+type Watcher struct {
+	// Ask asks all instances for their status and returns the addresses of those that don't answer.
+	Ask func() (answers []wire.Status, missing []string)
+	// Wait is how long the instances have.
+	Wait time.Duration
+}
+
+// Check tells what an instance has in force, and whether it is what was asked for.
+type Check func(wire.Status) (holds string, inForce bool)
+
+// Until asks until check holds at each instance or the wait is over; the error is then ErrNotInForce.
+func (w *Watcher) Until(ctx context.Context, check Check) ([]InForce, error) {
+	start := time.Now()
+	for {
+		answers, lacking := w.round(check)
+		if len(lacking) == 0 {
+			return answers, nil
+		}
+		if time.Since(start) >= w.Wait {
+			return answers, ErrNotInForce{Where: lacking, Waited: time.Since(start).Round(time.Millisecond)}
+		}
+		t := time.NewTimer(askInterval)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return answers, ErrNotInForce{Where: lacking, Waited: time.Since(start).Round(time.Millisecond)}
+		}
+	}
+}
+
+func (w *Watcher) round(check Check) (answers []InForce, lacking []string) {
+	statuses, missing := w.Ask()
+	for _, s := range statuses {
+		holds, ok := check(s)
+		answers = append(answers, InForce{Instance: s.Instance, DataCentre: s.DataCentre, Holds: holds, InForce: ok})
+		if !ok {
+			lacking = append(lacking, s.Instance)
+		}
+	}
+	for _, address := range missing {
+		answers = append(answers, InForce{Instance: address, Holds: "no answer"})
+		lacking = append(lacking, address)
+	}
+	return answers, lacking
+}
+
+// ConfigAt checks for a configuration of at least the version.
+func ConfigAt(version int) Check {
+	return func(s wire.Status) (string, bool) {
+		return fmt.Sprintf("configuration %d", s.ConfigVersion), s.ConfigVersion >= version
+	}
+}
+
+// KeyringAt checks for a keyring of at least the object version.
+func KeyringAt(workspace string, version int) Check {
+	return func(s wire.Status) (string, bool) {
+		for _, k := range s.Keyrings {
+			if k.Workspace == workspace {
+				return fmt.Sprintf("keys of %s at %d", workspace, k.Version), k.Version >= version
+			}
+		}
+		return "no keys of " + workspace, false
+	}
+}
+
+// Draining checks that a backend server gets no new work.
+func Draining(server string) Check {
+	return serverState(server, func(state wire.ServerStatusState) bool {
+		return state == wire.ServerStatusStateDraining || state == wire.ServerStatusStateStopped
+	})
+}
+
+// NotStopping checks that no planned stop holds for a backend server.
+func NotStopping(server string) Check {
+	return serverState(server, func(state wire.ServerStatusState) bool {
+		return state != wire.ServerStatusStateDraining && state != wire.ServerStatusStateStopped
+	})
+}
+
+// serverState checks the state of a backend server; an instance that doesn't list the server sends it nothing.
+func serverState(server string, wanted func(wire.ServerStatusState) bool) Check {
+	return func(s wire.Status) (string, bool) {
+		for _, b := range s.Servers {
+			if b.Server == server {
+				return server + " " + string(b.State), wanted(b.State)
+			}
+		}
+		return server + " not listed", true
+	}
+}
--- /dev/null
+++ b/cmd/toucanctl/operator/stops.go
@@ -0,0 +1,97 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// PlanStop plans the graceful stop of a backend server, to begin not before a time; the zero time is at once.
+// A stop that is planned or under way stays as it is.
+func (w *Writer) PlanStop(ctx context.Context, server string, notBefore time.Time) (wire.StopRecord, error) {
+	if err := w.checkServer(ctx, server); err != nil {
+		return wire.StopRecord{}, err
+	}
+	want := wire.StopRecord{Server: server, State: wire.StopRecordStatePlanned, Operator: w.Operator, AtMs: nowMs()}
+	if !notBefore.IsZero() {
+		want.NotBeforeMs = int(notBefore.UnixMilli())
+	}
+	return w.changeStop(ctx, "stop_plan", want, func(current wire.StopRecord) bool {
+		return current.State == "" || current.State == wire.StopRecordStateCancelled
+	})
+}
+
+// CancelStop cancels a planned stop; the backend server serves again once it runs.
+func (w *Writer) CancelStop(ctx context.Context, server string) (wire.StopRecord, error) {
+	want := wire.StopRecord{Server: server, State: wire.StopRecordStateCancelled, Operator: w.Operator, AtMs: nowMs()}
+	record, err := w.changeStop(ctx, "stop_cancel", want, func(current wire.StopRecord) bool {
+		return current.State != "" && current.State != wire.StopRecordStateCancelled
+	})
+	if err == nil && record.State == "" {
+		return record, ErrUnknown{What: "planned stop", Name: server}
+	}
+	return record, err
+}
+
+// changeStop writes want where replace allows it and returns the record that then holds.
+func (w *Writer) changeStop(ctx context.Context, action string, want wire.StopRecord, replace func(wire.StopRecord) bool) (wire.StopRecord, error) {
+	holds := wire.StopRecord{}
+	obj, err := w.change(ctx, platform.KindStop, want.Server, func(current wire.Object) (any, error) {
+		holds = wire.StopRecord{}
+		if current.Version > 0 {
+			var err error
+			if holds, err = platform.Decode[wire.StopRecord](current); err != nil {
+				return nil, err
+			}
+		}
+		if !replace(holds) {
+			return nil, nil
+		}
+		holds = want
+		return want, nil
+	})
+	if err != nil {
+		return wire.StopRecord{}, fmt.Errorf("the stop of %s may or may not have changed: %w", want.Server, err)
+	}
+	if holds == want {
+		w.log(action, zap.String("server", want.Server), zap.Int("version", obj.Version))
+	}
+	return holds, nil
+}
+
+func (w *Writer) checkServer(ctx context.Context, server string) error {
+	table, err := w.table(ctx)
+	if err != nil {
+		return err
+	}
+	if _, ok := table.Server(server); ok {
+		return nil
+	}
+	var known []string
+	for _, s := range table.Config().Servers {
+		known = append(known, s.Name)
+	}
+	return ErrUnknown{What: "backend server", Name: server, Known: known}
+}
+
+// Stops returns all stop records.
+func (w *Writer) Stops(ctx context.Context) ([]wire.StopRecord, error) {
+	objects, err := w.list(ctx, platform.KindStop)
+	if err != nil {
+		return nil, err
+	}
+	records := make([]wire.StopRecord, 0, len(objects))
+	for _, obj := range objects {
+		record, err := platform.Decode[wire.StopRecord](obj)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/cmd/toucanctl/operator/writer.go
@@ -0,0 +1,99 @@
+// Package operator does the operators' changes in the platform's object API and asks instances what is in force.
+package operator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+const (
+	// firstRetry and lastRetry bound the pause between two tries of a call.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
+
+// Writer changes objects for an operator. A write whose answer is lost is read back before it is sent again.
+type Writer struct {
+	// Objects is the object API.
+	Objects platform.Store
+	// Log takes one line for each change that took effect.
+	Log *zap.Logger
+	// Operator is who makes the changes.
+	Operator string
+}
+
+// log writes the line of one change.
+func (w *Writer) log(action string, fields ...zap.Field) {
+	all := append([]zap.Field{zap.String("operator", w.Operator), zap.String("action", action)}, fields...)
+	w.Log.Info("operator_action", all...)
+}
+
+// change reads an object, calls edit with it and writes the value that edit returns on condition that the object
+// is still the same; it starts again where the object changed or the outcome is unknown. A missing object has version 0.
+// A nil value tells that the object is as wanted. It returns the object that is then stored.
+func (w *Writer) change(ctx context.Context, kind, name string, edit func(current wire.Object) (any, error)) (wire.Object, error) {
+	return retry(ctx, func() (wire.Object, error) {
+		current, err := w.read(ctx, kind, name)
+		if err != nil {
+			return wire.Object{}, err
+		}
+		value, err := edit(current)
+		if err != nil || value == nil {
+			return current, err
+		}
+		if current.Version == 0 {
+			return w.Objects.Create(ctx, kind, name, value)
+		}
+		return w.Objects.Update(ctx, kind, name, current.Version, value)
+	})
+}
+
+// read returns an object; one that doesn't exist has version 0.
+func (w *Writer) read(ctx context.Context, kind, name string) (wire.Object, error) {
+	obj, err := w.Objects.Get(ctx, kind, name)
+	if platform.IsErrNotFound(err) {
+		return wire.Object{Kind: kind, Name: name}, nil
+	}
+	return obj, err
+}
+
+// list returns all objects of a kind.
+func (w *Writer) list(ctx context.Context, kind string) ([]wire.Object, error) {
+	list, err := retry(ctx, func() (wire.ObjectList, error) { return w.Objects.List(ctx, kind, "") })
+	return list.Items, err
+}
+
+// retry calls op until it returns no error that may pass, or ctx ends; it then returns op's last error.
+func retry[T any](ctx context.Context, op func() (T, error)) (T, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstRetry
+	pause.MaxInterval = lastRetry
+	var last error
+	v, err := backoff.Retry(ctx, func() (T, error) {
+		v, err := op()
+		if err != nil && !mayPass(err) {
+			return v, backoff.Permanent(err)
+		}
+		if err != nil {
+			last = err
+		}
+		return v, err
+	}, backoff.WithBackOff(pause))
+	if err != nil && ctx.Err() != nil && last != nil {
+		return v, errors.Join(err, last)
+	}
+	return v, err
+}
+
+// mayPass tells whether a later try may succeed.
+func mayPass(err error) bool {
+	return platform.IsErrUnavailable(err) || platform.IsErrRateLimited(err) ||
+		platform.IsErrUnknownOutcome(err) || platform.IsErrConflict(err)
+}
--- /dev/null
+++ b/cmd/toucanctl/reference.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/toucanroute/toucanroute/version/reference"
+)
+
+// referenceCommand prints the reference page of a document.
+type referenceCommand struct {
+	Args struct {
+		Document string `positional-arg-name:"settings|questionnaire" choice:"settings" choice:"questionnaire"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func addReference(parser *flags.Parser) {
+	_, err := parser.AddCommand("reference", "Print the reference page of settings or questionnaire",
+		"Writes the page from the schema, as Markdown.", &referenceCommand{})
+	mustAdd(err)
+}
+
+// Execute runs the command.
+func (c *referenceCommand) Execute(_ []string) error {
+	page, err := reference.Page(c.Args.Document)
+	if err != nil {
+		return errExit{exitUsage, err}
+	}
+	fmt.Print(page)
+	return nil
+}
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -16,7 +16,7 @@
 )
 
 // maxBytes is the largest document that is read.
-const maxBytes = 1 << 20
+const maxBytes = 4 << 20
 
 // maxNumberBytes is the longest number that is read.
 const maxNumberBytes = 64
--- a/wire/records.go
+++ b/wire/records.go
@@ -38,6 +38,12 @@
 
 // ConfigHead names the newest accepted configuration.
 type ConfigHead struct {
+	// Unix time in milliseconds at which it was applied.
+	AppliedAtMs int `json:"applied_at_ms,omitempty,omitzero"`
+
+	// Operator who applied the configuration.
+	AppliedBy string `json:"applied_by,omitempty,omitzero"`
+
 	// Name of the configversion object.
 	Document string `json:"document"`
 
