--- a/cmd/toucanctl/key.go
+++ b/cmd/toucanctl/key.go
@@ -75,9 +75,9 @@
 	instanceOptions
 	All  bool `long:"all" description:"withdraw all keys of the workspace"`
 	Args struct {
-		workspaceArg
-		IDs []string `positional-arg-name:"ID"`
-	} `positional-args:"yes" required:"yes"`
+		Workspace string   `positional-arg-name:"WORKSPACE" required:"yes"`
+		IDs       []string `positional-arg-name:"ID"`
+	} `positional-args:"yes"`
 }
 
 // keyWithdrawAnswer is the JSON form of the command's answer.
@@ -117,9 +117,7 @@
 type keyListCommand struct {
 	outputOptions
 	objectOptions
-	Args struct {
-		workspaceArg
-	} `positional-args:"yes"`
+	Args workspaceArg `positional-args:"yes"`
 }
 
 // Execute runs the command.
