--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -92,6 +92,8 @@
 	// inFlight is the number of Do calls that are under way; idle is closed when it falls to 0, and nil while it is 0.
 	inFlight int
 	idle     chan struct{}
+	// uncertain is the time on the Now clock until which something that failed in Do may still arrive.
+	uncertain time.Duration
 }
 
 // BootTime returns the time since boot, suspension included. The runtime's monotonic clock doesn't count suspension.
@@ -165,7 +167,13 @@
 	if err := l.CheckFence(fence); err != nil {
 		return err
 	}
-	return send()
+	err := send()
+	if err != nil {
+		l.mu.Lock()
+		l.uncertain = l.Now() + l.MaxInFlight
+		l.mu.Unlock()
+	}
+	return err
 }
 
 func (l *Lease) done() {
@@ -178,20 +186,32 @@
 	}
 }
 
-// awaitIdle waits for what is under way, or for the time after which it can't arrive any more.
-func (l *Lease) awaitIdle() {
+// awaitArrival waits until nothing that was sent can arrive any more, and tells whether that was so in time.
+func (l *Lease) awaitArrival() bool {
 	l.mu.Lock()
 	idle := l.idle
 	l.mu.Unlock()
-	if idle == nil {
-		return
+	if idle != nil {
+		t := time.NewTimer(l.MaxInFlight)
+		defer t.Stop()
+		select {
+		case <-idle:
+		case <-t.C:
+			return false
+		}
 	}
-	t := time.NewTimer(l.MaxInFlight)
-	defer t.Stop()
-	select {
-	case <-idle:
-	case <-t.C:
+	time.Sleep(l.untilArrival())
+	return true
+}
+
+// untilArrival returns the time until what failed in Do can't arrive any more.
+func (l *Lease) untilArrival() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFlight > 0 {
+		return max(retryDelay, l.uncertain-l.Now())
 	}
+	return max(0, l.uncertain-l.Now())
 }
 
 // Status returns the lease as this instance last saw it.
@@ -238,7 +258,7 @@
 		l.Log.Warn("lease_unreadable", l.fields(zap.Error(err))...)
 		return retryDelay
 	}
-	if wait := l.waitToTake(); wait > 0 {
+	if wait := max(l.waitToTake(), l.untilArrival()); wait > 0 {
 		return min(wait, pollInterval)
 	}
 	return l.take(ctx)
@@ -444,7 +464,10 @@
 		return
 	}
 	l.OnChange(record.Fence, false)
-	l.awaitIdle()
+	if !l.awaitArrival() {
+		l.Log.Warn("lease_not_released", l.fields(zap.Int("fence", record.Fence))...)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	record.Released = true
