--- /dev/null
+++ b/connection/caller/client_test.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func newClient(s *stack, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(s.url+"/v1/"), option.WithAPIKey(key))
+}
+
+func params() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    testModel,
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("is it safe to swim?")},
+	}
+}
+
+func TestOfficialClientStreams(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 5, pause: time.Millisecond}, nil)
+	client := newClient(s, testKey)
+	p := params()
+	p.StreamOptions.IncludeUsage = openai.Bool(true)
+	stream := client.Chat.Completions.NewStreaming(context.Background(), p)
+	acc := openai.ChatCompletionAccumulator{}
+	for stream.Next() {
+		assert.Assert(t, acc.AddChunk(stream.Current()))
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, acc.Choices[0].Message.Content, "t0 t1 t2 t3 t4 ")
+	assert.Equal(t, acc.Usage.CompletionTokens, int64(5))
+}
+
+func TestOfficialClientWholeAnswer(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 5}, nil)
+	client := newClient(s, testKey)
+	answer, err := client.Chat.Completions.New(context.Background(), params())
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Choices[0].Message.Content, "t0 t1 t2 t3 t4 ")
+	assert.Equal(t, answer.Choices[0].FinishReason, "stop")
+	assert.Equal(t, answer.Usage.PromptTokens, int64(7))
+}
+
+func TestOfficialClientListsModels(t *testing.T) {
+	s := newStack(t, &fakeEngine{}, nil)
+	client := newClient(s, testKey)
+	page, err := client.Models.List(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Data), 1)
+	assert.Equal(t, page.Data[0].ID, testModel)
+	model, err := client.Models.Get(context.Background(), testModel)
+	assert.NilError(t, err)
+	assert.Equal(t, model.ID, testModel)
+}
+
+func TestOfficialClientSeesErrors(t *testing.T) {
+	tries := 0
+	s := newStack(t, &fakeEngine{}, func(s *stack) {
+		s.dispatcher.Acquire = func(context.Context, wire.GrantAsk) (*pool.Grant, error) {
+			tries++
+			return nil, pool.ErrRefused{Reason: "rate_limit", RetryAfter: 20 * time.Millisecond}
+		}
+	})
+	for _, tc := range []struct {
+		key, model, code, kind string
+		status, tries          int
+	}{
+		{"sk-other", testModel, "key_invalid", "authentication_error", http.StatusUnauthorized, 0},
+		{testKey, "other", "model_not_found", "invalid_request_error", http.StatusNotFound, 0},
+		{testKey, testModel, "rate_limit", "rate_limit_error", http.StatusTooManyRequests, 2},
+	} {
+		tries = 0
+		client := openai.NewClient(option.WithBaseURL(s.url+"/v1/"), option.WithAPIKey(tc.key), option.WithMaxRetries(1))
+		p := params()
+		p.Model = tc.model
+		_, err := client.Chat.Completions.New(context.Background(), p)
+		var api *openai.Error
+		assert.Assert(t, errors.As(err, &api), "%v", err)
+		assert.Equal(t, api.StatusCode, tc.status)
+		assert.Equal(t, api.Code, tc.code)
+		assert.Equal(t, api.Type, tc.kind)
+		assert.Equal(t, tries, tc.tries)
+	}
+}
+
+// The client repeats failed requests by itself; it must not where whether the first one ran is unknown.
+func TestOfficialClientDoesNotRepeatUnknownOutcome(t *testing.T) {
+	sends := 0
+	s := newStack(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/chat/completions" {
+			sends++
+			panic(http.ErrAbortHandler)
+		}
+	}), func(s *stack) {
+		s.dispatcher.Resolve = notIdempotent
+	})
+	client := newClient(s, testKey)
+	_, err := client.Chat.Completions.New(context.Background(), params())
+	var api *openai.Error
+	assert.Assert(t, errors.As(err, &api), "%v", err)
+	assert.Equal(t, api.Code, "outcome_unknown")
+	assert.Equal(t, sends, 1)
+}
--- /dev/null
+++ b/connection/caller/end_test.go
@@ -0,0 +1,241 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// dialStream sends a request over a bare connection and reads until want has come.
+func dialStream(t *testing.T, s *stack, body, want string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.server.Address())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
+	assert.NilError(t, err)
+	if want == "" {
+		return conn
+	}
+	r := bufio.NewReader(conn)
+	for {
+		line, err := r.ReadString('\n')
+		assert.NilError(t, err)
+		if strings.Contains(line, want) {
+			return conn
+		}
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pause time.Duration
+		body  string
+		want  string
+	}{
+		{"between tokens", 50 * time.Millisecond, chatBody(true), "t1"},
+		{"while the engine is silent", time.Minute, chatBody(true), ""},
+		{"whole answer", 50 * time.Millisecond, chatBody(false), ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := &fakeEngine{tokens: 10_000, pause: tc.pause}
+			s := newStack(t, e, nil)
+			conn := dialStream(t, s, tc.body, tc.want)
+			eventually(t, time.Second, "the engine has the request", func() bool { return e.seen() > 0 })
+			assert.NilError(t, conn.Close())
+			eventually(t, time.Second, "the engine's stream is over", func() bool { return e.ended.Load() == 1 && e.cancelled.Load() == 1 })
+			eventually(t, time.Second, "the slot is back", func() bool { return s.released() == 1 })
+			eventually(t, time.Second, "the record is there", func() bool { return s.server.Running() == 0 })
+			assert.Equal(t, s.outcomes[0].Result, "caller_gone")
+			assert.Equal(t, s.outcomes[0].NotRun, false)
+		})
+	}
+}
+
+// A reader that takes nothing is held up first and cut after StallTimeout; what waits for it stays bounded.
+func TestSlowReader(t *testing.T) {
+	e := &fakeEngine{tokens: 20_000, text: strings.Repeat("x", 4000)}
+	s := newStack(t, e, func(s *stack) {
+		s.server.StallTimeout = 500 * time.Millisecond
+		s.server.StreamBuffer = 64 << 10
+	})
+	conn := dialStream(t, s, chatBody(true), "xxx")
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	most := int64(0)
+	eventually(t, 10*time.Second, "the connection is cut", func() bool {
+		most = max(most, pendingOf(s))
+		return s.server.Running() == 0
+	})
+	assert.Assert(t, most > 0 && most <= 128<<10, "bytes that waited: %d", most)
+	eventually(t, time.Second, "the engine's stream is over", func() bool { return e.ended.Load() == 1 })
+	assert.Equal(t, s.outcomes[0].Result, "caller_gone")
+}
+
+func pendingOf(s *stack) int64 {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	n := int64(0)
+	for c := range s.server.calls {
+		n = max(n, c.guard.pending.Load())
+	}
+	return n
+}
+
+// A slow reader that goes on reading gets the whole answer.
+func TestSlowReaderGetsAll(t *testing.T) {
+	const tokens = 1000
+	e := &fakeEngine{tokens: tokens, text: strings.Repeat("x", 4000)}
+	s := newStack(t, e, func(s *stack) { s.server.StreamBuffer = 64 << 10 })
+	req, err := http.NewRequest(http.MethodPost, s.url+"/v1/chat/completions", strings.NewReader(chatBody(true)))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	res, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	var all bytes.Buffer
+	for {
+		n, err := io.CopyN(&all, res.Body, 256<<10)
+		if err != nil {
+			assert.Assert(t, n < 256<<10)
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, strings.Count(all.String(), "data: {"), tokens)
+	assert.Assert(t, strings.HasSuffix(all.String(), "data: [DONE]\n\n"))
+}
+
+// A caller that asks to close the connection gets the whole of a large answer, also when it reads slowly.
+func TestLargeAnswerOnClosingConnection(t *testing.T) {
+	large := bytes.Repeat([]byte("ladoo"), 1<<20)
+	s := newStack(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(large) }), nil)
+	conn, err := net.Dial("tcp", s.server.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "GET /v1/services/orders/list HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	assert.NilError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(body, large))
+	assert.Assert(t, res.Close)
+}
+
+// A stream that outlasts the idle time of connections isn't cut by it.
+func TestIdleTimeoutSparesStreams(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 12, pause: 100 * time.Millisecond}, func(s *stack) {
+		s.server.IdleTimeout = 400 * time.Millisecond
+	})
+	status, _, body := s.post(t, "/v1/chat/completions", chatBody(true))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"))
+}
+
+func TestWithdrawnKeyEndsStream(t *testing.T) {
+	e := &fakeEngine{tokens: 10_000, pause: 20 * time.Millisecond}
+	s := newStack(t, e, nil)
+	conn := dialStream(t, s, chatBody(true), "t1")
+	assert.Equal(t, s.dispatcher.CancelKey("w1", "other"), 0)
+	assert.Equal(t, s.dispatcher.CancelKey("w2", ""), 0)
+	assert.Equal(t, s.dispatcher.CancelKey("w1", "k1"), 1)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	rest, err := io.ReadAll(conn)
+	assert.NilError(t, err, "the connection is closed after the event")
+	assert.Assert(t, strings.Contains(string(rest), `"code":"key_withdrawn"`), string(rest))
+	assert.Assert(t, !strings.Contains(string(rest), "[DONE]"))
+	eventually(t, time.Second, "the engine's stream is over", func() bool { return e.ended.Load() == 1 })
+}
+
+func TestDrainLetsStreamsFinish(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 20, pause: 20 * time.Millisecond}, nil)
+	conn := dialStream(t, s, chatBody(true), "t1")
+	done := make(chan error, 1)
+	go func() { done <- s.server.Drain(context.Background()) }()
+	eventually(t, time.Second, "draining", s.server.Draining)
+	status, header, body := s.post(t, "/v1/chat/completions", chatBody(true))
+	checkRefusal(t, status, 503, header, body, "leaving")
+	assert.Equal(t, header.Get("Retry-After"), "1")
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	r := bufio.NewReader(conn)
+	for line := ""; !strings.Contains(line, "[DONE]"); {
+		var err error
+		line, err = r.ReadString('\n')
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, <-done)
+}
+
+func TestKeyNeverGoesOn(t *testing.T) {
+	e := &fakeEngine{tokens: 1}
+	s := newStack(t, e, nil)
+	for _, path := range []string{"/v1/chat/completions", "/v1/services/orders/list"} {
+		for _, carrier := range []string{"Authorization", "X-Api-Key", "Api-Key", "?key=", "?api_key=", "?a=b&KEY="} {
+			target := s.url + path
+			if strings.HasPrefix(carrier, "?") {
+				target += carrier + testKey + "&keep=1"
+			}
+			req, err := http.NewRequest(http.MethodPost, target, strings.NewReader(chatBody(true)))
+			assert.NilError(t, err)
+			if !strings.HasPrefix(carrier, "?") {
+				req.Header.Set(carrier, strings.Replace("Bearer "+testKey, "Bearer ", map[bool]string{true: "Bearer "}[carrier == "Authorization"], 1))
+			}
+			req.Header.Set("X-Copy", "holds "+testKey)
+			req.Header.Set("Cookie", "session="+testKey)
+			status, _, body := do(t, req)
+			assert.Equal(t, status, http.StatusOK, "%s %s: %s", path, carrier, body)
+			_, header := e.last()
+			assert.Assert(t, !strings.Contains(fmt.Sprint(header, e.lastURL()), testKey), "%s %s", path, carrier)
+		}
+	}
+	assert.Assert(t, strings.Contains(e.lastURL(), "keep=1"))
+}
+
+func TestRouterSetsOwnFields(t *testing.T) {
+	e := &fakeEngine{tokens: 1}
+	s := newStack(t, e, nil)
+	status, _, _ := s.post(t, "/v1/chat/completions",
+		`{"model":"guide","priority":0,"Priority":-9,"priority":-5,"extra":{"deep":[1]},"messages":[{"role":"user","content":"x"}]}`)
+	assert.Equal(t, status, http.StatusOK)
+	body, header := e.last()
+	assert.Equal(t, body["priority"], float64(2))
+	assert.Equal(t, body["stream"], true)
+	assert.Assert(t, body["Priority"] == nil)
+	assert.DeepEqual(t, body["extra"], map[string]any{"deep": []any{float64(1)}})
+	assert.Assert(t, strings.HasSuffix(header.Get("X-Request-Id"), ".1"))
+}
+
+// An answer that comes late on a connection never reaches another caller.
+func TestBrokenStreamEndsInErrorEvent(t *testing.T) {
+	s := newStack(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/cancel") {
+			return
+		}
+		_, _ = io.WriteString(w, `data: {"choices":[{"index":0,"delta":{"content":"a"}}]}`+"\n\n")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}), nil)
+	status, _, body := s.post(t, "/v1/chat/completions", chatBody(true))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, `"code":"stream_interrupted"`), body)
+	assert.Assert(t, strings.Contains(body, `"not_run":false`), body)
+	assert.Assert(t, !strings.Contains(body, "[DONE]"))
+	assert.DeepEqual(t, s.releases, []wire.GrantRelease{{
+		Grant: 1, Pool: "p1", Failed: true, Tokens: 1,
+		FirstTokenMs: s.releases[0].FirstTokenMs, DurationMs: s.releases[0].DurationMs,
+	}})
+}
--- a/connection/caller/guard.go
+++ b/connection/caller/guard.go
@@ -39,6 +39,8 @@
 	requests atomic.Int32
 	// pending is the number of bytes that the caller has yet to take.
 	pending atomic.Int64
+	// held is what the connection has added to Server.buffered.
+	held atomic.Int64
 	// taken is the number of bytes that the caller has taken.
 	taken atomic.Int64
 
@@ -53,8 +55,6 @@
 	headerLines int
 	// bodyBytes counts the running body's chunks.
 	bodyBytes int
-	// held is what the connection has added to Server.buffered.
-	held int64
 	// failure is the answer that a callback of the parser asks for.
 	failure *request.ErrAnswer
 
@@ -72,8 +72,7 @@
 func (g *guard) CloseAndClean(err error) {
 	g.stopTimer()
 	g.parser.CloseAndClean(err)
-	g.server.buffered.Add(-g.held)
-	g.held = 0
+	g.letGo()
 }
 
 // Parse takes bytes from the caller. It answers bad input itself and returns no error for it.
@@ -134,10 +133,14 @@
 
 // hold counts the bytes of the request that is arriving.
 func (g *guard) hold(n int64) {
-	g.held += n
+	g.held.Add(n)
 	g.server.buffered.Add(n)
 }
 
+func (g *guard) letGo() {
+	g.server.buffered.Add(-g.held.Swap(0))
+}
+
 // OnHeader counts the header's lines.
 func (g *guard) OnHeader(parser *nbhttp.Parser, key, value string) {
 	g.headerLines++
@@ -174,8 +177,7 @@
 func (g *guard) OnComplete(parser *nbhttp.Parser) {
 	g.begun, g.inBody = false, false
 	g.headerBytes, g.headerLines, g.bodyBytes = 0, 0, 0
-	g.server.buffered.Add(-g.held)
-	g.held = 0
+	g.letGo()
 	if g.failure != nil {
 		return
 	}
@@ -189,9 +191,10 @@
 // refuse answers after the requests that are running, and closes the connection a little later.
 func (g *guard) refuse(answer request.ErrAnswer) {
 	if g.refused.Swap(true) {
+		g.letGo()
 		return
 	}
-	g.stopTimer()
+	g.CloseAndClean(errRefused)
 	g.conn.Execute(func() {
 		g.server.writeRefusal(g.parser.Conn, answer)
 		g.closeSoon()
--- /dev/null
+++ b/connection/caller/input_test.go
@@ -0,0 +1,211 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// checkRefusal asserts that an answer is the error shape with not_run and the code.
+func checkRefusal(t *testing.T, status, wantStatus int, header http.Header, body, code string) {
+	t.Helper()
+	assert.Equal(t, status, wantStatus, body)
+	var answer wire.ErrorAnswer
+	assert.NilError(t, json.Unmarshal([]byte(body), &answer), body)
+	assert.Equal(t, answer.Error.Code, code)
+	assert.Assert(t, answer.Error.NotRun)
+	assert.Assert(t, answer.Error.Message != "")
+	assert.Assert(t, answer.Error.RequestId != "")
+	assert.Equal(t, answer.Error.RequestId, header.Get(HeaderRequestID))
+	assert.Assert(t, !strings.Contains(body, testKey))
+}
+
+func TestBadBodies(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 1}, nil)
+	const chat = "/v1/chat/completions"
+	message := `"messages":[{"role":"user","content":"x"}]`
+	for _, tc := range []struct {
+		name, path, body string
+		status           int
+		code             string
+	}{
+		{"malformed", chat, `{"model":`, 400, "bad_request"},
+		{"empty", chat, ``, 400, "bad_request"},
+		{"null", chat, `null`, 400, "bad_request"},
+		{"list", chat, `[]`, 400, "bad_request"},
+		{"no model", chat, `{` + message + `}`, 400, "bad_request"},
+		{"model of wrong type", chat, `{"model":7,` + message + `}`, 400, "bad_request"},
+		{"unknown model", chat, `{"model":"other",` + message + `}`, 404, "model_not_found"},
+		{"no messages", chat, `{"model":"guide"}`, 400, "bad_request"},
+		{"negative max_tokens", chat, `{"model":"guide","max_tokens":-1,` + message + `}`, 400, "bad_request"},
+		{"huge max_tokens", chat, `{"model":"guide","max_tokens":99999999999999999999,` + message + `}`, 400, "bad_request"},
+		{"too many choices", chat, `{"model":"guide","n":100000,` + message + `}`, 400, "bad_request"},
+		{"stream of wrong type", chat, `{"model":"guide","stream":"yes",` + message + `}`, 400, "bad_request"},
+		{"no prompt", "/v1/completions", `{"model":"guide"}`, 400, "bad_request"},
+		{"unknown path", "/v1/nothing", `{}`, 404, "not_found"},
+		{"no service", "/v1/services/", `{}`, 404, "not_found"},
+		{"wrong method", "/v1/models", `{}`, 405, "method_not_allowed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			status, header, body := s.post(t, tc.path, tc.body)
+			checkRefusal(t, status, tc.status, header, body, tc.code)
+		})
+	}
+}
+
+func TestRightsRefusals(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 1}, nil)
+	for _, tc := range []struct {
+		name, key, class string
+		status           int
+		code             string
+	}{
+		{"no key", "", "", 401, "key_missing"},
+		{"unknown key", "sk-other", "", 401, "key_invalid"},
+		{"class denied", testKey, "forbidden", 403, "class_not_allowed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, s.url+"/v1/chat/completions", strings.NewReader(chatBody(true)))
+			assert.NilError(t, err)
+			req.Header.Set("X-Api-Key", tc.key)
+			req.Header.Set(HeaderClass, tc.class)
+			status, header, body := do(t, req)
+			checkRefusal(t, status, tc.status, header, body, tc.code)
+		})
+	}
+}
+
+// exchange sends raw bytes and reads one answer.
+func exchange(t *testing.T, s *stack, send func(net.Conn)) (int, http.Header, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.server.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	go send(conn)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	return res.StatusCode, res.Header, string(body)
+}
+
+func TestBadRequestsOnTheWire(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 1}, func(s *stack) {
+		s.server.MaxBody = 64 << 10
+		s.server.RequestTimeout = 300 * time.Millisecond
+	})
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+	for _, tc := range []struct {
+		name   string
+		send   func(net.Conn)
+		status int
+		code   string
+	}{
+		{"announced body too large", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Content-Length: 99999999\r\n\r\n{")
+		}, 413, "body_too_large"},
+		{"sent body too large", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Content-Length: 200000\r\n\r\n"+strings.Repeat("x", 200000))
+		}, 413, "body_too_large"},
+		{"chunked body too large", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Transfer-Encoding: chunked\r\n\r\n")
+			for range 100 {
+				_, _ = fmt.Fprintf(c, "1000\r\n%s\r\n", strings.Repeat("x", 0x1000))
+			}
+		}, 413, "body_too_large"},
+		{"one chunk too large", func(c net.Conn) {
+			_, _ = fmt.Fprintf(c, head+"Transfer-Encoding: chunked\r\n\r\nfffffff\r\n%s", strings.Repeat("x", 300000))
+		}, 413, "body_too_large"},
+		{"many headers", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+strings.Repeat("A: b\r\n", 5000))
+		}, 431, "headers_too_large"},
+		{"long header", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"A: "+strings.Repeat("b", 100000))
+		}, 431, "headers_too_large"},
+		{"long path", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, "GET /"+strings.Repeat("b", 100000))
+		}, 431, "headers_too_large"},
+		{"dribbling header", func(c net.Conn) {
+			for _, b := range head {
+				_, _ = fmt.Fprint(c, string(b))
+				time.Sleep(20 * time.Millisecond)
+			}
+		}, 408, "request_timeout"},
+		{"body that never comes", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Content-Length: 100\r\n\r\n{")
+		}, 408, "request_timeout"},
+		{"not HTTP", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, "\x16\x03\x01 hello there\r\n\r\n")
+		}, 400, "bad_request"},
+		{"negative length", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Content-Length: -1\r\n\r\n")
+		}, 400, "bad_request"},
+		{"two framings", func(c net.Conn) {
+			_, _ = fmt.Fprint(c, head+"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+		}, 400, "bad_request"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			status, header, body := exchange(t, s, tc.send)
+			checkRefusal(t, status, tc.status, header, body, tc.code)
+		})
+	}
+	eventually(t, 3*time.Second, "no bytes are held after all", func() bool { return s.server.buffered.Load() == 0 })
+	status, _, _ := s.post(t, "/v1/chat/completions", chatBody(true))
+	assert.Equal(t, status, http.StatusOK)
+}
+
+// Many callers that send most of a body and wait must not hold more than MaxBuffered.
+func TestBuffersAreBounded(t *testing.T) {
+	const limit = 1 << 20
+	s := newStack(t, &fakeEngine{tokens: 1}, func(s *stack) {
+		s.server.MaxBuffered = limit
+		s.server.RequestTimeout = time.Second
+	})
+	part := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 200_000)
+	refused := 0
+	for range 16 {
+		conn, err := net.Dial("tcp", s.server.Address())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, part)
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, s.server.buffered.Load() <= limit+4*readBufferBytes)
+		if s.server.buffered.Load() > limit-200_000 {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 0)
+	eventually(t, 5*time.Second, "slow callers give their memory back", func() bool { return s.server.buffered.Load() == 0 })
+}
+
+// Requests sent without waiting for answers are answered in their order, and a flood of them is cut.
+func TestPipelinedRequests(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 1}, nil)
+	conn, err := net.Dial("tcp", s.server.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	one := "GET /v1/none HTTP/1.1\r\nHost: x\r\n\r\n"
+	_, err = io.WriteString(conn, strings.Repeat(one, 2)+"GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	r := bufio.NewReader(conn)
+	for _, want := range []int{404, 404, 200} {
+		res, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		assert.Equal(t, res.StatusCode, want)
+	}
+}
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -124,7 +124,7 @@
 	cfg := s.config()
 	s.http = nbhttp.NewServer(cfg)
 	s.http.Engine.Engine.OnOpen(s.onOpen)
-	s.http.Engine.Engine.OnWrittenSize(onWritten)
+	s.http.OnWrittenSize(onWritten)
 	if err := s.http.Start(); err != nil {
 		return oops.In("caller").With("listen", s.Listen).Wrap(err)
 	}
@@ -160,7 +160,8 @@
 }
 
 func (s *Server) listen(network, address string) (net.Listener, error) {
-	ln, err := net.Listen(network, address)
+	var lc net.ListenConfig
+	ln, err := lc.Listen(context.Background(), network, address)
 	if err == nil {
 		s.address = ln.Addr().String()
 	}
--- a/connection/caller/stack_test.go
+++ b/connection/caller/stack_test.go
@@ -39,6 +39,7 @@
 	mu        sync.Mutex
 	bodies    []map[string]any
 	headers   []http.Header
+	url       string
 }
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -52,6 +53,7 @@
 	e.mu.Lock()
 	e.bodies = append(e.bodies, fields)
 	e.headers = append(e.headers, r.Header.Clone())
+	e.url = r.URL.String()
 	e.mu.Unlock()
 	defer e.ended.Add(1)
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -92,6 +94,19 @@
 	return e.bodies[len(e.bodies)-1], e.headers[len(e.headers)-1]
 }
 
+func (e *fakeEngine) lastURL() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.url
+}
+
+// seen returns the number of requests that have come.
+func (e *fakeEngine) seen() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.bodies)
+}
+
 // stack is a listener in front of one backend server.
 type stack struct {
 	server     *Server
@@ -216,3 +231,10 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// notIdempotent resolves as resolve does, to a class whose requests may not be repeated.
+func notIdempotent(ask dispatch.Ask) (dispatch.Rights, error) {
+	rights, err := resolve(ask)
+	rights.Idempotent = false
+	return rights, err
+}
--- a/request/dispatch/answer.go
+++ b/request/dispatch/answer.go
@@ -142,10 +142,13 @@
 	a.buf = append(a.buf, data...)
 	a.buf = append(a.buf, eventTail...)
 	_, err := a.w.Write(a.buf)
-	if err == nil && !more && a.flusher != nil {
+	if err != nil {
+		return errors.Join(ErrCallerGone{}, err)
+	}
+	if !more && a.flusher != nil {
 		a.flusher.Flush()
 	}
-	return err
+	return nil
 }
 
 func (a *answer) begin() {
@@ -163,8 +166,10 @@
 func (a *answer) finish() error {
 	if a.stream {
 		a.begin()
-		_, err := a.w.Write(doneEvent)
-		return err
+		if _, err := a.w.Write(doneEvent); err != nil {
+			return errors.Join(ErrCallerGone{}, err)
+		}
+		return nil
 	}
 	body, err := a.merge.whole()
 	if err != nil {
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/toucanroute/toucanroute/process/pool"
@@ -21,6 +22,7 @@
 	defer r.withDeadline()()
 	s := &stream{run: r, c: c, answer: newAnswer(w, c, meta.ID)}
 	err = s.complete()
+	s.shown = s.answer.shown()
 	s.observe(err)
 	return r.end(err)
 }
@@ -58,7 +60,7 @@
 		if err == nil {
 			return s.answer.finish()
 		}
-		if !s.mayRetry(err, s.answer.shown()) {
+		if s.answer.shown() || !s.mayRetry(err) {
 			return err
 		}
 		s.wasted += s.answer.reset()
@@ -178,7 +180,7 @@
 	exclude := s.exclude
 	defer func() { s.exclude = exclude }()
 	if s.d.Siblings != nil {
-		s.exclude = append(exclude[:len(exclude):len(exclude)], s.d.Siblings(server)...)
+		s.exclude = slices.Concat(exclude, s.d.Siblings(server))
 	}
 	for {
 		grant, _, err := s.acquire(s.estimate(), s.c.Prefix())
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -23,6 +23,8 @@
 
 	// sent is true once a byte may have left for a backend server; it never turns back.
 	sent bool
+	// shown is true once the caller has seen a part of the answer.
+	shown bool
 	// attempt is the number of the running attempt, from 1.
 	attempt int
 	// exclude names backend servers that failed this request.
@@ -118,6 +120,9 @@
 	if answer, ok := r.endCause(); ok {
 		return answer
 	}
+	if errors.Is(err, ErrCallerGone{}) {
+		return callerGone(err)
+	}
 	var refused pool.ErrRefused
 	if errors.As(err, &refused) {
 		return refusedAnswer(refused)
@@ -141,11 +146,15 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return request.ErrAnswer{Status: http.StatusGatewayTimeout, Code: request.CodeDeadline, Message: "the class's deadline has passed"}, true
 	case errors.Is(cause, ErrCallerGone{}):
-		return request.ErrAnswer{Status: http.StatusBadGateway, Code: request.CodeCallerGone, Message: "the caller has left"}, true
+		return callerGone(cause), true
 	}
 	return request.ErrAnswer{Status: http.StatusServiceUnavailable, Code: request.CodeLeaving, Message: "the instance is shutting down", RetryAfter: defaultRetry}, true
 }
 
+func callerGone(cause error) request.ErrAnswer {
+	return request.ErrAnswer{Status: http.StatusBadGateway, Code: request.CodeCallerGone, Message: "the caller has left", Cause: cause}
+}
+
 func refusedAnswer(refused pool.ErrRefused) request.ErrAnswer {
 	status := http.StatusServiceUnavailable
 	if refused.Reason == request.CodeRateLimit {
@@ -173,6 +182,10 @@
 		Cause:      err,
 	}
 	switch {
+	case r.shown:
+		answer.Code = request.CodeInterrupted
+		answer.Message = "the backend server failed before the end of the answer"
+		answer.RetryAfter = 0
 	case r.sent && !r.rights.Idempotent:
 		answer.Code = request.CodeOutcomeUnknown
 		answer.Message = "the backend server failed after the request was sent; whether it ran is unknown"
@@ -228,11 +241,11 @@
 	return r.meta.ID + "." + strconv.Itoa(r.attempt)
 }
 
-// mayRetry tells whether another attempt is allowed after err. It never is after tokens were shown, nor after
-// a byte of a request that may not be repeated was sent.
-func (r *run) mayRetry(err error, shown bool) bool {
+// mayRetry tells whether another attempt is allowed after err. It never is after a byte of a request that may not
+// be repeated was sent.
+func (r *run) mayRetry(err error) bool {
 	var attempt request.ErrAttempt
-	if !errors.As(err, &attempt) || shown || r.ctx.Err() != nil || r.attempt >= maxAttempts {
+	if !errors.As(err, &attempt) || r.ctx.Err() != nil || r.attempt >= maxAttempts {
 		return false
 	}
 	if !attempt.Sent {
--- a/request/dispatch/service.go
+++ b/request/dispatch/service.go
@@ -49,7 +49,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		if r.mayRetry(err, false) {
+		if r.mayRetry(err) {
 			continue
 		}
 		if claimed && !r.sent && r.d.Unclaim != nil {
--- a/request/key.go
+++ b/request/key.go
@@ -25,7 +25,7 @@
 		return strings.TrimSpace(auth[len(bearerPrefix):])
 	}
 	for _, name := range []string{headerXAPIKey, headerAPIKey} {
-		if key := h.Get(name); key != "" {
+		if key := strings.TrimSpace(h.Get(name)); key != "" {
 			return key
 		}
 	}
