Claim unrepeatable calls; fail when the operators' address is taken

Cause: a daemon started on taken ports neither served nor ended: nbio's engine starts its pollers, fails to listen and then waits for ever for them. Ruled out: the callers' listener (its test passes, it opens its own) and the graceful shutdown (the process hung before it had started). Change: the operators' listener is opened before the engine. Calls with an idempotency key are claimed before the send, and the outcome is recorded. Checked: TestTakenAddressIsAnError in connection/operator failed after 5 s before the change and passes after it; claims are not yet run end to end.

--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -56,9 +58,16 @@
 	} else {
 		cfg.Addrs = []string{s.Listen}
 	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	// The engine does not return from a failed listen, so that the listener is opened before.
+	cfg.Listen = func(string, string) (net.Listener, error) { return ln, nil }
 	engine := nbhttp.NewEngine(cfg)
 	if err := engine.Start(); err != nil {
-		return err
+		return errors.Join(err, ln.Close())
 	}
 	s.Log.Info("operators_listening", zap.String("addr", s.Listen), zap.Bool("tls", s.TLS != nil))
 	<-ctx.Done()
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/process/versions"
+	"github.com/toucanroute/toucanroute/request/claim"
 	"github.com/toucanroute/toucanroute/request/dispatch"
 	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/version/keyring"
@@ -61,6 +62,7 @@
 	homes    *homes
 	router   *home.Router
 	health   *health
+	claims   claims
 	dispatch *dispatch.Dispatcher
 	callers  *caller.Server
 	book     burn.Book
@@ -89,6 +91,7 @@
 	g.Go(func() error { return i.operators().Run(run) })
 	g.Go(func() error { i.versions.Run(run); return nil })
 	g.Go(func() error { i.health.run(run); return nil })
+	g.Go(func() error { i.claims.claims.Run(run); return nil })
 	g.Go(func() error { i.discover(run); return nil })
 	g.Go(func() error { return i.serveCallers(run) })
 	g.Go(func() error {
@@ -117,6 +120,7 @@
 	i.buildLinks(run)
 	i.buildVersions()
 	i.buildHomes()
+	i.claims.claims = &claim.Claims{Objects: i.objects.Store(), Log: i.Log}
 	i.buildDispatch()
 	i.callers = &caller.Server{
 		Listen:     i.Settings.Listen.Callers,
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -51,6 +51,8 @@
 		Siblings: i.siblings,
 		Cheap:    i.cheap,
 		Retry:    func(name string) bool { return i.retries.get(name).AllowRetry() },
+		Claim:    i.claims.claim,
+		Unclaim:  i.claims.unclaim,
 		Observe:  i.observe,
 		Stream:   engines.Stream,
 		Pause:    engines.Pause,
@@ -109,6 +111,7 @@
 
 // observe counts a finished request.
 func (i *Instance) observe(o dispatch.Outcome) {
+	i.claims.finish(o)
 	if o.Workspace == "" || o.Result == dispatch.ResultCallerGone {
 		return
 	}
