Say not_run false to the repeat of a claimed call

Cause: a repeat with a used idempotency key got not_run true, since its own bytes never left; a caller that then takes a new key books twice. Change: the answer to a claimed call says not_run false.

--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -112,7 +112,8 @@
 // answerOf gives err the form of an answer that tells the truth about what was sent.
 func (r *run) answerOf(err error) request.ErrAnswer {
 	answer := r.classify(err)
-	answer.NotRun = !r.sent
+	// A repeat is not sent, but its call may have run under the same key: a new key would run it twice.
+	answer.NotRun = !r.sent && answer.Code != request.CodeClaimed
 	return answer
 }
 
