--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,9 @@
 # test is the whole check: build, vet, linter, unit tests with the race detector, scenarios.
 test: build lint unit
 
+# demo starts the whole path on loopback, sends a mixed load and prints how the service levels were met.
+demo:
+	go run ./tools/demo
+
 clean:
 	rm -rf $(BIN) out
