--- a/tools/launch/launch.go
+++ b/tools/launch/launch.go
@@ -7,9 +7,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
@@ -88,9 +90,10 @@
 	return nil
 }
 
-// Stop ends all processes.
+// Stop ends all processes, the instances first, so that they can leave gracefully.
 func (d *Deployment) Stop() {
 	if d.supervisor != nil {
+		d.supervisor.End(slices.Collect(maps.Values(d.daemons))...)
 		d.supervisor.Stop()
 	}
 	d.ports.free()
@@ -226,7 +229,7 @@
 func (d *Deployment) startInstances(ctx context.Context) error {
 	var addresses []string
 	for _, i := range d.instances {
-		set := settings(i, d.instances, d.platform, cmp.Or(d.LogLevel, "warn"))
+		set := instanceSettings(i, d.instances, d.platform, cmp.Or(d.LogLevel, "warn"))
 		if err := d.write(i.Name+".jsonc", set); err != nil {
 			return err
 		}
--- a/tools/launch/plan.go
+++ b/tools/launch/plan.go
@@ -162,8 +162,8 @@
 	return strings.NewReplacer(pairs...).Replace(text)
 }
 
-// settings returns the settings of an instance.
-func settings(self Instance, all []Instance, platform wire.SettingsPlatform, level string) wire.Settings {
+// instanceSettings returns the settings of an instance.
+func instanceSettings(self Instance, all []Instance, platform wire.SettingsPlatform, level string) wire.Settings {
 	set := wire.Settings{
 		Instance:   self.Name,
 		DataCentre: self.DataCentre,
--- a/tools/launch/supervisor.go
+++ b/tools/launch/supervisor.go
@@ -143,14 +143,19 @@
 	s.processes = slices.DeleteFunc(s.processes, func(q *Process) bool { return q == p })
 }
 
-// Stop ends all processes, the last started first, and returns when they have ended.
+// Stop ends all processes, and returns when they have ended.
 func (s *Supervisor) Stop() {
 	s.mu.Lock()
 	s.stopping = true
 	processes := slices.Clone(s.processes)
 	s.mu.Unlock()
-	slices.Reverse(processes)
+	s.End(processes...)
+}
+
+// End ends processes: it asks all of them and kills what is left after a time.
+func (s *Supervisor) End(processes ...*Process) {
 	for _, p := range processes {
+		s.Forget(p)
 		_ = p.Signal(syscall.SIGTERM)
 	}
 	deadline := time.NewTimer(stopTimeout)
