Ask instances over TLS, and call a stop in force only where a home says so

Cause: operators' listeners off loopback authenticate both ends, and toucanctl spoke plain HTTP only. An instance lists the backend servers of the pools that it is home of; toucanctl took "not listed" for in force, so a stop could be called in force while nobody had told of the server.

TestUntilSomeoneIsConcerned fails with the earlier rule.

Conclusion: go test -race ./cmd/toucanctl/... passes.

--- a/cmd/toucanctl/fetch.go
+++ b/cmd/toucanctl/fetch.go
@@ -15,11 +15,11 @@
 // fetch reads a JSON answer of an instance's operators' listener.
 func fetch[T any](ctx context.Context, addr, path string) (T, error) {
 	var v T
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, access.scheme+"://"+addr+path, http.NoBody)
 	if err != nil {
 		return v, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := access.client.Do(req)
 	if err != nil {
 		return v, err
 	}
--- a/cmd/toucanctl/main.go
+++ b/cmd/toucanctl/main.go
@@ -36,6 +36,7 @@
 // run parses args, runs the subcommand and returns the exit code.
 func run(args []string) int {
 	parser := flags.NewNamedParser("toucanctl", flags.HelpFlag|flags.PassDoubleDash|flags.PrintErrors)
+	addAccess(parser)
 	addCommands(parser)
 	_, err := parser.ParseArgs(args)
 	if err == nil {
--- a/cmd/toucanctl/operator/force.go
+++ b/cmd/toucanctl/operator/force.go
@@ -22,6 +22,29 @@
 	Holds string `json:"holds"`
 	// InForce tells whether the change is in force there.
 	InForce bool `json:"in_force"`
+	// Elsewhere tells that the change concerns other instances only.
+	Elsewhere bool `json:"elsewhere,omitempty"`
+}
+
+// Verdict tells whether a change is in force at an instance.
+type Verdict int
+
+// Verdicts of a Check.
+const (
+	// Lacking is an instance that doesn't have the change in force.
+	Lacking Verdict = iota
+	// Holding is an instance that has the change in force.
+	Holding
+	// Elsewhere is an instance that the change doesn't concern.
+	Elsewhere
+)
+
+// verdictOf returns Holding or Lacking.
+func verdictOf(holding bool) Verdict {
+	if holding {
+		return Holding
+	}
+	return Lacking
 }
 
 // ErrNotInForce tells that a change isn't in force everywhere in time; it may still come into force.
@@ -51,9 +74,10 @@
 }
 
 // Check tells what an instance has in force, and whether it is what was asked for.
-type Check func(wire.Status) (holds string, inForce bool)
+type Check func(wire.Status) (holds string, verdict Verdict)
 
-// Until asks until check holds at each instance or the wait is over; the error is then ErrNotInForce.
+// Until asks until check holds at each instance that it concerns, and at one at least, or the wait is over;
+// the error is then ErrNotInForce.
 func (w *Watcher) Until(ctx context.Context, check Check) ([]InForce, error) {
 	start := time.Now()
 	for {
@@ -76,10 +100,17 @@
 
 func (w *Watcher) round(check Check) (answers []InForce, lacking []string) {
 	statuses, missing := w.Ask()
+	concerned := len(missing)
 	for _, s := range statuses {
-		holds, ok := check(s)
-		answers = append(answers, InForce{Instance: s.Instance, DataCentre: s.DataCentre, Holds: holds, InForce: ok})
-		if !ok {
+		holds, verdict := check(s)
+		answers = append(answers, InForce{
+			Instance: s.Instance, DataCentre: s.DataCentre, Holds: holds,
+			InForce: verdict == Holding, Elsewhere: verdict == Elsewhere,
+		})
+		if verdict != Elsewhere {
+			concerned++
+		}
+		if verdict == Lacking {
 			lacking = append(lacking, s.Instance)
 		}
 	}
@@ -87,25 +118,28 @@
 		answers = append(answers, InForce{Instance: address, Holds: "no answer"})
 		lacking = append(lacking, address)
 	}
+	if concerned == 0 {
+		lacking = append(lacking, "the instance that it concerns, which wasn't asked")
+	}
 	return answers, lacking
 }
 
 // ConfigAt checks for a configuration of at least the version.
 func ConfigAt(version int) Check {
-	return func(s wire.Status) (string, bool) {
-		return fmt.Sprintf("configuration %d", s.ConfigVersion), s.ConfigVersion >= version
+	return func(s wire.Status) (string, Verdict) {
+		return fmt.Sprintf("configuration %d", s.ConfigVersion), verdictOf(s.ConfigVersion >= version)
 	}
 }
 
 // KeyringAt checks for a keyring of at least the object version.
 func KeyringAt(workspace string, version int) Check {
-	return func(s wire.Status) (string, bool) {
+	return func(s wire.Status) (string, Verdict) {
 		for _, k := range s.Keyrings {
 			if k.Workspace == workspace {
-				return fmt.Sprintf("keys of %s at %d", workspace, k.Version), k.Version >= version
+				return fmt.Sprintf("keys of %s at %d", workspace, k.Version), verdictOf(k.Version >= version)
 			}
 		}
-		return "no keys of " + workspace, false
+		return "no keys of " + workspace, Lacking
 	}
 }
 
@@ -123,14 +157,14 @@
 	})
 }
 
-// serverState checks the state of a backend server; an instance that doesn't list the server sends it nothing.
+// serverState checks the state of a backend server, which the home of its pool tells.
 func serverState(server string, wanted func(wire.ServerStatusState) bool) Check {
-	return func(s wire.Status) (string, bool) {
+	return func(s wire.Status) (string, Verdict) {
 		for _, b := range s.Servers {
 			if b.Server == server {
-				return server + " " + string(b.State), wanted(b.State)
+				return server + " " + string(b.State), verdictOf(wanted(b.State))
 			}
 		}
-		return server + " not listed", true
+		return server + " at another home", Elsewhere
 	}
 }
--- a/cmd/toucanctl/operator/operator_test.go
+++ b/cmd/toucanctl/operator/operator_test.go
@@ -349,6 +349,25 @@
 	})
 }
 
+// TestUntilSomeoneIsConcerned doesn't call a stop in force where no instance tells of the backend server.
+func TestUntilSomeoneIsConcerned(t *testing.T) {
+	home := wire.Status{Instance: "recife-1"}
+	ask := func() ([]wire.Status, []string) { return []wire.Status{home, {Instance: "recife-2"}}, nil }
+	w := &Watcher{Ask: ask}
+	_, err := w.Until(t.Context(), Draining("a1"))
+	assert.Assert(t, IsErrNotInForce(err))
+	home.Servers = []wire.ServerStatus{{Server: "a1", State: wire.ServerStatusStateServing}}
+	_, err = w.Until(t.Context(), Draining("a1"))
+	assert.Assert(t, IsErrNotInForce(err))
+	home.Servers[0].State = wire.ServerStatusStateDraining
+	answers, err := w.Until(t.Context(), Draining("a1"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answers, []InForce{
+		{Instance: "recife-1", Holds: "a1 draining", InForce: true},
+		{Instance: "recife-2", Holds: "a1 at another home", Elsewhere: true},
+	})
+}
+
 // TestSizeAtTarget keeps a configuration of the stated target size under the object API's limit for a value.
 func TestSizeAtTarget(t *testing.T) {
 	const servers, workspaces, maxValueBytes = 5400, 1200, 1 << 20
--- a/cmd/toucanctl/options.go
+++ b/cmd/toucanctl/options.go
@@ -106,10 +106,17 @@
 	}
 	row(w, "INSTANCE", "DATA CENTRE", "IN FORCE", "HOLDS")
 	for _, a := range answers {
-		row(w, a.Instance, cmp.Or(a.DataCentre, "-"), yesNo(a.InForce), a.Holds)
+		row(w, a.Instance, cmp.Or(a.DataCentre, "-"), inForceText(a), a.Holds)
 	}
 }
 
+func inForceText(a operator.InForce) string {
+	if a.Elsewhere {
+		return "elsewhere"
+	}
+	return yesNo(a.InForce)
+}
+
 func yesNo(v bool) string {
 	if v {
 		return "yes"
