Reuse a connection only where answers echo their request's id

Ruled out: the idle connection check of net/http, which sees only bytes that come while no request waits. Change: connection/upstream holds the transports of engines and services; a server's connections are reused once it echoes X-Request-Id, and an answer on a reused connection without the right echo is refused.

--- a/connection/caller/guard.go
+++ b/connection/caller/guard.go
@@ -33,6 +33,9 @@
 	conn   *nbio.Conn
 	parser *nbhttp.Parser
 
+	// opened is set when the fields above are. The poller reads it first: the kernel orders the accepting goroutine
+	// before the poller, which Go's memory model doesn't know.
+	opened atomic.Bool
 	// refused is true once the connection takes no more requests.
 	refused atomic.Bool
 	// requests is the number of requests that wait or run.
@@ -66,10 +69,18 @@
 var errRefused = errors.New("request refused")
 
 // UnderlayerConn returns the connection under the parser.
-func (g *guard) UnderlayerConn() net.Conn { return g.parser.UnderlayerConn() }
+func (g *guard) UnderlayerConn() net.Conn {
+	if !g.opened.Load() {
+		return nil
+	}
+	return g.parser.UnderlayerConn()
+}
 
 // CloseAndClean ends the parser with its connection.
 func (g *guard) CloseAndClean(err error) {
+	if !g.opened.Load() {
+		return
+	}
 	g.stopTimer()
 	g.parser.CloseAndClean(err)
 	g.letGo()
@@ -77,7 +88,7 @@
 
 // Parse takes bytes from the caller. It answers bad input itself and returns no error for it.
 func (g *guard) Parse(data []byte) error {
-	if g.refused.Load() {
+	if !g.opened.Load() || g.refused.Load() {
 		return nil
 	}
 	g.begun = true
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -230,7 +230,9 @@
 	if !ok {
 		return
 	}
-	g := &guard{Processor: parser.Processor, server: s, conn: conn, parser: parser}
+	g := new(guard)
+	g.Processor, g.server, g.conn, g.parser = parser.Processor, s, conn, parser
+	g.opened.Store(true)
 	parser.Processor = g
 	conn.SetSession(g)
 }
--- a/connection/engine/events.go
+++ b/connection/engine/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"sync"
@@ -12,15 +13,17 @@
 )
 
 const (
-	readerBytes  = 4 << 10
-	drainTimeout = 20 * time.Millisecond
+	readerBytes = 4 << 10
+	// maxPausedBytes bounds an event that tells of a pause and nothing else.
+	maxPausedBytes = 64
+	drainTimeout   = 20 * time.Millisecond
 )
 
 var (
 	dataField  = []byte("data:")
 	eventEnd   = []byte("\n\n")
 	doneData   = []byte("[DONE]")
-	pausedData = []byte(`{"paused":true}`)
+	pausedMark = []byte(`"paused"`)
 )
 
 var errEventTooLarge = errors.New("event of the stream is too large")
@@ -44,7 +47,7 @@
 			drain(body, r)
 			return nil
 		}
-		if bytes.Equal(data, pausedData) {
+		if isPaused(data) {
 			return request.ErrPaused{}
 		}
 		if err := onData(data, hasEvent(r)); err != nil {
@@ -53,6 +56,19 @@
 	}
 }
 
+// pausedEvent is the last event of a paused stream.
+type pausedEvent struct {
+	Paused bool `json:"paused"`
+}
+
+func isPaused(data []byte) bool {
+	if len(data) > maxPausedBytes || !bytes.Contains(data, pausedMark) {
+		return false
+	}
+	var e pausedEvent
+	return json.Unmarshal(data, &e) == nil && e.Paused
+}
+
 // nextData returns the value of the next data field; it is valid until the next call.
 func (c *Client) nextData(r *bufio.Reader) ([]byte, error) {
 	for {
@@ -69,12 +85,19 @@
 	}
 }
 
+func (c *Client) maxEvent() int {
+	if c.MaxEvent == 0 {
+		return defaultMaxEvent
+	}
+	return c.MaxEvent
+}
+
 func (c *Client) longLine(r *bufio.Reader, head []byte) ([]byte, error) {
 	line := bytes.Clone(head)
 	for {
 		part, err := r.ReadSlice('\n')
 		line = append(line, part...)
-		if len(line) > c.MaxEvent {
+		if len(line) > c.maxEvent() {
 			return nil, errEventTooLarge
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
--- a/connection/service/client.go
+++ b/connection/service/client.go
@@ -6,23 +6,13 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
-	"sync/atomic"
-	"time"
 
+	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/request"
 )
 
-const (
-	dialTimeout     = time.Second
-	idleTimeout     = 60 * time.Second
-	idlePerServer   = 128
-	defaultAnswer   = 8 << 20
-	headerRequestID = "X-Request-Id"
-)
+const defaultAnswer = 8 << 20
 
 var errAnswerTooLarge = errors.New("answer of the service is too large")
 
@@ -31,59 +21,24 @@
 	// MaxAnswer is the largest answer in bytes; 0 is 8 MB.
 	MaxAnswer int64
 
-	once   sync.Once
-	reused *http.Transport
-	fresh  *http.Transport
-}
-
-func (c *Client) setUp() {
-	if c.MaxAnswer == 0 {
-		c.MaxAnswer = defaultAnswer
-	}
-	c.reused = newTransport(false)
-	c.fresh = newTransport(true)
-}
-
-func newTransport(fresh bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		DisableKeepAlives:   fresh,
-		MaxIdleConnsPerHost: idlePerServer,
-		IdleConnTimeout:     idleTimeout,
-	}
+	transport upstream.Transport
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() {
-	c.once.Do(c.setUp)
-	c.reused.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
-}
+func (c *Client) Close() { c.transport.Close() }
 
 // Call sends one attempt and returns the whole answer, whatever its status; a failure is a request.ErrAttempt.
-// A call that may not be repeated goes over a new connection: the library repeats requests by itself only on
-// a connection that it reuses.
 func (c *Client) Call(ctx context.Context, call request.ServiceCall) (request.ServiceAnswer, error) {
-	c.once.Do(c.setUp)
-	var sent atomic.Bool
-	req, err := newRequest(ctx, call, &sent)
+	req, err := newRequest(ctx, call)
 	if err != nil {
 		return request.ServiceAnswer{}, request.ErrAttempt{Err: err}
 	}
-	transport := c.reused
-	if !call.Idempotent {
-		transport = c.fresh
-	}
-	res, err := transport.RoundTrip(req)
+	res, err := c.transport.Send(req, call.ID, !call.Idempotent)
 	if err != nil {
-		return request.ServiceAnswer{}, request.ErrAttempt{Sent: sent.Load(), Err: err}
+		return request.ServiceAnswer{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, c.MaxAnswer+1))
-	if err == nil && int64(len(body)) > c.MaxAnswer {
-		err = errAnswerTooLarge
-	}
+	body, err := c.readAll(res.Body)
 	if err != nil {
 		return request.ServiceAnswer{}, request.ErrAttempt{Sent: true, Status: res.StatusCode, Err: err}
 	}
@@ -91,10 +46,19 @@
 	return request.ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
-func newRequest(ctx context.Context, call request.ServiceCall, sent *atomic.Bool) (*http.Request, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+func (c *Client) readAll(r io.Reader) ([]byte, error) {
+	most := c.MaxAnswer
+	if most == 0 {
+		most = defaultAnswer
+	}
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(body)) > most {
+		return nil, errAnswerTooLarge
+	}
+	return body, err
+}
+
+func newRequest(ctx context.Context, call request.ServiceCall) (*http.Request, error) {
 	target := "http://" + call.Address + call.Path
 	if call.Query != "" {
 		target += "?" + call.Query
@@ -106,6 +70,5 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
-	req.Header.Set(headerRequestID, call.ID)
 	return req, nil
 }
--- /dev/null
+++ b/connection/service/client_test.go
@@ -0,0 +1,103 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/request"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestAnyCallGoesThroughWhole(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Seen", r.Method+" "+r.URL.String()+" "+r.Header.Get("X-In")+" "+r.Header.Get("X-Request-Id"))
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = w.Write(body)
+	}))
+	defer s.Close()
+	c := &Client{}
+	defer c.Close()
+	for _, method := range []string{"GET", "POST", "PUT", "DELETE", "PATCH", "PURGE"} {
+		answer, err := c.Call(context.Background(), request.ServiceCall{
+			ID: "r.1", Address: strings.TrimPrefix(s.URL, "http://"), Method: method, Path: "/a/b", Query: "c=d",
+			Header: http.Header{"X-In": {"v"}}, Body: []byte("body"),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Status, http.StatusTeapot)
+		assert.Equal(t, answer.Header.Get("X-Seen"), method+" /a/b?c=d v r.1")
+		assert.Equal(t, answer.Header.Get("Keep-Alive"), "")
+		assert.Equal(t, string(answer.Body), "body")
+	}
+}
+
+// dropper is a service that answers a connection's first request and drops the connection on the next one.
+func dropper(t *testing.T) (address string, runs *atomic.Int32) {
+	t.Helper()
+	runs = &atomic.Int32{}
+	type connKey struct{}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.Context().Value(connKey{}).(*atomic.Int32).Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	s.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &atomic.Int32{})
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://"), runs
+}
+
+// net/http repeats a request with an Idempotency-Key by itself when a reused connection breaks. A call that may
+// not be repeated must run once for each Call all the same.
+func TestLibraryNeverRepeatsCall(t *testing.T) {
+	address, runs := dropper(t)
+	c := &Client{}
+	defer c.Close()
+	const calls = 5
+	for range calls {
+		_, err := c.Call(context.Background(), request.ServiceCall{
+			ID: "r.1", Address: address, Method: http.MethodPost, Path: "/book",
+			Header: http.Header{"Idempotency-Key": {"k"}},
+		})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, runs.Load(), int32(calls))
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, ln.Close())
+	c := &Client{}
+	_, err = c.Call(context.Background(), request.ServiceCall{Address: ln.Addr().String(), Method: "GET", Path: "/"})
+	var attempt request.ErrAttempt
+	assert.Assert(t, errors.As(err, &attempt))
+	assert.Equal(t, attempt.Sent, false)
+}
+
+func TestAnswerTooLarge(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", 2000))
+	}))
+	defer s.Close()
+	c := &Client{MaxAnswer: 1000}
+	defer c.Close()
+	_, err := c.Call(context.Background(), request.ServiceCall{Address: strings.TrimPrefix(s.URL, "http://"), Method: "GET", Path: "/"})
+	assert.ErrorIs(t, err, errAnswerTooLarge)
+}
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -87,6 +87,7 @@
 	for request.IsErrPaused(err) {
 		grant, err = s.reacquire(grant.Server())
 		if err != nil {
+			s.cancelStream(a)
 			return err
 		}
 		a.Resume, a.After = true, s.chunks
@@ -138,7 +139,7 @@
 		s.sent = true
 	}
 	if err != nil && !request.IsErrPaused(err) && s.sent && s.d.Cancel != nil {
-		s.cancelAtEngine(ctx, err, a)
+		s.cancelAtEngine(err, a)
 	}
 	return err
 }
@@ -148,12 +149,37 @@
 	select {
 	case <-ctx.Done():
 	case <-grant.Preempted():
-		_ = s.d.Pause(ctx, a.Address, a.ID)
+		s.pause(ctx, a)
 	}
 }
 
+// pause asks until the engine agrees or the exchange is over; an engine may not know yet a stream just sent.
+func (s *stream) pause(ctx context.Context, a request.Attempt) {
+	wait := pauseBackoff
+	for s.d.Pause(ctx, a.Address, a.ID) != nil {
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		wait = min(2*wait, controlWait)
+	}
+}
+
+// cancelPaused frees what the engine keeps of a paused stream that nobody goes on with.
+func (s *stream) cancelStream(a request.Attempt) {
+	if s.d.Cancel == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), controlWait)
+	defer cancel()
+	_ = s.d.Cancel(ctx, a.Address, a.ID)
+}
+
 // cancelAtEngine frees the engine's slot unless the engine itself ended the exchange.
-func (s *stream) cancelAtEngine(ctx context.Context, err error, a request.Attempt) {
+func (s *stream) cancelAtEngine(err error, a request.Attempt) {
 	var attempt request.ErrAttempt
 	if errors.As(err, &attempt) && attempt.Status != 0 {
 		return
@@ -161,9 +187,7 @@
 	if s.mayResume(err) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), controlWait)
-	defer cancel()
-	_ = s.d.Cancel(ctx, a.Address, a.ID)
+	s.cancelStream(a)
 }
 
 // mayResume tells whether the same engine may go on with a stream whose connection broke.
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	maxAttempts   = 3
-	controlWait   = time.Second
-	maxResumes    = 8
-	defaultRetry  = time.Second
-	resumeBackoff = 20 * time.Millisecond
+	maxAttempts  = 3
+	controlWait  = time.Second
+	maxResumes   = 8
+	defaultRetry = time.Second
+	pauseBackoff = 20 * time.Millisecond
 )
 
 // Ask is what a request's rights depend on.
