--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/request/queue"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -34,6 +35,8 @@
 	resumable bool
 	preempted bool
 	resumed   bool
+	// firstTold tells that the time to first token was observed before the release.
+	firstTold bool
 	// declared tells that an earlier home gave the grant.
 	declared bool
 	grant    *Grant
@@ -130,14 +133,35 @@
 	if r.Tokens > 1 && whole > first {
 		between = (whole - first) / time.Duration(r.Tokens-1)
 	}
-	h.slow.Observe(g.server.Name, first, between)
-	h.observeSpeed(g.server)
-	g.server.Slow = h.slow.Slow(g.server.Name)
+	if g.firstTold {
+		first = 0
+	}
+	h.observeServer(g.server, first, between)
 	if g.prefix != "" {
 		h.prefixes.Place(g.prefix, g.server.Name, max(r.CachedTokens, 1))
 	}
 }
 
+// FirstToken takes in that a grant's first token came, and how late. Holders tell it where it came
+// unusually late, so that a straggler is known before its streams end.
+func (h *Home) FirstToken(holder string, f wire.GrantFirst) {
+	h.lock()
+	defer h.unlock()
+	g := h.grants[grantKey{holder: holder, number: f.Grant}]
+	if g == nil || g.firstTold || f.FirstTokenMs <= 0 {
+		return
+	}
+	g.firstTold = true
+	h.observeServer(g.server, time.Duration(f.FirstTokenMs)*time.Millisecond, 0)
+}
+
+// observeServer takes in observed times of a server; 0 is none.
+func (h *Home) observeServer(s *server, first, between time.Duration) {
+	h.slow.Observe(s.Name, first, between)
+	s.FirstToken, s.BetweenTokens = h.slow.Times(s.Name)
+	s.Slow = h.slow.Slow(s.Name)
+}
+
 // DropHolder takes back the grants of an instance that died and drops its waiting requests.
 func (h *Home) DropHolder(holder string) {
 	h.lock()
@@ -211,10 +235,14 @@
 // preemptOne asks for the slot of the lowest tier's newest grant back, where the request may use it.
 func (h *Home) preemptOne(w *waiter) {
 	var victim *held
+	ask := h.pickAsk(w, time.Now())
 	for _, g := range h.grants {
 		if g.tier <= w.item.Tier || !g.mayPreempt() || !h.mayServe(g.server, w) {
 			continue
 		}
+		if pick.TooSlow(&g.server.Server, ask) || g.server.Running > g.server.Slots {
+			continue
+		}
 		if victim == nil || g.before(victim) {
 			victim = g
 		}
--- a/process/pool/property_test.go
+++ b/process/pool/property_test.go
@@ -197,4 +197,4 @@
 			rt.Fatal(err)
 		}
 	})
-}
+}
--- a/process/pool/servers.go
+++ b/process/pool/servers.go
@@ -78,7 +78,7 @@
 	if restarted {
 		h.slow.Forget(s.Name)
 		h.prefixes.Forget(s.Name)
-		h.observeSpeed(s)
+		s.FirstToken, s.BetweenTokens, s.Slow = 0, 0, false
 	}
 	h.traceServer(s)
 }
@@ -140,8 +140,3 @@
 	}
 	h.prefixes.Events(server, events)
 }
-
-// observeSpeed copies the observed times to the record that the policy sees.
-func (h *Home) observeSpeed(s *server) {
-	s.FirstToken, s.BetweenTokens = h.slow.Times(s.Name)
-}
--- a/process/pool/tracecheck/tracecheck.go
+++ b/process/pool/tracecheck/tracecheck.go
@@ -189,6 +189,7 @@
 	for _, g := range c.granted {
 		switch {
 		case g.Tier <= e.Tier || !mayUse(e, g.Server, c.servers[g.Server]):
+		case c.servers[g.Server].running > c.servers[g.Server].slots:
 		case g.Preemptible:
 			open++
 		case g.ForTier != 0:
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -32,6 +32,19 @@
 	Exclude []string `json:"x,omitempty,omitzero"`
 }
 
+// GrantFirst tells a first token that came unusually late, before the grant is
+// released.
+type GrantFirst struct {
+	// Time to first token in milliseconds.
+	FirstTokenMs int `json:"f"`
+
+	// Grant number.
+	Grant int `json:"g"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
 // GrantHeld is one grant that a holder declares to a new home of the pool.
 type GrantHeld struct {
 	// Class.
@@ -130,6 +143,9 @@
 	// Ask corresponds to the JSON schema field "ask".
 	Ask *GrantAsk `json:"ask,omitempty,omitzero"`
 
+	// First corresponds to the JSON schema field "first".
+	First *GrantFirst `json:"first,omitempty,omitzero"`
+
 	// Held corresponds to the JSON schema field "held".
 	Held *GrantsHeld `json:"held,omitempty,omitzero"`
 
