Let resumed requests go first in their workspace and no longer hold turns up

Change: resumed requests go first; a turn waits only for older requests that have a target. Idle workspaces keep a bounded credit.

--- a/process/pool/admit.go
+++ b/process/pool/admit.go
@@ -68,6 +68,7 @@
 		return w
 	}
 	w.item.CheapAllowed = w.class.CheapAllowed
+	w.item.Resumed = ask.Resume != ""
 	w.item.Tier = w.class.Tier
 	if w.item.Tokens <= 0 {
 		w.item.Tokens = h.service.Tokens(ask.Class)
--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -45,6 +45,8 @@
 	// turnAfterMin and turnAfterMax bound the wait until a class gets a turn.
 	turnAfterMin = 2 * time.Second
 	turnAfterMax = time.Minute
+	// creditAnswers is the number of usual answers that a workspace may be behind and catch up.
+	creditAnswers = 10
 	// retryAfterMin is the shortest time after which a refused request is asked to come back.
 	retryAfterMin = 100 * time.Millisecond
 	// noServerRetry is the time after which a request without any server may come back.
@@ -268,5 +270,6 @@
 		Exclude:      w.ask.Exclude,
 		Resume:       w.ask.Resume,
 		CheapAllowed: w.class.CheapAllowed,
+		Latest:       w.item.Latest,
 	}
 }
--- a/process/pool/schedule.go
+++ b/process/pool/schedule.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		if s.Slow {
-			s.ProbeDue = h.slow.ProbeDue(s.Name, now)
+			s.ProbeDue = h.slow.ProbeDue(s.Name, now, w.class.CheapAllowed)
 		}
 		if byTurn || pick.Fits(&s.Server, ask) {
 			h.candidates = append(h.candidates, &s.Server)
@@ -187,6 +187,7 @@
 		}
 	})
 	h.setTurnAfter()
+	h.queue.Credit = creditAnswers * h.service.Tokens("")
 	h.schedule(now)
 }
 
--- a/process/pool/trace.go
+++ b/process/pool/trace.go
@@ -48,10 +48,10 @@
 	Preemptible bool
 	// Reason is the reason of a refusal.
 	Reason string
-	// Ahead is the number of waiting requests that a refusal for overload counted ahead, and Latest
-	// the latest start that would have met the target.
-	Ahead  int
+	// Latest is the latest start that meets the request's target; zero is no target.
 	Latest time.Time
+	// Ahead is the number of waiting requests that a refusal for overload counted ahead.
+	Ahead int
 	// Recovering tells in a refusal that the home waited for other instances to declare their grants.
 	Recovering bool
 	// TooSlow tells in a refusal for overload on which servers the request would miss its targets.
--- a/request/attempt/straggler.go
+++ b/request/attempt/straggler.go
@@ -12,10 +12,13 @@
 	// stragglerFactor is how far above the pool's median a straggler's times are.
 	stragglerFactor = 2
 	// recoveredFactor is the hysteresis: below it the server is no straggler any more.
-	recoveredFactor     = 1.4
-	stragglerSamples    = 3
-	stragglerWindow     = 8
+	recoveredFactor  = 1.4
+	stragglerSamples = 3
+	stragglerWindow  = 8
+	// stragglerProbeEvery is the time between two probes by work that can be repeated, and
+	// stragglerProbeOther the same by other work.
 	stragglerProbeEvery = 2 * time.Second
+	stragglerProbeOther = time.Minute
 )
 
 // Stragglers compares the observed times of backend servers with the median of their pool.
@@ -49,7 +52,11 @@
 	if between > 0 {
 		o.between.Observe(between.Seconds())
 	}
+	slow := o.slow
 	s.judge(o)
+	if o.slow && !slow {
+		o.probed = time.Now()
+	}
 }
 
 func (s *Stragglers) judge(o *observed) {
@@ -89,12 +96,17 @@
 	return o != nil && o.slow
 }
 
-// ProbeDue tells whether a straggler may get one request to see whether it has recovered.
-func (s *Stragglers) ProbeDue(server string, now time.Time) bool {
+// ProbeDue tells whether a straggler may get one request to see whether it has recovered. Work that
+// can't be repeated probes seldom.
+func (s *Stragglers) ProbeDue(server string, now time.Time, repeatable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.servers[server]
-	return o != nil && o.slow && now.Sub(o.probed) >= stragglerProbeEvery
+	every := stragglerProbeEvery
+	if !repeatable {
+		every = stragglerProbeOther
+	}
+	return o != nil && o.slow && now.Sub(o.probed) >= every
 }
 
 // Probed notes that a probe has gone to the server.
--- a/request/queue/ahead.go
+++ b/request/queue/ahead.go
@@ -10,7 +10,7 @@
 	// Ahead counts the waiting requests that would be served before it, were no others to come.
 	Ahead Count
 	// ByTurn tells that its class's turn carries the request: then only those count that joined
-	// higher tiers before the turn came due.
+	// higher tiers, with a target, before the turn came due.
 	ByTurn bool
 }
 
@@ -37,20 +37,16 @@
 			n.plus(t.n)
 		}
 		if t.number == it.Tier {
-			n.plus(t.aheadInTier(it))
+			n.plus(q.aheadInTier(t, it))
 		}
 	}
 	return n
 }
 
 // aheadInTier counts the requests of the tier whose start tags come before the new one's.
-func (t *tier) aheadInTier(it *Item) Count {
-	own := t.flows[it.Workspace]
-	tag := t.virtual
-	var n Count
-	if own != nil {
-		tag, n = own.join(it)
-	}
+func (q *Queue) aheadInTier(t *tier, it *Item) Count {
+	own := q.flow(t, it.Workspace)
+	tag, n := q.join(own, it)
 	for _, f := range t.backlog {
 		if f != own && f.tag <= tag {
 			n.plus(f.before(tag))
@@ -60,13 +56,13 @@
 }
 
 // join returns the start tag that a new request would have, and how many of the own go before it.
-func (f *flow) join(it *Item) (tag float64, n Count) {
+func (q *Queue) join(f *flow, it *Item) (tag float64, n Count) {
 	tag = f.tag
 	if len(f.items) == 0 {
-		tag = max(f.tag, f.tier.virtual)
+		tag = q.startTag(f)
 	}
 	for _, own := range f.items {
-		if compareLatest(own.Latest, it.Latest) <= 0 {
+		if own.Resumed || compareLatest(own.Latest, it.Latest) <= 0 {
 			n.add(own, 1)
 			tag += own.Tokens / f.weight
 		}
@@ -102,7 +98,9 @@
 			if it.Since.After(due) {
 				break
 			}
-			n.add(it, 1)
+			if !it.Latest.IsZero() {
+				n.add(it, 1)
+			}
 		}
 	}
 	return n
--- a/request/queue/heap.go
+++ b/request/queue/heap.go
@@ -5,10 +5,17 @@
 	"time"
 )
 
-// itemHeap orders the requests of a workspace by their latest start; those without one go last.
+// itemHeap orders the requests of a workspace: resumed ones first, then by their latest start, and
+// those without one last.
 type itemHeap []*Item
 
 func compareItems(a, b *Item) int {
+	if a.Resumed != b.Resumed {
+		if a.Resumed {
+			return -1
+		}
+		return 1
+	}
 	if c := compareLatest(a.Latest, b.Latest); c != 0 {
 		return c
 	}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -30,6 +30,8 @@
 	Tokens float64
 	// CheapAllowed tells that servers of the cheap kind may take the request.
 	CheapAllowed bool
+	// Resumed tells that the request was paused; it goes before the others of its workspace.
+	Resumed bool
 
 	flow  *flow
 	index int
@@ -49,6 +51,9 @@
 	// TurnAfter is the time that a class with demand waits without a slot until it gets a turn.
 	// A change counts for the waits that begin after it.
 	TurnAfter time.Duration
+	// Credit is the service, in tokens, that a workspace without waiting requests may be behind the
+	// others and still catch up; what it fell behind further is forgotten.
+	Credit float64
 
 	tiers   []*tier
 	classes map[string]*class
@@ -212,7 +217,7 @@
 	t := q.tier(it.Tier)
 	f := q.flow(t, it.Workspace)
 	if len(f.items) == 0 {
-		f.tag = max(f.tag, t.virtual)
+		f.tag = q.startTag(f)
 	}
 	it.flow = f
 	heap.Push(&f.items, it)
@@ -227,6 +232,11 @@
 	q.class(it.Class, it.Tier).waiting++
 }
 
+// startTag returns the start tag of a workspace that had no waiting request.
+func (q *Queue) startTag(f *flow) float64 {
+	return max(f.tag, f.tier.virtual-q.Credit/f.weight)
+}
+
 // Remove takes a request out of the queue; it tells false where the request isn't waiting.
 func (q *Queue) Remove(it *Item) bool {
 	f := it.flow
@@ -253,7 +263,7 @@
 // Next returns the request that goes first among those that fit, and the turn that brought it there.
 // The fits function tells whether some free slot may serve the request, by its turn or without one.
 // A turn goes before all requests that joined after it came due, and behind those of higher tiers
-// that joined before.
+// with a target that joined before; a request without a target may wait without bound.
 func (q *Queue) Next(now time.Time, fits func(it *Item, byTurn bool) bool) (*Item, Turn) {
 	if it, turn := q.nextTurn(now, fits); it != nil {
 		return it, turn
@@ -286,17 +296,9 @@
 	return best, bestTurn
 }
 
-// hasOlder tells whether a request of a tier above joined at or before due.
+// hasOlder tells whether a request of a tier above that has a target joined at or before due.
 func (q *Queue) hasOlder(below int, due time.Time) bool {
-	for _, t := range q.tiers {
-		if t.number >= below {
-			return false
-		}
-		if len(t.arrivals) > 0 && !t.arrivals[0].Since.After(due) {
-			return true
-		}
-	}
-	return false
+	return q.aheadOfTurn(below, due).All > 0
 }
 
 // first returns the tier's first request, in order of fair shares and deadlines, that fits.
