--- a/wire/peer.go
+++ b/wire/peer.go
@@ -41,6 +41,19 @@
 	Pool string `json:"p"`
 }
 
+// GrantFirst tells a first token that came unusually late, before the grant is
+// released.
+type GrantFirst struct {
+	// Time to first token in milliseconds.
+	FirstTokenMs int `json:"f"`
+
+	// Grant number.
+	Grant int `json:"g"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
 // GrantHeld is one grant that a holder declares to a new home of the pool.
 type GrantHeld struct {
 	// Class.
@@ -142,6 +155,9 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *GrantCancel `json:"cancel,omitempty,omitzero"`
 
+	// First corresponds to the JSON schema field "first".
+	First *GrantFirst `json:"first,omitempty,omitzero"`
+
 	// Held corresponds to the JSON schema field "held".
 	Held *GrantsHeld `json:"held,omitempty,omitzero"`
 
