--- a/standin/port/port.go
+++ b/standin/port/port.go
@@ -15,7 +15,7 @@
 	// BlockSize is the number of consecutive ports of a block.
 	BlockSize = 99
 	// first and last bound the ports of all blocks, below those that the kernel hands out.
-	first = 22_000
+	first = 24_000
 	last  = 32_000
 	// stride counts a block's guard beside its ports.
 	stride    = BlockSize + 1
--- a/tools/launch/launch.go
+++ b/tools/launch/launch.go
@@ -37,8 +37,8 @@
 	Questionnaire string
 	// PerDataCentre is the number of instances in each data centre; 0 reads as 2.
 	PerDataCentre int
-	// Policy is the daemon's choice of backend servers; empty is its own.
-	Policy string
+	// Baseline replaces the daemon's own scheduling for experiments; empty replaces nothing.
+	Baseline string
 	// TokenTime is the engines' time between tokens; 0 is that of the stand-in.
 	TokenTime time.Duration
 	// LoadLag is the age of the engines' load reports.
@@ -244,8 +244,8 @@
 // StartInstance starts the daemon of an instance, whose settings file is there.
 func (d *Deployment) StartInstance(name string) error {
 	args := []string{"--settings", d.Path(name + ".jsonc")}
-	if d.Policy != "" {
-		args = append(args, "--policy", d.Policy)
+	if d.Baseline != "" {
+		args = append(args, "--baseline", d.Baseline)
 	}
 	p, err := d.supervisor.Start(name, d.binary("toucanrouted"), args...)
 	if err != nil {
