--- a/Makefile
+++ b/Makefile
@@ -47,5 +47,10 @@
 demo:
 	go run ./tools/demo
 
+# bench compares the scheduling with the baselines on the same loads and faults, and an instance with an engine alone.
+bench:
+	go run ./tools/bench policy
+	go run ./tools/bench speed
+
 clean:
 	rm -rf $(BIN) out
--- a/tools/bench/cases.go
+++ b/tools/bench/cases.go
@@ -57,6 +57,7 @@
 				{0, onEngine(0, engineFaults{LoadLagMs: lagMs})},
 				{0.2, onEngine(0, engineFaults{SlowFactor: slowFactor, LoadLagMs: lagMs})},
 				{0.5, onEngine(1, engineFaults{CrashMs: crashMs, LoadLagMs: lagMs})},
+				{0.8, onEngine(0, engineFaults{LoadLagMs: lagMs})},
 			},
 		},
 		{
@@ -72,9 +73,9 @@
 
 // engineFaults are those of an engine's faults that the cases set.
 type engineFaults struct {
-	SlowFactor float64 `json:"slow_factor,omitempty"`
+	SlowFactor float64 `json:"slow_factor"`
 	CrashMs    int     `json:"crash_ms,omitempty"`
-	LoadLagMs  int     `json:"load_lag_ms,omitempty"`
+	LoadLagMs  int     `json:"load_lag_ms"`
 }
 
 // onEngine sets faults of the n-th engine of each data centre.
