Don't wait for the grants of an instance that has no configuration

Change: only instances that told a configuration in their heartbeat are waited for. Checked: the new test failed before the change and passes after it.

--- a/process/instance/homes.go
+++ b/process/instance/homes.go
@@ -21,8 +21,8 @@
 	state func(server string) pool.ServerState
 	// live returns the number of live instances of this data centre.
 	live func() int
-	// others returns the other live instances of this data centre.
-	others func() []string
+	// declarers returns the other live instances of this data centre that may hold grants.
+	declarers func() []string
 	// preempt asks another instance to pause the stream of a grant.
 	preempt func(holder string, p wire.GrantPreempt)
 
@@ -100,7 +100,7 @@
 		hm = h.open(name)
 	}
 	var missing []string
-	for _, holder := range append(h.others(), h.instance) {
+	for _, holder := range append(h.declarers(), h.instance) {
 		if !h.declared[name][holder] {
 			missing = append(missing, holder)
 		}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -181,7 +181,7 @@
 		table:      i.table.Load,
 		state:      i.serverState,
 		live:       func() int { return i.members.Live(i.Settings.DataCentre) },
-		others:     i.others,
+		declarers:  i.declarers,
 		preempt:    func(holder string, p wire.GrantPreempt) { go i.peers.Preempt(holder, p) },
 	}
 	if i.Baseline.Choose != nil {
--- a/process/instance/instance_test.go
+++ b/process/instance/instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -64,3 +65,16 @@
 	assert.Equal(t, reply.Grant, 0)
 	assert.Equal(t, reply.Reason, pool.ReasonMoved)
 }
+
+func TestNewHomeDoesNotWaitForAnInstanceWithoutConfiguration(t *testing.T) {
+	i := newInstance(t)
+	i.members.Heard(wire.Hello{Instance: "b", DataCentre: "dc", Format: 1})
+	assert.NilError(t, i.setTable(testConfig()))
+	i.homes.became("chat")
+	i.homes.get("chat").Reclaim("a", nil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	g, err := i.homes.get("chat").Ask(ctx, "a", wire.GrantAsk{RequestID: "r", Pool: "chat", Class: "question", Workspace: "shop"})
+	assert.NilError(t, err)
+	assert.Equal(t, g.Server(), "s1")
+}
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// peersOf returns the other live instances of this data centre, sorted.
+// others returns the other live instances of this data centre, sorted.
 func (i *Instance) others() []string {
 	var names []string
 	for _, m := range i.members.All() {
@@ -128,6 +128,18 @@
 	return names
 }
 
+// declarers returns the other live instances of this data centre that may hold grants: one that has no configuration
+// yet holds none and declares none.
+func (i *Instance) declarers() []string {
+	var names []string
+	for _, m := range i.members.All() {
+		if m.DataCentre() == i.Settings.DataCentre && m.State() == members.StateLive && m.Config() > 0 {
+			names = append(names, m.Instance())
+		}
+	}
+	return names
+}
+
 // rank returns this instance's place among the live instances of its data centre, with their sorted names.
 func (i *Instance) rank() (int, []string) {
 	names := append(i.others(), i.Settings.Instance)
