--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,7 +1,8 @@
-// Package scenario runs scripted scenarios of separate processes: the daemon, its command and the stand-ins.
+// Package scenario runs scripted scenarios of separate processes: the daemon, its command, the demo and the stand-ins.
 //
 // A scenario is a testscript file in testdata. Beside testscript's own commands it has those of commands in
-// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers.
+// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers,
+// $BIN the directory of the binaries and $ROOT that of the source tree.
 package scenario
 
 import (
@@ -22,7 +23,10 @@
 const portsPerScript = 40
 
 // binaries are the packages built for the scenarios, with the race detector.
-var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin"}
+var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin", "./tools/demo"}
+
+// binDir is where the binaries are.
+var binDir string
 
 func TestMain(m *testing.M) {
 	os.Exit(runWithBinaries(m))
@@ -40,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, "build for scenarios:", err)
 		return 1
 	}
+	binDir = dir
 	path := dir + string(filepath.ListSeparator) + os.Getenv("PATH")
 	if err := os.Setenv("PATH", path); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -74,10 +79,16 @@
 		return err
 	}
 	env.Defer(block.Free)
+	root, err := filepath.Abs("..")
+	if err != nil {
+		return err
+	}
 	for i := range portsPerScript {
 		env.Setenv(fmt.Sprintf("P%d", i), block.Address(i))
 		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
 	}
+	env.Setenv("BIN", binDir)
+	env.Setenv("ROOT", root)
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSession(env)
 	env.Values[sessionKey{}] = s
--- a/tools/bench/policy.go
+++ b/tools/bench/policy.go
@@ -25,6 +25,8 @@
 // policyCommand compares the scheduling with the baselines.
 type policyCommand struct {
 	ctx context.Context
+	// bin is the directory of the binaries.
+	bin string
 
 	Root      string        `long:"root" default:"." description:"directory of the source tree"`
 	Case      []string      `long:"case" description:"case to run; all where none is given"`
@@ -52,9 +54,11 @@
 
 // Execute runs the subcommand.
 func (c *policyCommand) Execute([]string) error {
-	if err := launch.Build(c.ctx, c.Root); err != nil {
+	bin, err := launch.Build(c.ctx, c.Root)
+	if err != nil {
 		return fmt.Errorf("build: %w", err)
 	}
+	c.bin = bin
 	var outcomes []outcome
 	for _, bc := range cases() {
 		if len(c.Case) > 0 && !slices.Contains(c.Case, bc.name) {
@@ -91,7 +95,7 @@
 	}
 	defer remove()
 	d := &launch.Deployment{
-		Root:          c.Root,
+		Bin:           c.bin,
 		Dir:           dir,
 		Questionnaire: filepath.Join(c.Root, bc.questionnaire),
 		PerDataCentre: c.Instances,
--- a/tools/bench/speed.go
+++ b/tools/bench/speed.go
@@ -40,7 +40,8 @@
 
 // Execute runs the subcommand.
 func (c *speedCommand) Execute([]string) error {
-	if err := launch.Build(c.ctx, c.Root); err != nil {
+	bin, err := launch.Build(c.ctx, c.Root)
+	if err != nil {
 		return fmt.Errorf("build: %w", err)
 	}
 	dir, remove, err := launch.TempDir()
@@ -48,7 +49,7 @@
 		return err
 	}
 	defer remove()
-	d := &launch.Deployment{Root: c.Root, Dir: dir, Questionnaire: dir + "/speed.jsonc", PerDataCentre: 1, TokenTime: time.Microsecond}
+	d := &launch.Deployment{Bin: bin, Dir: dir, Questionnaire: dir + "/speed.jsonc", PerDataCentre: 1, TokenTime: time.Microsecond}
 	if err := os.WriteFile(d.Questionnaire, speedQuestionnaire, 0o600); err != nil {
 		return err
 	}
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -26,6 +26,7 @@
 // options of the command line.
 type options struct {
 	Root          string        `long:"root" default:"." description:"directory of the source tree"`
+	Bin           string        `long:"bin" description:"directory of built binaries; nothing is built then"`
 	Questionnaire string        `long:"questionnaire" default:"examples/doce-luz.jsonc" description:"answers of the deployment"`
 	PerDataCentre int           `long:"instances-per-data-centre" default:"2" description:"instances in each data centre"`
 	Rate          float64       `long:"rate" default:"40" description:"requests per second"`
@@ -64,16 +65,16 @@
 
 // show runs the demo from the build to the sums.
 func show(ctx context.Context, opts options) error {
-	say("building")
-	if err := launch.Build(ctx, opts.Root); err != nil {
-		return fmt.Errorf("build: %w", err)
+	bin, err := build(ctx, opts)
+	if err != nil {
+		return err
 	}
 	dir, remove, err := launch.TempDir()
 	if err != nil {
 		return err
 	}
 	d := &launch.Deployment{
-		Root:          opts.Root,
+		Bin:           bin,
 		Dir:           dir,
 		Questionnaire: opts.Questionnaire,
 		PerDataCentre: opts.PerDataCentre,
@@ -106,6 +107,19 @@
 	return sums.broken()
 }
 
+// build returns the directory of the binaries, which it builds unless one is given.
+func build(ctx context.Context, opts options) (string, error) {
+	if opts.Bin != "" {
+		return opts.Bin, nil
+	}
+	say("building")
+	bin, err := launch.Build(ctx, opts.Root)
+	if err != nil {
+		return "", fmt.Errorf("build: %w", err)
+	}
+	return bin, nil
+}
+
 // load makes the load, sends it and prints the table.
 func load(ctx context.Context, d *launch.Deployment, opts options) error {
 	arrivals := []string{
--- a/tools/launch/launch.go
+++ b/tools/launch/launch.go
@@ -29,8 +29,8 @@
 
 // Deployment is one deployment on loopback. Its exported fields are set before Start.
 type Deployment struct {
-	// Root is the directory of the source tree, whose bin holds the binaries.
-	Root string
+	// Bin is the directory of the binaries, such as Build returns.
+	Bin string
 	// Dir takes settings, logs and all else that is written.
 	Dir string
 	// Questionnaire is the file of answers; its backend servers get other addresses.
@@ -59,14 +59,18 @@
 	daemons    map[string]*Process
 }
 
-// Build builds the binaries of the source tree at root.
-func Build(ctx context.Context, root string) error {
-	out := filepath.Join(root, buildDir) + string(filepath.Separator)
+// Build builds the binaries of the source tree at root and returns their directory.
+func Build(ctx context.Context, root string) (bin string, err error) {
+	bin, err = filepath.Abs(filepath.Join(root, buildDir))
+	if err != nil {
+		return "", err
+	}
+	out := bin + string(filepath.Separator)
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "./cmd/...", "./tools/standin")
 	cmd.Dir = root
 	cmd.Stdout = os.Stderr
 	cmd.Stderr = os.Stderr
-	return cmd.Run()
+	return bin, cmd.Run()
 }
 
 // Start starts everything and returns when all instances are ready. Stop is to be called also after an error.
@@ -256,7 +260,7 @@
 }
 
 func (d *Deployment) binary(name string) string {
-	return filepath.Join(d.Root, buildDir, name)
+	return filepath.Join(d.Bin, name)
 }
 
 // write writes v as JSON to a file of the deployment's directory.
--- /dev/null
+++ b/tools/launch/parent_linux_test.go
@@ -0,0 +1,68 @@
+package launch
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// parentVariable tells the test binary to be the parent that is killed.
+const parentVariable = "LAUNCH_TEST_PARENT_DIR"
+
+// TestParentHelper is no test but the parent of TestChildrenEndWithParent.
+func TestParentHelper(t *testing.T) {
+	dir := os.Getenv(parentVariable)
+	if dir == "" {
+		return
+	}
+	s := &Supervisor{Dir: dir}
+	p, err := s.Start("child", "sleep", "600")
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(filepath.Join(dir, "pid"), []byte(strconv.Itoa(p.Pid())), 0o600))
+	time.Sleep(time.Minute)
+}
+
+// A supervisor that is killed leaves no process behind, and one that lives keeps its processes.
+func TestChildrenEndWithParent(t *testing.T) {
+	dir := t.TempDir()
+	parent := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestParentHelper$")
+	parent.Env = append(os.Environ(), parentVariable+"="+dir)
+	assert.NilError(t, parent.Start())
+	var pid int
+	waitUntil(t, func() bool {
+		data, err := os.ReadFile(filepath.Join(dir, "pid"))
+		pid, _ = strconv.Atoi(string(data))
+		return err == nil && pid > 0
+	})
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, isAlive(pid), "the child ended before its parent")
+	assert.NilError(t, parent.Process.Signal(syscall.SIGKILL))
+	_ = parent.Wait()
+	waitUntil(t, func() bool { return !isAlive(pid) })
+}
+
+// isAlive tells whether a process runs; one that nobody has waited for yet does not.
+func isAlive(pid int) bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, state, _ := strings.Cut(string(data), ") ")
+	return err == nil && !strings.HasPrefix(state, "Z")
+}
+
+func waitUntil(t *testing.T, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(10 * time.Second)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatal("not within 10 s")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
