Name the pool's model to engines; open listeners before their engines

Cause of the alias fault: the caller's name of a route went to the engine, which knows its model only (404 for model writer). Cause of the race: the callers' server set nbio's global logger while the operators' engine ran. Cause of the hang: TestTakenAddressIsAnError of connection/caller passed alone and failed after other tests; nbio's engine does not return from a failed listen, as seen before at the operators' listener. Changed test: TestRefusedClaimSendsNothing wanted not_run true for a repeat of a claimed call. That is wrong: the call may have run under that key and a caller who trusts not_run takes a new key and books twice. It now wants false, and a new test wants true where the claim could not be checked.

--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
@@ -118,10 +117,15 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.setDefaults()
 	s.calls = make(map[*call]struct{})
-	logging.SetLogger(engineLog{log: s.Log.Sugar()})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The engine does not return from a failed listen, so that the listener is opened before.
+	ln, err := s.listen(ctx)
+	if err != nil {
+		return oops.In("caller").With("listen", s.Listen).Wrap(err)
+	}
 	cfg := s.config()
+	cfg.Listen = func(string, string) (net.Listener, error) { return ln, nil }
 	s.http = nbhttp.NewServer(cfg)
 	s.http.Engine.Engine.OnOpen(s.onOpen)
 	s.http.OnWrittenSize(onWritten)
@@ -148,7 +152,6 @@
 		KeepaliveTime:          s.IdleTimeout,
 		MessageHandlerPoolSize: int(s.MaxRequests) + spareHandlers,
 		SupportServerOnly:      true,
-		Listen:                 s.listen,
 	}
 	if s.Certificate == nil {
 		cfg.Addrs = []string{s.Listen}
@@ -159,9 +162,10 @@
 	return cfg
 }
 
-func (s *Server) listen(network, address string) (net.Listener, error) {
+// listen opens the listener.
+func (s *Server) listen(ctx context.Context) (net.Listener, error) {
 	var lc net.ListenConfig
-	ln, err := lc.Listen(context.Background(), network, address)
+	ln, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err == nil {
 		s.address = ln.Addr().String()
 	}
@@ -243,11 +247,3 @@
 		g.written(int64(n))
 	}
 }
-
-// engineLog passes the library's own lines on.
-type engineLog struct{ log *zap.SugaredLogger }
-
-func (l engineLog) Debug(format string, v ...any) { l.log.Debugf("nbio "+format, v...) }
-func (l engineLog) Info(format string, v ...any)  { l.log.Debugf("nbio "+format, v...) }
-func (l engineLog) Warn(format string, v ...any)  { l.log.Warnf("nbio "+format, v...) }
-func (l engineLog) Error(format string, v ...any) { l.log.Warnf("nbio "+format, v...) }
--- a/request/completion.go
+++ b/request/completion.go
@@ -199,10 +199,16 @@
 // Prefix returns the hash of the prompt's first bytes, 16 hex digits.
 func (c *Completion) Prefix() string { return c.prefix }
 
-// EngineBody returns the body for an engine: the caller's members, with the router's own ones set.
+// EngineBody returns the body for an engine: the caller's members, with the router's own ones set. The model is the
+// engine's name of it, which differs from the caller's where a route has another name.
 // The answer is always streamed. A maxTokens above 0 caps the caller's wish.
-func (c *Completion) EngineBody(priority, maxTokens int) ([]byte, error) {
+func (c *Completion) EngineBody(model string, priority, maxTokens int) ([]byte, error) {
 	fields := maps.Clone(c.fields)
+	name, err := json.Marshal(model)
+	if err != nil {
+		return nil, err
+	}
+	fields["model"] = name
 	fields["priority"] = json.RawMessage(strconv.Itoa(priority))
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = engineStreamOptions
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -51,7 +51,7 @@
 
 func (s *stream) complete() error {
 	var err error
-	s.body, err = s.c.EngineBody(s.rights.Class.Tier, s.rights.Class.MaxTokens)
+	s.body, err = s.c.EngineBody(s.rights.Route.Pool, s.rights.Class.Tier, s.rights.Class.MaxTokens)
 	if err != nil {
 		return err
 	}
--- a/request/dispatch/service_test.go
+++ b/request/dispatch/service_test.go
@@ -91,11 +91,21 @@
 	b.rights.Idempotent = false
 	b.claimErr = request.Refuse(http.StatusConflict, request.CodeClaimed, "a call with this key was taken on before")
 	_, err := b.serve("k")
-	checkAnswer(t, err, "idempotency_key_used", true)
+	checkAnswer(t, err, "idempotency_key_used", false)
 	assert.Equal(t, b.sends, 0)
 	assert.Equal(t, b.unclaims, 0, "the claim of the first call must stay")
 }
 
+func TestUnavailableClaimSendsNothingAndSaysSo(t *testing.T) {
+	b := newServiceBench(nil)
+	b.rights.Idempotent = false
+	b.claimErr = request.Refuse(http.StatusServiceUnavailable, request.CodeClaimFailed, "the key can't be checked now")
+	_, err := b.serve("k")
+	checkAnswer(t, err, "claim_unavailable", true)
+	assert.Equal(t, b.sends, 0)
+	assert.Equal(t, b.unclaims, 0)
+}
+
 // Claims of unlike bodies have unlike fingerprints, so that a reused key is told from a repeat.
 func TestClaimFingerprint(t *testing.T) {
 	b := newServiceBench(nil, nil)
