Add usage: counts, parts, seals and reports

Cause: usage must be billed exactly once per window, through lost instances, lost answers and two sealers.

--- a/process/platform/usage.go
+++ b/process/platform/usage.go
@@ -12,9 +12,11 @@
 	Client
 }
 
-// Report sends one report.
-func (u *Usage) Report(ctx context.Context, report wire.UsageReport) error {
-	k := call{name: "usage_report", method: http.MethodPost, path: "/v1/reports", body: report}
+// Report sends one report on a connection of its own. The guard runs right before each write to the socket.
+func (u *Usage) Report(ctx context.Context, report wire.UsageReport, guard func() error) error {
+	transport := GuardedTransport(u.timeout(), guard)
+	defer transport.CloseIdleConnections()
+	k := call{name: "usage_report", method: http.MethodPost, path: "/v1/reports", body: report, transport: transport}
 	a, err := u.do(ctx, k)
 	if err != nil {
 		return err
--- /dev/null
+++ b/process/usage/sealer.go
@@ -0,0 +1,281 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+const (
+	// DefaultGrace passes between the end of a window and its seal, so that counts are stored.
+	DefaultGrace = 10 * time.Second
+	// sealInterval is how often a holder looks for work.
+	sealInterval = 2 * time.Second
+	// KeepSeals is how long reported seals are kept.
+	KeepSeals = time.Hour
+	// Horizon is how late a count may come; a later one is dropped and logged.
+	Horizon = 24 * time.Hour
+)
+
+// Sealer seals and reports the windows of a data centre while it holds the lease. The exported fields are set before Run.
+type Sealer struct {
+	DataCentre string
+	Instance   string
+	Window     time.Duration
+	// Grace is DefaultGrace where it is 0.
+	Grace   time.Duration
+	Lease   *lease.Lease
+	Objects platform.Store
+	Log     *zap.Logger
+	// Report sends a report; it calls the guard right before the first byte leaves.
+	Report func(ctx context.Context, report wire.UsageReport, guard func() error) error
+	// create replaces the conditional create; only tests set it.
+	create func(ctx context.Context, name string, seal wire.UsageSeal) (wire.Object, error)
+
+	// healthy is since when the object API has answered; zero is not.
+	healthy time.Time
+}
+
+// storedSeal is a seal with its object.
+type storedSeal struct {
+	obj  wire.Object
+	seal wire.UsageSeal
+}
+
+func (s storedSeal) end() int { return s.seal.WindowStartMs + s.seal.WindowMs }
+
+func sealName(dataCentre string, windowMs int) string {
+	return fmt.Sprintf("%s.%013d", dataCentre, windowMs)
+}
+
+// Run seals and reports for as long as the lease is held, until ctx ends.
+func (s *Sealer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := sealInterval
+		if fence, _, held := s.Lease.Held(); held {
+			more, err := s.Step(ctx, fence)
+			if err != nil {
+				s.healthy = time.Time{}
+				s.log().Warn("usage_seal_failed", zap.Error(err))
+			}
+			if more {
+				wait = 0
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (s *Sealer) log() *zap.Logger {
+	if s.Log == nil {
+		return zap.NewNop()
+	}
+	return s.Log
+}
+
+// Step reports what is sealed and seals the next window if it is time, and tells whether there is more to do.
+func (s *Sealer) Step(ctx context.Context, fence int) (more bool, err error) {
+	seals, err := s.seals(ctx)
+	if err != nil {
+		return false, err
+	}
+	if s.healthy.IsZero() {
+		s.healthy = time.Now()
+	}
+	if len(seals) == 0 {
+		return true, s.begin(ctx, fence)
+	}
+	if err := s.report(ctx, seals, fence); err != nil {
+		return false, err
+	}
+	last := seals[len(seals)-1]
+	if !s.isDue(last.end()) {
+		return false, nil
+	}
+	parts, err := s.Objects.List(ctx, platform.KindUsagePart, s.DataCentre+".")
+	if err != nil {
+		return false, err
+	}
+	s.clean(ctx, seals, parts, fence)
+	return true, s.seal(ctx, last.seal, parts, fence)
+}
+
+func (s *Sealer) grace() time.Duration {
+	if s.Grace > 0 {
+		return s.Grace
+	}
+	return DefaultGrace
+}
+
+// isDue tells whether the window that starts then is over, with the grace, and the object API has been up as long.
+func (s *Sealer) isDue(startMs int) bool {
+	end := time.UnixMilli(int64(startMs)).Add(s.Window)
+	return time.Since(end) >= s.grace() && time.Since(s.healthy) >= s.grace()
+}
+
+// seals returns the data centre's seals, oldest first.
+func (s *Sealer) seals(ctx context.Context) ([]storedSeal, error) {
+	list, err := s.Objects.List(ctx, platform.KindUsageSeal, s.DataCentre+".")
+	if err != nil {
+		return nil, err
+	}
+	seals := make([]storedSeal, 0, len(list.Items))
+	for _, obj := range list.Items {
+		seal, err := platform.Decode[wire.UsageSeal](obj)
+		if err != nil {
+			return nil, fmt.Errorf("seal %s: %w", obj.Name, err)
+		}
+		seals = append(seals, storedSeal{obj, seal})
+	}
+	sort.Slice(seals, func(i, j int) bool { return seals[i].seal.WindowStartMs < seals[j].seal.WindowStartMs })
+	return seals, nil
+}
+
+// begin fixes where the first window starts, by an empty seal of the time before it. All sealers agree on its name.
+func (s *Sealer) begin(ctx context.Context, fence int) error {
+	return s.put(ctx, wire.UsageSeal{
+		DataCentre: s.DataCentre, WindowMs: windowStart(time.Now().Add(-s.grace()), s.Window), Fence: fence, Sealer: s.Instance,
+		ReportedMs: int(time.Now().UnixMilli()), Lines: []wire.UsageLine{}, Counted: []wire.CountedRun{},
+	}, fence)
+}
+
+// put creates a seal under the lease. That another has sealed the window is no error: its seal is the one that counts.
+func (s *Sealer) put(ctx context.Context, seal wire.UsageSeal, fence int) error {
+	if err := s.Lease.CheckFence(fence); err != nil {
+		return err
+	}
+	name := sealName(s.DataCentre, seal.WindowStartMs)
+	create := s.create
+	if create == nil {
+		create = func(ctx context.Context, name string, seal wire.UsageSeal) (wire.Object, error) {
+			return s.Objects.Create(ctx, platform.KindUsageSeal, name, seal)
+		}
+	}
+	_, err := create(ctx, name, seal)
+	if platform.IsErrConflict(err) {
+		return nil
+	}
+	return err
+}
+
+// seal fixes the figures of the window after the last seal.
+func (s *Sealer) seal(ctx context.Context, last wire.UsageSeal, parts wire.ObjectList, fence int) error {
+	start := last.WindowStartMs + last.WindowMs
+	counted := newTally(last.Counted)
+	lines := map[lineKey]*wire.UsageLine{}
+	correction := false
+	for _, obj := range parts.Items {
+		part, err := platform.Decode[wire.UsagePart](obj)
+		if err != nil {
+			s.log().Error("usage_part_unreadable", zap.String("name", obj.Name), zap.Error(err))
+			continue
+		}
+		for _, count := range part.Counts {
+			if count.WindowStartMs > start || !counted.add(count, start) {
+				continue
+			}
+			if start-count.WindowStartMs > int(Horizon.Milliseconds()) {
+				s.log().Error("usage_too_late", zap.String("run", count.Run), zap.Int("seq", count.Seq))
+				continue
+			}
+			correction = correction || count.WindowStartMs < start
+			for _, l := range count.Lines {
+				addLine(lines, l)
+			}
+		}
+	}
+	return s.put(ctx, wire.UsageSeal{
+		DataCentre: s.DataCentre, WindowStartMs: start, WindowMs: int(s.Window.Milliseconds()), Fence: fence, Sealer: s.Instance,
+		Lines: sortedLines(lines), Counted: counted.runs(start), Correction: correction,
+	}, fence)
+}
+
+// report sends the unreported seals, oldest first. A seal behind a reported one can only stem from a process that was
+// frozen until its window's seal was removed; it is never reported.
+func (s *Sealer) report(ctx context.Context, seals []storedSeal, fence int) error {
+	reported := 0
+	for i, stored := range seals {
+		if stored.seal.ReportedMs > 0 {
+			reported = i
+		}
+	}
+	for i, stored := range seals {
+		if stored.seal.ReportedMs > 0 {
+			continue
+		}
+		if i < reported {
+			s.log().Error("usage_seal_out_of_order", zap.Int("window_ms", stored.seal.WindowStartMs))
+			continue
+		}
+		if err := s.reportOne(ctx, stored, fence); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Sealer) reportOne(ctx context.Context, stored storedSeal, fence int) error {
+	seal := stored.seal
+	report := wire.UsageReport{
+		DataCentre: seal.DataCentre, WindowStartMs: seal.WindowStartMs, WindowMs: seal.WindowMs,
+		Fence: fence, Reporter: s.Instance, Lines: seal.Lines,
+	}
+	err := s.Lease.Do(fence, func() error {
+		return s.Report(ctx, report, func() error { return s.Lease.CheckFence(fence) })
+	})
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	lag := now.Sub(time.UnixMilli(int64(stored.end())))
+	s.log().Info("usage_reported", zap.String("data_centre", s.DataCentre), zap.Int("window_ms", seal.WindowStartMs),
+		zap.Int("fence", fence), zap.String("reporter", s.Instance), zap.Int64("lag_ms", lag.Milliseconds()))
+	if lag > s.Window+s.grace() {
+		metrics.GetOrCreateCounter("toucanroute_usage_reports_late_total").Inc()
+	}
+	if seal.Correction {
+		metrics.GetOrCreateCounter("toucanroute_usage_reports_corrected_total").Inc()
+	}
+	seal.ReportedMs = int(now.UnixMilli())
+	_, err = s.Objects.Update(ctx, platform.KindUsageSeal, stored.obj.Name, stored.obj.Version, seal)
+	if platform.IsErrConflict(err) {
+		return nil
+	}
+	return err
+}
+
+// clean removes parts that stored seals have counted, and old seals.
+func (s *Sealer) clean(ctx context.Context, seals []storedSeal, parts wire.ObjectList, fence int) {
+	last := seals[len(seals)-1].seal
+	counted := newTally(last.Counted)
+	var failed error
+	for _, obj := range parts.Items {
+		part, err := platform.Decode[wire.UsagePart](obj)
+		if err == nil && counted.hasAll(part.Counts) && s.Lease.CheckFence(fence) == nil {
+			failed = errors.Join(failed, s.Objects.Delete(ctx, platform.KindUsagePart, obj.Name, obj.Version))
+		}
+	}
+	for _, stored := range seals[:len(seals)-1] {
+		age := time.Since(time.UnixMilli(int64(stored.end())))
+		if stored.seal.ReportedMs > 0 && age > KeepSeals && s.Lease.CheckFence(fence) == nil {
+			failed = errors.Join(failed, s.Objects.Delete(ctx, platform.KindUsageSeal, stored.obj.Name, stored.obj.Version))
+		}
+	}
+	if failed != nil {
+		s.log().Warn("usage_not_cleaned", zap.Error(failed))
+	}
+}
--- a/wire/records.go
+++ b/wire/records.go
@@ -174,6 +174,13 @@
 	// StopRecord corresponds to the JSON schema field "stop_record".
 	StopRecord *StopRecord `json:"stop_record,omitempty,omitzero"`
 
+	// UsageHandOver corresponds to the JSON schema field "usage_hand_over".
+	UsageHandOver *UsageHandOver `json:"usage_hand_over,omitempty,omitzero"`
+
+	// UsageHandOverReply corresponds to the JSON schema field
+	// "usage_hand_over_reply".
+	UsageHandOverReply *UsageHandOverReply `json:"usage_hand_over_reply,omitempty,omitzero"`
+
 	// UsagePart corresponds to the JSON schema field "usage_part".
 	UsagePart *UsagePart `json:"usage_part,omitempty,omitzero"`
 
@@ -225,6 +232,22 @@
 	WindowStartMs int `json:"window_start_ms"`
 }
 
+// UsageHandOver passes all counts of a run that aren't known to be stored, oldest
+// first.
+type UsageHandOver struct {
+	// Counts corresponds to the JSON schema field "counts".
+	Counts []UsageCount `json:"counts"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run string `json:"run"`
+}
+
+// UsageHandOverReply tells which counts of the run are stored.
+type UsageHandOverReply struct {
+	// All counts of the run up to this sequence number are stored.
+	Through int `json:"through"`
+}
+
 // UsagePart is usage that instances have counted in one window, batched by one of
 // them.
 type UsagePart struct {
