Add the fleet: which servers run, planned stops, evictions

Cause: spending must track demand, a planned stop must cut nothing, a loss of all cheap servers must be survived.

--- /dev/null
+++ b/process/fleet/view.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// State returns the state of a backend server as this instance knows it. Servers that it doesn't know are serving.
+func (f *Fleet) State(server string) wire.FleetServerState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state, ok := f.states[server]
+	if !ok {
+		return wire.FleetServerStateServing
+	}
+	return state
+}
+
+// View returns what this instance knows, for its peers.
+func (f *Fleet) View() wire.FleetView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view := wire.FleetView{DataCentre: f.DataCentre, AgeMs: -1, Servers: []wire.FleetServer{}}
+	if !f.readAt.IsZero() {
+		view.AgeMs = int(time.Since(f.readAt).Milliseconds())
+	}
+	for server, state := range f.states {
+		if state != wire.FleetServerStateServing {
+			view.Servers = append(view.Servers, wire.FleetServer{Server: server, State: state})
+		}
+	}
+	return view
+}
+
+// follow takes the view from the holder or, where that is stale, from the platform.
+func (f *Fleet) follow(ctx context.Context) {
+	if f.Pull != nil {
+		asked := time.Now()
+		view, err := f.Pull(ctx)
+		if err == nil && view.DataCentre == f.DataCentre && view.AgeMs >= 0 {
+			f.offer(view, asked)
+		}
+	}
+	f.mu.Lock()
+	stale := time.Since(f.readAt) > staleAfter
+	f.mu.Unlock()
+	if !stale {
+		return
+	}
+	if _, err := f.read(ctx); err != nil {
+		f.log().Warn("fleet_unreadable", zap.Error(err))
+	}
+}
+
+// offer takes a view in unless this instance's own is newer.
+func (f *Fleet) offer(view wire.FleetView, asked time.Time) {
+	readAt := asked.Add(-time.Duration(view.AgeMs) * time.Millisecond)
+	states := make(map[string]wire.FleetServerState, len(view.Servers))
+	for _, s := range view.Servers {
+		states[s.Server] = s.State
+	}
+	f.setStates(states, readAt)
+}
+
+// setStates replaces the states where they are newer and reports the changes.
+func (f *Fleet) setStates(states map[string]wire.FleetServerState, readAt time.Time) {
+	f.mu.Lock()
+	if !readAt.After(f.readAt) {
+		f.mu.Unlock()
+		return
+	}
+	before := f.states
+	f.states = states
+	f.readAt = readAt
+	f.mu.Unlock()
+	changed := false
+	for server, state := range states {
+		if before[server] != state {
+			changed = true
+			f.log().Info("server_state", zap.String("instance", f.Instance), zap.String("server", server), zap.String("state", string(state)))
+		}
+	}
+	if (changed || len(before) != len(states)) && f.OnChange != nil {
+		f.OnChange()
+	}
+}
--- a/wire/records.go
+++ b/wire/records.go
@@ -61,6 +61,36 @@
 	Through int `json:"through"`
 }
 
+// FleetServer is the state of one backend server. Servers that aren't listed are
+// serving.
+type FleetServer struct {
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
+
+	// State corresponds to the JSON schema field "state".
+	State FleetServerState `json:"state"`
+}
+
+type FleetServerState string
+
+const FleetServerStateDraining FleetServerState = "draining"
+const FleetServerStateEvicting FleetServerState = "evicting"
+const FleetServerStateServing FleetServerState = "serving"
+const FleetServerStateStopped FleetServerState = "stopped"
+
+// FleetView is what the holder of a data centre's fleet knows of its backend
+// servers.
+type FleetView struct {
+	// Milliseconds since the view was read from the platform; -1 is never.
+	AgeMs int `json:"age_ms"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+
+	// Servers corresponds to the JSON schema field "servers".
+	Servers []FleetServer `json:"servers"`
+}
+
 // IntentRecord is an order that is written before it is sent.
 type IntentRecord struct {
 	// Action of the ServerOrder or the EngineOrder.
@@ -165,6 +195,9 @@
 	// ConfigHead corresponds to the JSON schema field "config_head".
 	ConfigHead *ConfigHead `json:"config_head,omitempty,omitzero"`
 
+	// FleetView corresponds to the JSON schema field "fleet_view".
+	FleetView *FleetView `json:"fleet_view,omitempty,omitzero"`
+
 	// IntentRecord corresponds to the JSON schema field "intent_record".
 	IntentRecord *IntentRecord `json:"intent_record,omitempty,omitzero"`
 
