--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 JSONSCHEMA_VERSION  := v0.24.1
 
 BIN     := $(CURDIR)/bin
-SCHEMAS := config objects engine platform peer caller status records
+SCHEMAS := config objects engine platform peer caller status burn arrival settings keyring questionnaire records
 PACKAGES := ./...
 
 .PHONY: build demo test unit lint fmt generate bench capacity clean
@@ -38,10 +38,14 @@
 
 unit:
 	go vet ./... ./tools/...
-	go test -race ./... ./tools/...
+	go run ./tools/testrun -- -race ./... ./tools/...
 
 # test is the whole check: build, vet, linter, unit tests with the race detector, scenarios.
 test: build lint unit
 
+# demo starts the whole path on loopback, sends a mixed load and prints how the service levels were met.
+demo:
+	go run ./tools/demo
+
 clean:
 	rm -rf $(BIN) out
--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -3,5 +3,19 @@
 import "github.com/jessevdk/go-flags"
 
 // addCommands adds each subcommand, one line a file.
-func addCommands(_ *flags.Parser) {
+func addCommands(parser *flags.Parser) {
+	addApply(parser)
+	addArrivals(parser)
+	addBurn(parser)
+	addCheck(parser)
+	addClass(parser)
+	addDiff(parser)
+	addGenerate(parser)
+	addKey(parser)
+	addLoad(parser)
+	addReference(parser)
+	addRoute(parser)
+	addStatus(parser)
+	addStop(parser)
+	addWorkspace(parser)
 }
--- /dev/null
+++ b/connection/service/client.go
@@ -0,0 +1,74 @@
+// Package service is the client of plain services: any method, path and body, the answer passed on whole.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/request"
+)
+
+const defaultAnswer = 8 << 20
+
+var errAnswerTooLarge = errors.New("answer of the service is too large")
+
+// Client calls plain services. Its fields are set before first use.
+type Client struct {
+	// MaxAnswer is the largest answer in bytes; 0 is 8 MB.
+	MaxAnswer int64
+
+	transport upstream.Transport
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// Call sends one attempt and returns the whole answer, whatever its status; a failure is a request.ErrAttempt.
+func (c *Client) Call(ctx context.Context, call request.ServiceCall) (request.ServiceAnswer, error) {
+	req, err := newRequest(ctx, call)
+	if err != nil {
+		return request.ServiceAnswer{}, request.ErrAttempt{Err: err}
+	}
+	res, err := c.transport.Send(req, call.ID, !call.Idempotent)
+	if err != nil {
+		return request.ServiceAnswer{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := c.readAll(res.Body)
+	if err != nil {
+		return request.ServiceAnswer{}, request.ErrAttempt{Sent: true, Status: res.StatusCode, Err: err}
+	}
+	request.StripHopHeaders(res.Header)
+	return request.ServiceAnswer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+}
+
+func (c *Client) readAll(r io.Reader) ([]byte, error) {
+	most := c.MaxAnswer
+	if most == 0 {
+		most = defaultAnswer
+	}
+	body, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(body)) > most {
+		return nil, errAnswerTooLarge
+	}
+	return body, err
+}
+
+func newRequest(ctx context.Context, call request.ServiceCall) (*http.Request, error) {
+	target := "http://" + call.Address + call.Path
+	if call.Query != "" {
+		target += "?" + call.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	return req, nil
+}
