Log operators' actions with the daemon's keys

Cause: toucanctl wrote ts= and msg= where toucanrouted writes time= and event=. Change: the same keys in both. Conclusion: go test ./cmd/toucanctl passes.

--- a/cmd/toucanctl/options.go
+++ b/cmd/toucanctl/options.go
@@ -72,6 +72,8 @@
 // newLog returns a logger of one key=value line for each event.
 func newLog(w io.Writer) *zap.Logger {
 	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.MessageKey = "event"
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.AddSync(w), zap.InfoLevel))
 }
