--- a/connection/caller/main_test.go
+++ b/connection/caller/main_test.go
@@ -9,13 +9,17 @@
 )
 
 func TestMain(m *testing.M) {
+	if address := os.Getenv(speedEngine); address != "" {
+		runInstance(address)
+		return
+	}
 	goleak.VerifyTestMain(leakCheck{m})
-	os.Exit(0)
 }
 
 // leakCheck closes the test client's idle connections before leaks are looked for.
 type leakCheck struct{ m *testing.M }
 
+// Run runs the tests.
 func (l leakCheck) Run() int {
 	code := l.m.Run()
 	http.DefaultClient.CloseIdleConnections()
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -232,8 +232,8 @@
 	}
 	g := new(guard)
 	g.Processor, g.server, g.conn, g.parser = parser.Processor, s, conn, parser
-	g.opened.Store(true)
 	parser.Processor = g
+	g.opened.Store(true)
 	conn.SetSession(g)
 }
 
--- /dev/null
+++ b/connection/caller/speed_test.go
@@ -0,0 +1,261 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/connection/engine"
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/request/dispatch"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// speedEngine names the engine's address in the environment of the process that plays the instance.
+const speedEngine = "TOUCANROUTE_SPEED_ENGINE"
+
+// Goals of the router's own cost.
+const (
+	goalAddedMedian   = 500 * time.Microsecond
+	goalAddedP99      = 2 * time.Millisecond
+	goalRequests      = 5000
+	goalStreams       = 2000
+	goalStreamsMemory = 64 << 20
+)
+
+// runInstance serves callers in a process of its own until its standard input ends.
+func runInstance(address string) {
+	client := &engine.Client{}
+	s := &Server{Listen: "127.0.0.1:0", Dispatcher: &dispatch.Dispatcher{
+		Resolve: resolve,
+		Acquire: func(context.Context, wire.GrantAsk) (*pool.Grant, error) {
+			return pool.NewGrant("s1", "home", 1, func(wire.GrantRelease) {}), nil
+		},
+		Address: func(string) string { return address },
+		Stream:  client.Stream,
+		Cancel:  client.Cancel,
+	}}
+	go func() {
+		<-s.Started()
+		fmt.Println(s.Address())
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
+	if err := s.Run(context.Background()); err != nil {
+		panic(err)
+	}
+}
+
+// speedBench is an engine in this process and an instance in another.
+type speedBench struct {
+	engine   string
+	instance string
+	pid      int
+	// held is closed to let the held streams end.
+	held    chan struct{}
+	holding atomic.Int32
+}
+
+func newSpeedBench(b *testing.B) *speedBench {
+	b.Helper()
+	s := &speedBench{held: make(chan struct{})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(ln) }()
+	b.Cleanup(func() { _ = server.Close() })
+	s.engine = ln.Addr().String()
+
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), speedEngine+"="+s.engine)
+	stdin, err := cmd.StdinPipe()
+	assert.NilError(b, err)
+	stdout, err := cmd.StdoutPipe()
+	assert.NilError(b, err)
+	assert.NilError(b, cmd.Start())
+	b.Cleanup(func() {
+		_ = stdin.Close()
+		_ = cmd.Wait()
+	})
+	line, err := bufio.NewReader(stdout).ReadString('\n')
+	assert.NilError(b, err)
+	s.instance, s.pid = strings.TrimSpace(line), cmd.Process.Pid
+	return s
+}
+
+const speedToken = `data: {"id":"x","object":"chat.completion.chunk","created":1,"model":"guide","choices":[{"index":0,"delta":{"content":"tok"},"finish_reason":null}]}` + "\n\n"
+
+// ServeHTTP is an engine that answers with four tokens at once; a request for the model's long answer is held
+// after its first token.
+func (s *speedBench) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, speedToken)
+	w.(http.Flusher).Flush()
+	if strings.Contains(string(body), "hold me") {
+		s.holding.Add(1)
+		<-s.held
+	}
+	_, _ = io.WriteString(w, speedToken+speedToken+speedToken+"data: [DONE]\n\n")
+}
+
+func speedClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true}}
+}
+
+// ask sends a streaming request, reads its answer and returns the time to its first byte.
+func ask(client *http.Client, address, text string) (time.Duration, error) {
+	body := `{"model":"guide","stream":true,"messages":[{"role":"user","content":"` + text + `"}]}`
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	begin := time.Now()
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	first := make([]byte, len("data: "))
+	if _, err := io.ReadFull(res.Body, first); err != nil {
+		return 0, err
+	}
+	d := time.Since(begin)
+	rest, err := io.ReadAll(res.Body)
+	if err == nil && (string(first) != "data: " || !strings.HasSuffix(string(rest), "[DONE]\n\n")) {
+		err = fmt.Errorf("answer is not whole: status %d", res.StatusCode)
+	}
+	return d, err
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// BenchmarkFirstToken compares the time to first token through the instance with that straight to the engine.
+// The two are asked in turn, so that both see the same load of the machine.
+func BenchmarkFirstToken(b *testing.B) {
+	s := newSpeedBench(b)
+	client := speedClient()
+	defer client.CloseIdleConnections()
+	var direct, through []time.Duration
+	for b.Loop() {
+		d, err := ask(client, s.engine, "short")
+		assert.NilError(b, err)
+		t, err := ask(client, s.instance, "short")
+		assert.NilError(b, err)
+		direct, through = append(direct, d), append(through, t)
+	}
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, q := range []struct {
+		name string
+		at   float64
+		goal time.Duration
+	}{{"median", 0.5, goalAddedMedian}, {"p99", 0.99, goalAddedP99}} {
+		d, t := quantile(direct, q.at), quantile(through, q.at)
+		b.ReportMetric(float64(d.Microseconds()), "direct-us-"+q.name)
+		b.ReportMetric(float64((t - d).Microseconds()), "added-us-"+q.name)
+		b.ReportMetric(float64(t-d)/float64(q.goal), "of-goal-"+q.name)
+	}
+}
+
+// BenchmarkSmallRequests counts small streamed requests per second with 64 callers.
+func BenchmarkSmallRequests(b *testing.B) {
+	for _, way := range []string{"direct", "through"} {
+		b.Run(way, func(b *testing.B) {
+			s := newSpeedBench(b)
+			address := map[string]string{"direct": s.engine, "through": s.instance}[way]
+			client := speedClient()
+			defer client.CloseIdleConnections()
+			b.ResetTimer()
+			runCallers(b, 64, b.N, func() error {
+				_, err := ask(client, address, "short")
+				return err
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/goalRequests, "of-goal")
+		})
+	}
+}
+
+// runCallers runs total calls by n callers.
+func runCallers(b *testing.B, n, total int, call func() error) {
+	b.Helper()
+	var wg sync.WaitGroup
+	var left atomic.Int64
+	var failed atomic.Pointer[error]
+	left.Store(int64(total))
+	for range n {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				if err := call(); err != nil {
+					failed.Store(&err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if err := failed.Load(); err != nil {
+		b.Fatal(*err)
+	}
+}
+
+// BenchmarkStreamsMemory measures the instance's resident memory with goalStreams open streams against idle.
+func BenchmarkStreamsMemory(b *testing.B) {
+	s := newSpeedBench(b)
+	client := speedClient()
+	defer client.CloseIdleConnections()
+	_, err := ask(client, s.instance, "short")
+	assert.NilError(b, err)
+	idle := residentBytes(b, s.pid)
+	var wg sync.WaitGroup
+	var failed atomic.Int32
+	for range goalStreams {
+		wg.Go(func() {
+			if _, err := ask(client, s.instance, "hold me"); err != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	eventually(b, time.Minute, "all streams are open", func() bool { return s.holding.Load() == goalStreams })
+	time.Sleep(time.Second)
+	above := residentBytes(b, s.pid) - idle
+	close(s.held)
+	wg.Wait()
+	assert.Equal(b, failed.Load(), int32(0))
+	b.ReportMetric(float64(above)/(1<<20), "MB-above-idle")
+	b.ReportMetric(float64(above)/goalStreams/(1<<10), "KB/stream")
+	b.ReportMetric(float64(above)/goalStreamsMemory, "of-goal")
+}
+
+func residentBytes(b *testing.B, pid int) int64 {
+	b.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	assert.NilError(b, err)
+	for line := range strings.SplitSeq(string(data), "\n") {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			assert.NilError(b, err)
+			return kb << 10
+		}
+	}
+	b.Fatal("no VmRSS")
+	return 0
+}
--- a/request/completion.go
+++ b/request/completion.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,8 +51,11 @@
 // engineStreamOptions is what every engine gets, so that each answer ends with its usage.
 var engineStreamOptions = json.RawMessage(`{"include_usage":true}`)
 
-// ownFields are set by the router, whatever the caller sends.
-var ownFields = []string{"priority", "stream", "stream_options"}
+// ownFields are set by the router, whatever the caller sends, or may hold the caller's key.
+var ownFields = []string{"priority", "stream", "stream_options", "key", "api_key"}
+
+// readFields are those that the router has read; another spelling of them could tell an engine something else.
+var readFields = []string{"model", "messages", "prompt", "n", "max_tokens", "max_completion_tokens"}
 
 // ParseCompletion reads the body of a request to PathChat or PathCompletions. The error is an ErrAnswer.
 func ParseCompletion(path string, body []byte) (*Completion, error) {
@@ -126,12 +130,9 @@
 // dropOwnFields removes the members that the router sets, in any spelling that a lenient engine might read.
 func (c *Completion) dropOwnFields() {
 	maps.DeleteFunc(c.fields, func(name string, _ json.RawMessage) bool {
-		for _, own := range ownFields {
-			if strings.EqualFold(name, own) {
-				return true
-			}
-		}
-		return false
+		isSpelling := func(field string) bool { return strings.EqualFold(name, field) }
+		return slices.ContainsFunc(ownFields, isSpelling) ||
+			!slices.Contains(readFields, name) && slices.ContainsFunc(readFields, isSpelling)
 	})
 }
 
