--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -35,7 +35,6 @@
 	maxWriteBuffer  = 16 << 20
 	readBufferBytes = 16 << 10
 	watchInterval   = 200 * time.Millisecond
-	spareHandlers   = 1024
 )
 
 // Server serves callers. Its fields are set before Run; sizes, counts and times of 0 take the defaults.
@@ -69,6 +68,7 @@
 	StreamBuffer int64
 
 	http     *nbhttp.Server
+	workers  *workers
 	address  string
 	draining atomic.Bool
 	running  atomic.Int64
@@ -124,6 +124,8 @@
 	if err != nil {
 		return oops.In("caller").With("listen", s.Listen).Wrap(err)
 	}
+	s.workers = newWorkers()
+	defer s.workers.stop()
 	cfg := s.config()
 	cfg.Listen = func(string, string) (net.Listener, error) { return ln, nil }
 	s.http = nbhttp.NewServer(cfg)
@@ -142,16 +144,16 @@
 
 func (s *Server) config() nbhttp.Config {
 	cfg := nbhttp.Config{
-		Name:                   "callers",
-		Network:                "tcp",
-		Handler:                s,
-		MaxLoad:                s.MaxConnections,
-		ReadLimit:              s.MaxBody + s.MaxHeader + readBufferBytes,
-		ReadBufferSize:         readBufferBytes,
-		MaxWriteBufferSize:     maxWriteBuffer,
-		KeepaliveTime:          s.IdleTimeout,
-		MessageHandlerPoolSize: int(s.MaxRequests) + spareHandlers,
-		SupportServerOnly:      true,
+		Name:               "callers",
+		Network:            "tcp",
+		Handler:            s,
+		MaxLoad:            s.MaxConnections,
+		ReadLimit:          s.MaxBody + s.MaxHeader + readBufferBytes,
+		ReadBufferSize:     readBufferBytes,
+		MaxWriteBufferSize: maxWriteBuffer,
+		KeepaliveTime:      s.IdleTimeout,
+		SupportServerOnly:  true,
+		ServerExecutor:     s.workers.run,
 	}
 	if s.Certificate == nil {
 		cfg.Addrs = []string{s.Listen}
@@ -236,8 +238,8 @@
 	}
 	g := new(guard)
 	g.Processor, g.server, g.conn, g.parser = parser.Processor, s, conn, parser
-	g.opened.Store(true)
 	parser.Processor = g
+	g.opened.Store(true)
 	conn.SetSession(g)
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -172,4 +172,17 @@
 
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *GrantReply `json:"reply,omitempty,omitzero"`
+
+	// Streams corresponds to the JSON schema field "streams".
+	Streams *ServerStreams `json:"streams,omitempty,omitzero"`
+}
+
+// ServerStreams is a question for the streams of an instance at a backend server,
+// and its answer.
+type ServerStreams struct {
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
 }
