--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +72,8 @@
 	// table and ring are what is in force; table is nil until the first configuration.
 	table atomic.Pointer[route.Table]
 	ring  atomic.Pointer[keyring.Ring]
+	// jobs is nil until the first configuration.
+	jobs atomic.Pointer[jobs]
 	// joined is set once the links have had joinDelay.
 	joined atomic.Bool
 
@@ -93,11 +94,17 @@
 	g.Go(func() error { i.health.run(run); return nil })
 	g.Go(func() error { i.claims.claims.Run(run); return nil })
 	g.Go(func() error { i.discover(run); return nil })
+	jobsCtx, stopJobs := context.WithCancel(run)
+	defer stopJobs()
+	jobsDone := make(chan struct{})
+	g.Go(func() error { i.runJobs(jobsCtx); close(jobsDone); return nil })
 	g.Go(func() error { return i.serveCallers(run) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 			i.leave(run)
+			stopJobs()
+			<-jobsDone
 			stop()
 		case <-run.Done():
 		}
@@ -112,10 +119,7 @@
 func (i *Instance) build(run context.Context) {
 	i.ring.Store(keyring.NewRing())
 	i.withdrawn = map[string]map[string]bool{}
-	i.objects = &platform.Objects{Client: platform.Client{
-		BaseURL:  "http://" + i.Settings.Platform.Objects,
-		Instance: i.Settings.Instance,
-	}}
+	i.objects = &platform.Objects{Client: i.client(i.Settings.Platform.Objects)}
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(run)
 	i.buildVersions()
@@ -153,7 +157,9 @@
 		Claim:     i.answerClaim,
 		Exchange:  i.answerExchange,
 		Announced: func(from string, d wire.VersionDigest) { i.versions.Hear(from, d) },
-		Usage:     func(string, []wire.UsageCount) error { return errors.New("no collector") },
+		Usage:     i.answerUsage,
+		Fleet:     i.fleetView,
+		Streams:   func(server string) int { return i.dispatch.Running(server) },
 		Lost:      func(instance string) { i.homes.dropHolder(instance) },
 	}
 	t := i.Settings.Tls
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -99,10 +99,7 @@
 	if i.Settings.Platform.Instances == "" {
 		return
 	}
-	client := &platform.Instances{Client: platform.Client{
-		BaseURL:  "http://" + i.Settings.Platform.Instances,
-		Instance: i.Settings.Instance,
-	}}
+	client := &platform.Instances{Client: i.client(i.Settings.Platform.Instances)}
 	list, err := client.List(ctx)
 	if err != nil {
 		i.Log.Warn("instance_list_failed", zap.Error(err))
--- a/request/completion.go
+++ b/request/completion.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,8 +51,11 @@
 // engineStreamOptions is what every engine gets, so that each answer ends with its usage.
 var engineStreamOptions = json.RawMessage(`{"include_usage":true}`)
 
-// ownFields are set by the router, whatever the caller sends.
-var ownFields = []string{"priority", "stream", "stream_options"}
+// ownFields are set by the router, whatever the caller sends, or may hold the caller's key.
+var ownFields = []string{"priority", "stream", "stream_options", "key", "api_key"}
+
+// readFields are those that the router has read; another spelling of them could tell an engine something else.
+var readFields = []string{"model", "messages", "prompt", "n", "max_tokens", "max_completion_tokens"}
 
 // ParseCompletion reads the body of a request to PathChat or PathCompletions. The error is an ErrAnswer.
 func ParseCompletion(path string, body []byte) (*Completion, error) {
@@ -126,12 +130,9 @@
 // dropOwnFields removes the members that the router sets, in any spelling that a lenient engine might read.
 func (c *Completion) dropOwnFields() {
 	maps.DeleteFunc(c.fields, func(name string, _ json.RawMessage) bool {
-		for _, own := range ownFields {
-			if strings.EqualFold(name, own) {
-				return true
-			}
-		}
-		return false
+		isSpelling := func(field string) bool { return strings.EqualFold(name, field) }
+		return slices.ContainsFunc(ownFields, isSpelling) ||
+			!slices.Contains(readFields, name) && slices.ContainsFunc(readFields, isSpelling)
 	})
 }
 
@@ -199,10 +200,16 @@
 // Prefix returns the hash of the prompt's first bytes, 16 hex digits.
 func (c *Completion) Prefix() string { return c.prefix }
 
-// EngineBody returns the body for an engine: the caller's members, with the router's own ones set.
+// EngineBody returns the body for an engine: the caller's members, with the router's own ones set. The model is the
+// engine's name of it, which differs from the caller's where a route has another name.
 // The answer is always streamed. A maxTokens above 0 caps the caller's wish.
-func (c *Completion) EngineBody(priority, maxTokens int) ([]byte, error) {
+func (c *Completion) EngineBody(model string, priority, maxTokens int) ([]byte, error) {
 	fields := maps.Clone(c.fields)
+	name, err := json.Marshal(model)
+	if err != nil {
+		return nil, err
+	}
+	fields["model"] = name
 	fields["priority"] = json.RawMessage(strconv.Itoa(priority))
 	fields["stream"] = json.RawMessage("true")
 	fields["stream_options"] = engineStreamOptions
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -181,6 +181,9 @@
 // Live returns the number of live requests.
 func (d *Dispatcher) Live() int { return d.live.len() }
 
+// Running returns the number of running attempts at a backend server.
+func (d *Dispatcher) Running(server string) int { return d.live.running(server) }
+
 // live is one running request.
 type live struct {
 	workspace string
@@ -225,6 +228,18 @@
 	return len(t.all)
 }
 
+func (t *liveTable) running(server string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for l := range t.all {
+		if l.server == server && l.cancelAttempt != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *liveTable) cancel(cause error, match func(*live) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/wire/records.go
+++ b/wire/records.go
@@ -67,6 +67,36 @@
 	Through int `json:"through"`
 }
 
+// FleetServer is the state of one backend server. Servers that aren't listed are
+// serving.
+type FleetServer struct {
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
+
+	// State corresponds to the JSON schema field "state".
+	State FleetServerState `json:"state"`
+}
+
+type FleetServerState string
+
+const FleetServerStateDraining FleetServerState = "draining"
+const FleetServerStateEvicting FleetServerState = "evicting"
+const FleetServerStateServing FleetServerState = "serving"
+const FleetServerStateStopped FleetServerState = "stopped"
+
+// FleetView is what the holder of a data centre's fleet knows of its backend
+// servers.
+type FleetView struct {
+	// Milliseconds since the view was read from the platform; -1 is never.
+	AgeMs int `json:"age_ms"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+
+	// Servers corresponds to the JSON schema field "servers".
+	Servers []FleetServer `json:"servers"`
+}
+
 // IntentRecord is an order that is written before it is sent.
 type IntentRecord struct {
 	// Action of the ServerOrder or the EngineOrder.
@@ -171,6 +201,9 @@
 	// ConfigHead corresponds to the JSON schema field "config_head".
 	ConfigHead *ConfigHead `json:"config_head,omitempty,omitzero"`
 
+	// FleetView corresponds to the JSON schema field "fleet_view".
+	FleetView *FleetView `json:"fleet_view,omitempty,omitzero"`
+
 	// IntentRecord corresponds to the JSON schema field "intent_record".
 	IntentRecord *IntentRecord `json:"intent_record,omitempty,omitzero"`
 
@@ -180,6 +213,13 @@
 	// StopRecord corresponds to the JSON schema field "stop_record".
 	StopRecord *StopRecord `json:"stop_record,omitempty,omitzero"`
 
+	// UsageHandOver corresponds to the JSON schema field "usage_hand_over".
+	UsageHandOver *UsageHandOver `json:"usage_hand_over,omitempty,omitzero"`
+
+	// UsageHandOverReply corresponds to the JSON schema field
+	// "usage_hand_over_reply".
+	UsageHandOverReply *UsageHandOverReply `json:"usage_hand_over_reply,omitempty,omitzero"`
+
 	// UsagePart corresponds to the JSON schema field "usage_part".
 	UsagePart *UsagePart `json:"usage_part,omitempty,omitzero"`
 
@@ -231,6 +271,22 @@
 	WindowStartMs int `json:"window_start_ms"`
 }
 
+// UsageHandOver passes all counts of a run that aren't known to be stored, oldest
+// first.
+type UsageHandOver struct {
+	// Counts corresponds to the JSON schema field "counts".
+	Counts []UsageCount `json:"counts"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run string `json:"run"`
+}
+
+// UsageHandOverReply tells which counts of the run are stored.
+type UsageHandOverReply struct {
+	// All counts of the run up to this sequence number are stored.
+	Through int `json:"through"`
+}
+
 // UsagePart is usage that instances have counted in one window, batched by one of
 // them.
 type UsagePart struct {
