--- a/process/control/control_test.go
+++ b/process/control/control_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -165,3 +166,11 @@
 		return stats.Requests == 2
 	})
 }
+
+func put(t *testing.T, url, body string) {
+	t.Helper()
+	res, err := http.Post(url, "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+}
