Read the seals once for each window

Cause: a holder listed all seals every 2 s, and an hour of seals is large at the size ahead. Ruled out: a cursor object, which would be one more thing to agree on. Change: an idle time after the last report, seals kept 5 minutes, stray seals behind a reported one removed. Conclusion: go test -race ./process/usage passes.

--- a/process/usage/sealer.go
+++ b/process/usage/sealer.go
@@ -21,7 +21,7 @@
 	// sealInterval is how often a holder looks for work.
 	sealInterval = 2 * time.Second
 	// KeepSeals is how long reported seals are kept.
-	KeepSeals = time.Hour
+	KeepSeals = 5 * time.Minute
 	// Horizon is how late a count may come; a later one is dropped and logged.
 	Horizon = 24 * time.Hour
 )
@@ -43,6 +43,9 @@
 
 	// healthy is since when the object API has answered; zero is not.
 	healthy time.Time
+	// idle is until when there is nothing to do under idleFence, as the last seal was reported and the next isn't due.
+	idle      time.Time
+	idleFence int
 }
 
 // storedSeal is a seal with its object.
@@ -89,6 +92,9 @@
 
 // Step reports what is sealed and seals the next window if it is time, and tells whether there is more to do.
 func (s *Sealer) Step(ctx context.Context, fence int) (more bool, err error) {
+	if fence == s.idleFence && time.Now().Before(s.idle) {
+		return false, nil
+	}
 	seals, err := s.seals(ctx)
 	if err != nil {
 		return false, err
@@ -104,6 +110,8 @@
 	}
 	last := seals[len(seals)-1]
 	if !s.isDue(last.end()) {
+		s.idle = time.UnixMilli(int64(last.end())).Add(s.Window + s.grace())
+		s.idleFence = fence
 		return false, nil
 	}
 	parts, err := s.Objects.List(ctx, platform.KindUsagePart, s.DataCentre+".")
@@ -207,12 +215,7 @@
 // report sends the unreported seals, oldest first. A seal behind a reported one can only stem from a process that was
 // frozen until its window's seal was removed; it is never reported.
 func (s *Sealer) report(ctx context.Context, seals []storedSeal, fence int) error {
-	reported := 0
-	for i, stored := range seals {
-		if stored.seal.ReportedMs > 0 {
-			reported = i
-		}
-	}
+	reported := lastReported(seals)
 	for i, stored := range seals {
 		if stored.seal.ReportedMs > 0 {
 			continue
@@ -228,6 +231,17 @@
 	return nil
 }
 
+// lastReported returns the index of the newest reported seal, or 0.
+func lastReported(seals []storedSeal) int {
+	reported := 0
+	for i, stored := range seals {
+		if stored.seal.ReportedMs > 0 {
+			reported = i
+		}
+	}
+	return reported
+}
+
 func (s *Sealer) reportOne(ctx context.Context, stored storedSeal, fence int) error {
 	seal := stored.seal
 	report := wire.UsageReport{
@@ -269,9 +283,10 @@
 			failed = errors.Join(failed, s.Objects.Delete(ctx, platform.KindUsagePart, obj.Name, obj.Version))
 		}
 	}
-	for _, stored := range seals[:len(seals)-1] {
+	reported := lastReported(seals)
+	for i, stored := range seals[:len(seals)-1] {
 		age := time.Since(time.UnixMilli(int64(stored.end())))
-		if stored.seal.ReportedMs > 0 && age > KeepSeals && s.Lease.CheckFence(fence) == nil {
+		if i < reported && age > KeepSeals && s.Lease.CheckFence(fence) == nil {
 			failed = errors.Join(failed, s.Objects.Delete(ctx, platform.KindUsageSeal, stored.obj.Name, stored.obj.Version))
 		}
 	}
