--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -214,9 +214,25 @@
 	return l.notify(ctx, methodAnnounce, digest)
 }
 
-// Usage hands counts over to the peer; after an error they are still the sender's.
-func (l *Link) Usage(ctx context.Context, counts []wire.UsageCount) error {
-	return l.call(ctx, methodUsage, counts, nil)
+// Usage hands counts over to the peer, which tells what is stored; after an error they are still the sender's.
+func (l *Link) Usage(ctx context.Context, counts wire.UsageHandOver) (wire.UsageHandOverReply, error) {
+	var reply wire.UsageHandOverReply
+	err := l.call(ctx, methodUsage, counts, &reply)
+	return reply, err
+}
+
+// Fleet reads the peer's view of the backend servers of its data centre.
+func (l *Link) Fleet(ctx context.Context) (wire.FleetView, error) {
+	var view wire.FleetView
+	err := l.call(ctx, methodFleet, nil, &view)
+	return view, err
+}
+
+// Streams reads the number of the peer's streams at a backend server.
+func (l *Link) Streams(ctx context.Context, server string) (int, error) {
+	var reply wire.ServerStreams
+	err := l.call(ctx, methodStreams, wire.ServerStreams{Server: server}, &reply)
+	return reply.Running, err
 }
 
 func (l *Link) notify(ctx context.Context, method string, params any) error {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -45,6 +45,8 @@
 	methodExchange = "exchange"
 	methodAnnounce = "announce"
 	methodUsage    = "usage"
+	methodFleet    = "fleet"
+	methodStreams  = "streams"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -53,6 +53,7 @@
 		Retry:    func(name string) bool { return i.retries.get(name).AllowRetry() },
 		Claim:    i.claims.claim,
 		Unclaim:  i.claims.unclaim,
+		Count:    i.count,
 		Observe:  i.observe,
 		Stream:   engines.Stream,
 		Pause:    engines.Pause,
--- a/process/instance/version.go
+++ b/process/instance/version.go
@@ -17,6 +17,9 @@
 		return err
 	}
 	i.table.Store(table)
+	if i.jobs.Load() == nil {
+		i.jobs.Store(i.buildJobs(window(cfg)))
+	}
 	i.Log.Info("config_in_force", zap.Int("version", cfg.Version))
 	i.homes.configure()
 	i.rehome()
@@ -68,12 +71,35 @@
 
 // serverState tells whether a backend server may get new work.
 func (i *Instance) serverState(server string) pool.ServerState {
+	switch i.fleetState(server) {
+	case wire.FleetServerStateDraining, wire.FleetServerStateEvicting:
+		return pool.ServerDraining
+	case wire.FleetServerStateStopped:
+		return pool.ServerStopped
+	}
 	if i.health.suspect(server) {
 		return pool.ServerSuspect
 	}
 	return pool.ServerServing
 }
 
+// fleetState returns the state that the fleet's view gives a backend server.
+func (i *Instance) fleetState(server string) wire.FleetServerState {
+	if j := i.jobs.Load(); j != nil {
+		return j.fleet.State(server)
+	}
+	return wire.FleetServerStateServing
+}
+
+// statusState returns the state of a backend server as the status page shows it.
+func (i *Instance) statusState(server string) wire.ServerStatusState {
+	state := i.fleetState(server)
+	if state == wire.FleetServerStateServing && i.health.suspect(server) {
+		return wire.ServerStatusStateSuspect
+	}
+	return wire.ServerStatusState(state)
+}
+
 // watchedServers returns the backend servers of the pools whose home this instance is.
 func (i *Instance) watchedServers() []wire.Server {
 	table := i.table.Load()
@@ -133,6 +159,9 @@
 	if age, ok := i.versions.Age(); ok {
 		s.PlatformReachable = age < unreachableAfter
 	}
+	if j := i.jobs.Load(); j != nil {
+		s.Leases = append(s.Leases, j.fleetLease.Status(), j.usageLease.Status())
+	}
 	if table := i.table.Load(); table != nil {
 		s.ConfigVersion = table.Version()
 		i.poolStatus(&s, table)
@@ -161,7 +190,8 @@
 				DataCentre: b.DataCentre,
 				Pool:       b.Pool,
 				Kind:       string(b.Kind),
-				State:      wire.ServerStatusState(i.serverState(b.Name)),
+				State:      i.statusState(b.Name),
+				Running:    i.dispatch.Running(b.Name),
 			})
 		}
 	}
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -46,6 +46,9 @@
 // State returns what is known of the instance.
 func (m Member) State() State { return m.state }
 
+// Silence returns the time since the instance was last heard; it is the process's whole life where it never was.
+func (m Member) Silence() time.Duration { return time.Since(m.heard) }
+
 // Config returns the configuration version that the instance last told.
 func (m Member) Config() int { return m.config }
 
@@ -79,7 +82,7 @@
 	}
 	m := t.members[instance]
 	if m == nil {
-		m = &Member{instance: instance, dataCentre: dataCentre, state: StateSuspect}
+		m = &Member{instance: instance, dataCentre: dataCentre, state: StateSuspect, heard: time.Now()}
 		t.members[instance] = m
 	}
 	return m
