Script the promises: bookings, keys, stops, configuration, usage, outages, lost homes

Cause: the assembled daemon had no proof of what must always hold. Change: a fixture of three instances in two data centres, and a scenario each for calls that run once, withdrawn keys, planned stops, racing operators and an instance born in an outage, usage reported once, the platform out, a lost and a frozen home, and bad input. What fails with each guard off is not shown yet.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -89,6 +89,9 @@
 	}
 	env.Setenv("BIN", binDir)
 	env.Setenv("ROOT", root)
+	if err := addFixture(env); err != nil {
+		return err
+	}
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSession(env)
 	env.Values[sessionKey{}] = s
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -45,6 +45,7 @@
 		"eventually": (*session).eventually,
 		"always":     (*session).always,
 		"match":      (*session).match,
+		"deploy":     (*session).deploy,
 		"background": (*session).background,
 	}
 }
