Bound what operators' changes leave in the object API

Ruled out: listing the documents to find old ones (a list carries their values).

Change: the head names the 10 documents before it that stay stored; apply deletes the one that drops out. A withdrawn key is listed for 30 days.

--- a/cmd/toucanctl/operator/apply.go
+++ b/cmd/toucanctl/operator/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,9 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
+// keptDocuments is the number of documents before the head's that stay stored, for instances that are about to read one.
+const keptDocuments = 10
+
 // ErrConflict tells that another operator's configuration was accepted first.
 type ErrConflict struct {
 	// Version and Operator are those of the accepted configuration.
@@ -100,13 +104,29 @@
 	if err != nil {
 		return Accepted{}, err
 	}
+	var dropped []string
+	next.Earlier, dropped = earlierDocuments(*head)
 	if err := w.moveHead(ctx, *head, next, cfg); err != nil {
 		return Accepted{}, err
 	}
+	for _, document := range dropped {
+		w.remove(ctx, document)
+	}
 	w.log("apply", zap.Int("version", next.Version), zap.String("document", next.Document), zap.Int("changes", len(changes)))
 	return Accepted{Version: next.Version, Document: next.Document, Changes: changes}, nil
 }
 
+// earlierDocuments returns the documents that stay stored once head is replaced, and those that don't. None of them
+// can become the head again, since versions only grow.
+func earlierDocuments(head wire.ConfigHead) (kept, dropped []string) {
+	if head.Version == 0 {
+		return nil, nil
+	}
+	all := append(slices.Clone(head.Earlier), head.Document)
+	n := max(0, len(all)-keptDocuments)
+	return all[n:], all[:n]
+}
+
 // writeDocument creates the object of cfg at a version and returns the head that names it.
 func (w *Writer) writeDocument(ctx context.Context, cfg *wire.Config, version int) (wire.ConfigHead, error) {
 	document, err := config.Clone(cfg)
--- a/cmd/toucanctl/operator/keys.go
+++ b/cmd/toucanctl/operator/keys.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,9 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
+// withdrawnKept is the time for which a withdrawn key stays listed.
+const withdrawnKept = 30 * 24 * time.Hour
+
 // ErrUnknown tells that there is no workspace, class, key or backend server of a name.
 type ErrUnknown struct {
 	// What is the kind of thing, such as "workspace".
@@ -174,10 +178,17 @@
 		if err != nil || !changed {
 			return nil, err
 		}
+		k.Keys = slices.DeleteFunc(k.Keys, isForgotten)
 		return k, nil
 	})
 }
 
+// isForgotten tells whether a key was withdrawn so long ago that it needn't be listed; it works no more than an
+// unknown one.
+func isForgotten(e wire.KeyEntry) bool {
+	return e.WithdrawnAtMs > 0 && time.Since(time.UnixMilli(int64(e.WithdrawnAtMs))) > withdrawnKept
+}
+
 // Keyrings returns the keyrings of all workspaces, or of one.
 func (w *Writer) Keyrings(ctx context.Context, workspace string) ([]wire.Keyring, error) {
 	objects, err := w.list(ctx, platform.KindKeyring)
--- a/wire/records.go
+++ b/wire/records.go
@@ -47,6 +47,10 @@
 	// Name of the configversion object.
 	Document string `json:"document"`
 
+	// Names of the documents of the versions before that are still stored, oldest
+	// first.
+	Earlier []string `json:"earlier,omitempty,omitzero"`
+
 	// Version of the configuration.
 	Version int `json:"version"`
 }
