--- a/version/config/check.go
+++ b/version/config/check.go
@@ -39,15 +39,24 @@
 // checker collects the faults of one configuration.
 type checker struct {
 	cfg     *wire.Config
-	faults  []error
+	faults  []ErrConfig
 	centres map[string]bool
 	classes map[string]*wire.Class
 	spaces  map[string]bool
 	pools   map[string]*wire.PoolSpec
 }
 
-// Check returns all faults of cfg joined, each an ErrConfig. The version isn't checked: it is set on acceptance.
+// Check returns all faults of cfg joined, each an ErrConfig.
 func Check(cfg *wire.Config) error {
+	var errs []error
+	for _, fault := range Faults(cfg) {
+		errs = append(errs, fault)
+	}
+	return errors.Join(errs...)
+}
+
+// Faults returns all faults of cfg. The version isn't checked: it is set on acceptance.
+func Faults(cfg *wire.Config) []ErrConfig {
 	c := &checker{
 		cfg:     cfg,
 		centres: map[string]bool{},
@@ -64,7 +73,7 @@
 	c.checkPools()
 	c.checkRoutes()
 	c.checkServers()
-	return errors.Join(c.faults...)
+	return c.faults
 }
 
 func (c *checker) add(field, found, allowed string) {
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"errors"
 	"regexp"
 	"strings"
 	"testing"
@@ -112,12 +111,9 @@
 		t.Run(name, func(t *testing.T) {
 			cfg := valid()
 			tc.change(cfg)
-			err := Check(cfg)
-			assert.Assert(t, IsErrConfig(err))
+			assert.Assert(t, IsErrConfig(Check(cfg)))
 			var got []string
-			for _, e := range err.(interface{ Unwrap() []error }).Unwrap() { //nolint:errorlint // The join itself is looked at.
-				var fault ErrConfig
-				assert.Assert(t, errors.As(e, &fault))
+			for _, fault := range Faults(cfg) {
 				assert.Assert(t, fault.Found != "" && fault.Allowed != "")
 				got = append(got, fault.Field)
 			}
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -3,12 +3,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"regexp"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,9 @@
 // maxNumberBytes is the longest number that is read.
 const maxNumberBytes = 64
 
+// maxExponentBytes is the longest exponent of a number that reads as zero.
+const maxExponentBytes = 3
+
 // maxFoundBytes is the most of a value that an error shows.
 const maxFoundBytes = 60
 
@@ -110,7 +114,7 @@
 
 // nameFault returns the error for the member name of the object at path.
 func (d *Document) nameFault(path []string, name, found, allowed string) ErrField {
-	fault := d.Fault(append(append([]string{}, path...), name), found, allowed)
+	fault := d.Fault(joinPath(path, name), found, allowed)
 	value, _ := d.find(path)
 	object, ok := value.Value.(*hujson.Object)
 	if !ok {
@@ -126,15 +130,12 @@
 
 // Join sorts faults by position together with those found while parsing; nil is none.
 func (d *Document) Join(faults ...ErrField) error {
-	all := append(append([]ErrField{}, d.faults...), faults...)
+	all := slices.Concat(d.faults, faults)
 	if len(all) == 0 {
 		return nil
 	}
-	sort.SliceStable(all, func(i, j int) bool {
-		if all[i].Line != all[j].Line {
-			return all[i].Line < all[j].Line
-		}
-		return all[i].Column < all[j].Column
+	slices.SortStableFunc(all, func(a, b ErrField) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
 	return ErrFields{all}
 }
@@ -181,7 +182,7 @@
 		seen := map[string]bool{}
 		for i := range v.Members {
 			name := memberName(&v.Members[i])
-			below := append(append([]string{}, path...), name)
+			below := joinPath(path, name)
 			if seen[name] {
 				d.faults = append(d.faults, d.nameFault(path, name, "the field twice", "each field once"))
 			}
@@ -190,7 +191,7 @@
 		}
 	case *hujson.Array:
 		for i := range v.Elements {
-			d.inspect(&v.Elements[i], append(append([]string{}, path...), strconv.Itoa(i)))
+			d.inspect(&v.Elements[i], joinPath(path, strconv.Itoa(i)))
 		}
 	case hujson.Literal:
 		if v.Kind() == '0' && !isSmall(v) {
@@ -205,8 +206,11 @@
 	if err != nil || len(number) > maxNumberBytes {
 		return false
 	}
-	_, exponent, ok := strings.Cut(strings.ToLower(string(number)), "e")
-	return !ok || f == 0 && len(exponent) <= 3 || f != 0
+	if f != 0 {
+		return true
+	}
+	_, exponent, _ := strings.Cut(strings.ToLower(string(number)), "e")
+	return len(exponent) <= maxExponentBytes
 }
 
 // position turns a byte offset into a line and a column.
@@ -233,6 +237,11 @@
 	return "nothing"
 }
 
+// joinPath returns path with one step more; it leaves path as it is.
+func joinPath(path []string, step string) []string {
+	return append(slices.Clone(path), step)
+}
+
 // fieldPath writes a path as a reader of the document would: peers[1].address.
 func fieldPath(path []string) string {
 	var b strings.Builder
--- a/version/document/schema.go
+++ b/version/document/schema.go
@@ -131,7 +131,7 @@
 func (s *Schema) missing(d *Document, path, names []string) []ErrField {
 	faults := make([]ErrField, len(names))
 	for i, name := range names {
-		faults[i] = d.Fault(append(slices.Clone(path), name), "nothing", "the field must be given")
+		faults[i] = d.Fault(joinPath(path, name), "nothing", "the field must be given")
 	}
 	return faults
 }
--- a/version/questionnaire/questionnaire.go
+++ b/version/questionnaire/questionnaire.go
@@ -2,7 +2,6 @@
 package questionnaire
 
 import (
-	"errors"
 	"strconv"
 	"sync"
 
@@ -77,20 +76,8 @@
 
 // checkConfig generates the configuration and places its faults at the answers that they come from.
 func checkConfig(d *document.Document, q *Questionnaire) error {
-	err := config.Check(generate(q))
-	if err == nil {
-		return nil
-	}
-	joined, ok := err.(interface{ Unwrap() []error }) //nolint:errorlint // Check returns all faults joined.
-	if !ok {
-		return err
-	}
 	var faults []ErrAnswer
-	for _, e := range joined.Unwrap() {
-		var fault config.ErrConfig
-		if !errors.As(e, &fault) {
-			return err
-		}
+	for _, fault := range config.Faults(generate(q)) {
 		faults = append(faults, d.Fault(origin(q, fault.Field), fault.Found, renameAll(fault.Allowed)))
 	}
 	return d.Join(faults...)
