--- a/cmd/toucanctl/main.go
+++ b/cmd/toucanctl/main.go
@@ -36,6 +36,7 @@
 // run parses args, runs the subcommand and returns the exit code.
 func run(args []string) int {
 	parser := flags.NewNamedParser("toucanctl", flags.HelpFlag|flags.PassDoubleDash|flags.PrintErrors)
+	parser.LongDescription = "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 another operator was first, 4 not in force everywhere in time."
 	addAccess(parser)
 	addCommands(parser)
 	_, err := parser.ParseArgs(args)
