--- a/tools/launch/launch.go
+++ b/tools/launch/launch.go
@@ -29,16 +29,16 @@
 
 // Deployment is one deployment on loopback. Its exported fields are set before Start.
 type Deployment struct {
-	// Root is the directory of the source tree, whose bin holds the binaries.
-	Root string
+	// Bin is the directory of the binaries, such as Build returns.
+	Bin string
 	// Dir takes settings, logs and all else that is written.
 	Dir string
 	// Questionnaire is the file of answers; its backend servers get other addresses.
 	Questionnaire string
 	// PerDataCentre is the number of instances in each data centre; 0 reads as 2.
 	PerDataCentre int
-	// Policy is the daemon's choice of backend servers; empty is its own.
-	Policy string
+	// Baseline replaces the daemon's own scheduling for experiments; empty replaces nothing.
+	Baseline string
 	// TokenTime is the engines' time between tokens; 0 is that of the stand-in.
 	TokenTime time.Duration
 	// LoadLag is the age of the engines' load reports.
@@ -59,14 +59,18 @@
 	daemons    map[string]*Process
 }
 
-// Build builds the binaries of the source tree at root.
-func Build(ctx context.Context, root string) error {
-	out := filepath.Join(root, buildDir) + string(filepath.Separator)
+// Build builds the binaries of the source tree at root and returns their directory.
+func Build(ctx context.Context, root string) (bin string, err error) {
+	bin, err = filepath.Abs(filepath.Join(root, buildDir))
+	if err != nil {
+		return "", err
+	}
+	out := bin + string(filepath.Separator)
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "./cmd/...", "./tools/standin")
 	cmd.Dir = root
 	cmd.Stdout = os.Stderr
 	cmd.Stderr = os.Stderr
-	return cmd.Run()
+	return bin, cmd.Run()
 }
 
 // Start starts everything and returns when all instances are ready. Stop is to be called also after an error.
@@ -244,8 +248,8 @@
 // StartInstance starts the daemon of an instance, whose settings file is there.
 func (d *Deployment) StartInstance(name string) error {
 	args := []string{"--settings", d.Path(name + ".jsonc")}
-	if d.Policy != "" {
-		args = append(args, "--policy", d.Policy)
+	if d.Baseline != "" {
+		args = append(args, "--baseline", d.Baseline)
 	}
 	p, err := d.supervisor.Start(name, d.binary("toucanrouted"), args...)
 	if err != nil {
@@ -256,7 +260,7 @@
 }
 
 func (d *Deployment) binary(name string) string {
-	return filepath.Join(d.Root, buildDir, name)
+	return filepath.Join(d.Bin, name)
 }
 
 // write writes v as JSON to a file of the deployment's directory.
