--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -105,8 +105,10 @@
 	recovering      map[string]bool
 	recoveringUntil time.Time
 	timer           *time.Timer
-	calls           []func()
-	candidates      []*pick.Server
+	// armed is the time of the next sweep; zero is none.
+	armed      time.Time
+	calls      []func()
+	candidates []*pick.Server
 }
 
 type classInfo struct {
@@ -181,6 +183,7 @@
 	h.queue.Push(&w.item)
 	h.trace(w.event(EventAsked))
 	h.schedule(now)
+	h.armFor(&w.item, now)
 	return w, nil
 }
 
@@ -223,9 +226,9 @@
 	h.lock()
 	defer h.unlock()
 	h.closed = true
-	h.queue.Items(func(it *queue.Item) {
+	for _, it := range h.queue.Items() {
 		h.refuse(h.waiters[it.Number], ReasonMoved, 0)
-	})
+	}
 	h.timer.Stop()
 }
 
--- /dev/null
+++ b/process/pool/home_bench_test.go
@@ -0,0 +1,92 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+const benchSlots = 8
+
+func benchHome(workspaces, servers int) *pool.Home {
+	h := &pool.Home{Pool: "p", Instance: "i0"}
+	var specs []pool.ServerSpec
+	for i := range servers {
+		spec := wire.Server{Name: fmt.Sprintf("s%d", i), Slots: benchSlots, Kind: wire.ServerKindRegular}
+		specs = append(specs, pool.ServerSpec{Server: spec, State: pool.ServerServing})
+	}
+	var names []wire.Workspace
+	for i := range workspaces {
+		names = append(names, wire.Workspace{Name: fmt.Sprintf("w%d", i)})
+	}
+	h.Configure(classes(), names, specs)
+	return h
+}
+
+func benchAsk(i, workspaces int) wire.GrantAsk {
+	return wire.GrantAsk{
+		Pool: "p", Class: "any", Workspace: fmt.Sprintf("w%d", i%workspaces), Prefix: fmt.Sprintf("%016x", i%1000),
+	}
+}
+
+func benchRelease() wire.GrantRelease {
+	return wire.GrantRelease{Pool: "p", FirstTokenMs: 100, DurationMs: 4000, Tokens: 200}
+}
+
+func benchSizes(b *testing.B, run func(b *testing.B, workspaces, servers int)) {
+	for _, size := range [][2]int{{10, 10}, {10, 100}, {10, 1000}, {100, 100}, {1200, 100}, {1200, 1000}} {
+		b.Run(fmt.Sprintf("workspaces=%d/servers=%d", size[0], size[1]), func(b *testing.B) {
+			run(b, size[0], size[1])
+		})
+	}
+}
+
+// BenchmarkGrant asks and releases while half of the slots are taken.
+func BenchmarkGrant(b *testing.B) {
+	benchSizes(b, func(b *testing.B, workspaces, servers int) {
+		h := benchHome(workspaces, servers)
+		held := make([]*pool.Grant, servers*benchSlots/2)
+		for i := range held {
+			held[i], _ = h.Ask(context.Background(), "i0", benchAsk(i, workspaces))
+		}
+		b.ReportAllocs()
+		i := 0
+		for b.Loop() {
+			i++
+			held[i%len(held)].Release(benchRelease())
+			held[i%len(held)], _ = h.Ask(context.Background(), "i0", benchAsk(i, workspaces))
+		}
+	})
+}
+
+// BenchmarkQueue releases a slot and asks for one while all slots are taken and requests wait.
+func BenchmarkQueue(b *testing.B) {
+	benchSizes(b, func(b *testing.B, workspaces, servers int) {
+		h := benchHome(workspaces, servers)
+		slots := servers * benchSlots
+		granted := make(chan *pool.Grant, 2*slots)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		request := func(i int) {
+			if g, err := h.Ask(ctx, "i0", benchAsk(i, workspaces)); err == nil {
+				granted <- g
+			}
+		}
+		for i := range slots {
+			request(i)
+		}
+		for i := range slots / 2 {
+			go request(i)
+		}
+		b.ReportAllocs()
+		i := 0
+		for b.Loop() {
+			i++
+			(<-granted).Release(benchRelease())
+			go request(i)
+		}
+	})
+}
--- a/process/pool/schedule.go
+++ b/process/pool/schedule.go
@@ -116,11 +116,12 @@
 		return nil
 	}
 	var unfit []int
-	h.queue.Items(func(it *queue.Item) {
+	h.queue.Each(func(it *queue.Item) bool {
 		other := h.waiters[it.Number]
 		if it.Tier < w.item.Tier && h.mayServe(s, other) && !pick.Fits(&s.Server, h.pickAsk(other, time.Now())) {
 			unfit = append(unfit, it.Number)
 		}
+		return true
 	})
 	return unfit
 }
@@ -132,17 +133,21 @@
 		return
 	}
 	ahead := 0
-	h.queue.Items(func(it *queue.Item) {
-		w := h.waiters[it.Number]
+	h.queue.Each(func(it *queue.Item) bool {
+		if !h.anyPreemptibleBelow(it.Tier) {
+			return false
+		}
 		ahead++
-		if it.Latest.IsZero() || !h.anyPreemptibleBelow(it.Tier) {
-			return
+		if it.Latest.IsZero() {
+			return true
 		}
+		w := h.waiters[it.Number]
 		l := h.load(w, now, false)
 		l.Ahead = min(l.Ahead, ahead-1)
 		if l.Wait()+preemptMargin > it.Latest.Sub(now) {
 			h.preemptOne(w)
 		}
+		return true
 	})
 }
 
@@ -150,22 +155,30 @@
 	return h.preemptibleBelow(tier, false)+h.preemptibleBelow(tier, true) > 0
 }
 
-// arm sets the time of the next sweep while requests wait.
+// arm sees that a sweep comes while requests wait, and when a recovery ends.
 func (h *Home) arm(now time.Time) {
 	if h.queue.Len() == 0 {
-		h.timer.Stop()
 		return
 	}
-	next := now.Add(sweepEvery)
-	if h.isRecovering(now) && h.recoveringUntil.Before(next) {
-		next = h.recoveringUntil
+	h.armAt(now.Add(sweepEvery), now)
+	if h.isRecovering(now) {
+		h.armAt(h.recoveringUntil, now)
+	}
+}
+
+// armFor sees that a sweep comes at the request's latest start.
+func (h *Home) armFor(it *queue.Item, now time.Time) {
+	if h.queue.Len() > 0 && !it.Latest.IsZero() {
+		h.armAt(it.Latest, now)
 	}
-	h.queue.Items(func(it *queue.Item) {
-		if !it.Latest.IsZero() && it.Latest.Before(next) {
-			next = it.Latest
-		}
-	})
-	h.timer.Reset(max(0, next.Sub(now)) + time.Microsecond)
+}
+
+func (h *Home) armAt(at, now time.Time) {
+	if !h.armed.IsZero() && !at.Before(h.armed) {
+		return
+	}
+	h.armed = at
+	h.timer.Reset(max(0, at.Sub(now)) + time.Microsecond)
 }
 
 // sweep refuses the waiting requests that can't make their targets any more.
@@ -173,16 +186,18 @@
 	h.lock()
 	defer h.unlock()
 	now := time.Now()
-	h.queue.Items(func(it *queue.Item) {
+	h.armed = time.Time{}
+	for _, it := range h.queue.Items() {
 		w := h.waiters[it.Number]
-		if !h.anyServer(w) {
+		switch {
+		case !h.anyServer(w):
 			h.refuse(w, ReasonNoServer, noServerRetry)
-			return
-		}
-		if !it.Latest.IsZero() && now.After(it.Latest) {
+		case !it.Latest.IsZero() && now.After(it.Latest):
 			h.refuseLate(w, now)
+		default:
+			h.armFor(it, now)
 		}
-	})
+	}
 	h.setTurnAfter()
 	h.queue.Credit = creditAnswers * h.service.Tokens("")
 	h.schedule(now)
--- a/request/attempt/straggler.go
+++ b/request/attempt/straggler.go
@@ -12,7 +12,9 @@
 	// stragglerFactor is how far above the pool's median a straggler's times are.
 	stragglerFactor = 2
 	// recoveredFactor is the hysteresis: below it the server is no straggler any more.
-	recoveredFactor  = 1.4
+	recoveredFactor = 1.4
+	// medianShare is the number of servers for each observation between two looks at the medians.
+	medianShare      = 8
 	stragglerSamples = 3
 	stragglerWindow  = 8
 	// stragglerProbeEvery is the time between two probes by work that can be repeated, and
@@ -25,6 +27,9 @@
 type Stragglers struct {
 	mu      sync.Mutex
 	servers map[string]*observed
+	// medians are as old as some observations, a share of the number of servers.
+	medianFirst, medianBetween float64
+	sinceMedian                int
 }
 
 type observed struct {
@@ -67,9 +72,18 @@
 	if o.slow {
 		factor = recoveredFactor
 	}
-	first := s.median(func(o *observed) estimate.Mean { return o.firstToken })
-	between := s.median(func(o *observed) estimate.Mean { return o.between })
-	o.slow = above(o.firstToken.Value(), factor*first) || above(o.between.Value(), factor*between)
+	s.updateMedians()
+	o.slow = above(o.firstToken.Value(), factor*s.medianFirst) || above(o.between.Value(), factor*s.medianBetween)
+}
+
+func (s *Stragglers) updateMedians() {
+	if s.sinceMedian > 0 {
+		s.sinceMedian--
+		return
+	}
+	s.sinceMedian = len(s.servers) / medianShare
+	s.medianFirst = s.median(func(o *observed) estimate.Mean { return o.firstToken })
+	s.medianBetween = s.median(func(o *observed) estimate.Mean { return o.between })
 }
 
 func above(v, limit float64) bool { return limit > 0 && v > limit }
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -355,11 +355,23 @@
 	}
 }
 
-// Items calls visit for each waiting request, tier by tier, oldest first.
-func (q *Queue) Items(visit func(*Item)) {
+// Items returns the waiting requests, tier by tier, oldest first.
+func (q *Queue) Items() []*Item {
+	items := make([]*Item, 0, q.n)
 	for _, t := range q.tiers {
-		for _, it := range slices.Clone(t.arrivals) {
-			visit(it)
+		items = append(items, t.arrivals...)
+	}
+	return items
+}
+
+// Each calls visit for each waiting request, tier by tier, oldest first, until it returns false.
+// The visit must not change the queue.
+func (q *Queue) Each(visit func(*Item) bool) {
+	for _, t := range q.tiers {
+		for _, it := range t.arrivals {
+			if !visit(it) {
+				return
+			}
 		}
 	}
 }
