--- a/connection/caller/call.go
+++ b/connection/caller/call.go
@@ -67,7 +67,7 @@
 	c := s.begin(g, res, r)
 	defer s.end(c)
 	if err := s.serve(c); err != nil {
-		s.fail(c, request.AnswerOf(err))
+		s.fail(c, err)
 	}
 }
 
@@ -99,17 +99,8 @@
 }
 
 func (s *Server) serve(c *call) error {
-	if s.draining.Load() {
-		return request.ErrAnswer{
-			Status: http.StatusServiceUnavailable, Code: request.CodeLeaving, Message: "the instance is shutting down",
-			NotRun: true, RetryAfter: time.Second,
-		}
-	}
-	if s.running.Load() > s.MaxRequests {
-		return request.ErrAnswer{
-			Status: http.StatusServiceUnavailable, Code: request.CodeOverload, Message: "too many requests are running",
-			NotRun: true, RetryAfter: time.Second,
-		}
+	if err := s.admit(); err != nil {
+		return err
 	}
 	if err := s.readBody(c); err != nil {
 		return err
@@ -123,7 +114,23 @@
 	case strings.HasPrefix(path, pathServices):
 		return s.service(c, strings.TrimPrefix(path, pathServices))
 	}
-	return request.Refuse(http.StatusNotFound, request.CodeNotFound, "no such path")
+	return errNoPath
+}
+
+var errNoPath error = request.Refuse(http.StatusNotFound, request.CodeNotFound, "no such path")
+
+// admit refuses a request that the instance as a whole can't take.
+func (s *Server) admit() error {
+	answer := request.ErrAnswer{Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second}
+	if s.draining.Load() {
+		answer.Code, answer.Message = request.CodeLeaving, "the instance is shutting down"
+		return answer
+	}
+	if s.running.Load() > s.MaxRequests {
+		answer.Code, answer.Message = request.CodeOverload, "too many requests are running"
+		return answer
+	}
+	return nil
 }
 
 func (s *Server) readBody(c *call) error {
@@ -137,8 +144,8 @@
 	return err
 }
 
-func (s *Server) meta(c *call) request.Meta {
-	return request.Meta{
+func (s *Server) meta(c *call) *request.Meta {
+	return &request.Meta{
 		ID:             c.id,
 		Key:            request.Key(c.r.Header, c.r.URL),
 		Class:          c.r.Header.Get(HeaderClass),
@@ -156,7 +163,7 @@
 		return err
 	}
 	if completion.Stream() && !c.r.ProtoAtLeast(1, 1) {
-		return request.Refuse(http.StatusBadRequest, request.CodeBadRequest, "a stream needs HTTP/1.1")
+		return errOldProtocol
 	}
 	return s.Dispatcher.Complete(c.ctx, c.w, s.meta(c), completion)
 }
@@ -164,7 +171,7 @@
 func (s *Server) service(c *call, rest string) error {
 	route, path, _ := strings.Cut(rest, "/")
 	if route == "" {
-		return request.Refuse(http.StatusNotFound, request.CodeNotFound, "no such path")
+		return errNoPath
 	}
 	meta := s.meta(c)
 	header := c.r.Header.Clone()
@@ -181,6 +188,8 @@
 	})
 }
 
+var errOldProtocol error = request.Refuse(http.StatusBadRequest, request.CodeBadRequest, "a stream needs HTTP/1.1")
+
 func allow(c *call, method string) error {
 	if c.r.Method == method {
 		return nil
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -37,23 +37,34 @@
 // more tells that the next event is at hand already. Stream returns nil once the engine has ended the stream,
 // request.ErrPaused if it paused it, and request.ErrAttempt where the attempt failed. An error of onData ends the
 // stream and is returned.
-func (c *Client) Stream(ctx context.Context, a request.Attempt, onData func(data []byte, more bool) error) error {
+func (c *Client) Stream(ctx context.Context, a *request.Attempt, onData func(data []byte, more bool) error) error {
+	res, err := c.send(ctx, a)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return c.read(res.Body, onData)
+}
+
+// send sends an attempt and returns the engine's answer if it is a stream.
+func (c *Client) send(ctx context.Context, a *request.Attempt) (*http.Response, error) {
 	req, err := newRequest(ctx, a)
 	if err != nil {
-		return request.ErrAttempt{Err: err}
+		return nil, request.ErrAttempt{Err: err}
 	}
 	res, err := c.transport.Send(req, a.ID, a.Fresh)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return refusal(res)
+	if res.StatusCode == http.StatusOK {
+		return res, nil
 	}
-	return c.read(res.Body, onData)
+	err = refusal(res)
+	_ = res.Body.Close()
+	return nil, err
 }
 
-func newRequest(ctx context.Context, a request.Attempt) (*http.Request, error) {
+func newRequest(ctx context.Context, a *request.Attempt) (*http.Request, error) {
 	target := "http://" + a.Address + a.Path
 	body := a.Body
 	if a.Resume {
--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -48,12 +48,12 @@
 	return c
 }
 
-func attemptTo(address, id string) request.Attempt {
-	return request.Attempt{ID: id, Address: address, Path: request.PathChat, Body: []byte(`{}`)}
+func attemptTo(address, id string) *request.Attempt {
+	return &request.Attempt{ID: id, Address: address, Path: request.PathChat, Body: []byte(`{}`)}
 }
 
 // collect streams an attempt and returns its events.
-func collect(ctx context.Context, c *Client, a request.Attempt) ([]string, error) {
+func collect(ctx context.Context, c *Client, a *request.Attempt) ([]string, error) {
 	var events []string
 	err := c.Stream(ctx, a, func(data []byte, _ bool) error {
 		events = append(events, string(data))
--- a/connection/engine/events.go
+++ b/connection/engine/events.go
@@ -34,21 +34,18 @@
 func (c *Client) read(body io.ReadCloser, onData func(data []byte, more bool) error) error {
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(body)
-	defer func() {
-		r.Reset(nil)
-		readers.Put(r)
-	}()
+	defer putReader(r)
 	for {
 		data, err := c.nextData(r)
 		if err != nil {
-			return request.ErrAttempt{Sent: true, Err: unexpected(err)}
+			return broken(err)
 		}
 		if bytes.Equal(data, doneData) {
 			drain(body, r)
 			return nil
 		}
 		if isPaused(data) {
-			return request.ErrPaused{}
+			return errPaused
 		}
 		if err := onData(data, hasEvent(r)); err != nil {
 			return err
@@ -56,6 +53,21 @@
 	}
 }
 
+func putReader(r *bufio.Reader) {
+	r.Reset(nil)
+	readers.Put(r)
+}
+
+// broken returns the error of a stream that ended early.
+func broken(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return request.ErrAttempt{Sent: true, Err: err}
+}
+
+var errPaused error = request.ErrPaused{}
+
 // pausedEvent is the last event of a paused stream.
 type pausedEvent struct {
 	Paused bool `json:"paused"`
@@ -123,10 +135,3 @@
 	_, _ = io.CopyN(io.Discard, r, readerBytes)
 	late.Stop()
 }
-
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -14,17 +14,29 @@
 
 // Complete runs a request of the completions API and writes its answer to w. An error is a request.ErrAnswer;
 // it is the caller's answer, or the last event of a stream that has begun.
-func (d *Dispatcher) Complete(ctx context.Context, w http.ResponseWriter, meta request.Meta, c *request.Completion) error {
-	r, err := d.start(ctx, meta, Ask{Key: meta.Key, Kind: wire.RouteKindModel, Route: c.Model(), Class: meta.Class})
+func (d *Dispatcher) Complete(ctx context.Context, w http.ResponseWriter, meta *request.Meta, c *request.Completion) error {
+	r, err := d.startCompletion(ctx, meta, c)
 	if err != nil {
 		return r.end(err)
 	}
 	defer r.withDeadline()()
-	s := &stream{run: r, c: c, answer: newAnswer(w, c, meta.ID)}
-	err = s.complete()
+	s := newStream(r, w, c)
+	return s.end(s.complete())
+}
+
+func (d *Dispatcher) startCompletion(ctx context.Context, meta *request.Meta, c *request.Completion) (*run, error) {
+	return d.start(ctx, meta, &Ask{Key: meta.Key, Kind: wire.RouteKindModel, Route: c.Model(), Class: meta.Class})
+}
+
+// end closes the request's record; see run.end.
+func (s *stream) end(err error) error {
 	s.shown = s.answer.shown()
 	s.observe(err)
-	return r.end(err)
+	return s.run.end(err)
+}
+
+func newStream(r *run, w http.ResponseWriter, c *request.Completion) *stream {
+	return &stream{run: r, c: c, answer: newAnswer(w, c, r.meta.ID)}
 }
 
 // stream is a completion on its way through one or more attempts.
@@ -76,13 +88,7 @@
 	}
 	s.out.Attempts++
 	s.attemptStart = time.Now()
-	a := request.Attempt{
-		ID:      s.attemptID(),
-		Address: address,
-		Path:    s.c.Path(),
-		Body:    s.body,
-		Fresh:   !s.rights.Idempotent,
-	}
+	a := s.newAttempt(address)
 	err = s.hold(grant, a)
 	for request.IsErrPaused(err) {
 		grant, err = s.reacquire(grant.Server())
@@ -99,8 +105,18 @@
 	return err
 }
 
+func (s *stream) newAttempt(address string) *request.Attempt {
+	return &request.Attempt{
+		ID:      s.attemptID(),
+		Address: address,
+		Path:    s.c.Path(),
+		Body:    s.body,
+		Fresh:   !s.rights.Idempotent,
+	}
+}
+
 // hold streams while it holds the grant, and releases the grant when the engine's slot is free.
-func (s *stream) hold(grant *pool.Grant, a request.Attempt) error {
+func (s *stream) hold(grant *pool.Grant, a *request.Attempt) error {
 	begin := time.Now()
 	before := s.answer.tokens()
 	err := s.send(grant, a)
@@ -109,6 +125,12 @@
 		a.Resume, a.After = true, s.chunks
 		err = s.send(grant, a)
 	}
+	s.release(grant, begin, before, err)
+	return err
+}
+
+// release returns the slot with what was observed since begin, when the answer had the tokens of before.
+func (s *stream) release(grant *pool.Grant, begin time.Time, before int, err error) {
 	var attempt request.ErrAttempt
 	failed := errors.As(err, &attempt) && !isCallersFault(attempt.Status) && s.ctx.Err() == nil
 	release := wire.GrantRelease{
@@ -122,11 +144,10 @@
 		release.FirstTokenMs = max(int(s.first.Sub(begin).Milliseconds()), 1)
 	}
 	grant.Release(release)
-	return err
 }
 
 // send runs one exchange with the engine. A stream that ends early is cancelled there before send returns.
-func (s *stream) send(grant *pool.Grant, a request.Attempt) error {
+func (s *stream) send(grant *pool.Grant, a *request.Attempt) error {
 	ctx, cancel := s.beginAttempt(grant.Server())
 	defer s.endAttempt(cancel)
 	if s.rights.Class.Resumable && s.d.Pause != nil {
@@ -134,10 +155,7 @@
 	}
 	err := s.d.Stream(ctx, a, s.onData)
 	s.left = errors.Is(context.Cause(ctx), ErrServerLeft{})
-	var attempt request.ErrAttempt
-	if err == nil || !errors.As(err, &attempt) || attempt.Sent {
-		s.sent = true
-	}
+	s.noteSent(err)
 	if err != nil && !request.IsErrPaused(err) && s.sent && s.d.Cancel != nil {
 		s.cancelAtEngine(err, a)
 	}
@@ -145,7 +163,7 @@
 }
 
 // watchPreempt pauses the engine's stream when the home wants the slot back.
-func (s *stream) watchPreempt(ctx context.Context, grant *pool.Grant, a request.Attempt) {
+func (s *stream) watchPreempt(ctx context.Context, grant *pool.Grant, a *request.Attempt) {
 	select {
 	case <-ctx.Done():
 	case <-grant.Preempted():
@@ -154,7 +172,7 @@
 }
 
 // pause asks until the engine agrees or the exchange is over; an engine may not know yet a stream just sent.
-func (s *stream) pause(ctx context.Context, a request.Attempt) {
+func (s *stream) pause(ctx context.Context, a *request.Attempt) {
 	wait := pauseBackoff
 	for s.d.Pause(ctx, a.Address, a.ID) != nil {
 		t := time.NewTimer(wait)
@@ -169,7 +187,7 @@
 }
 
 // cancelPaused frees what the engine keeps of a paused stream that nobody goes on with.
-func (s *stream) cancelStream(a request.Attempt) {
+func (s *stream) cancelStream(a *request.Attempt) {
 	if s.d.Cancel == nil {
 		return
 	}
@@ -179,7 +197,7 @@
 }
 
 // cancelAtEngine frees the engine's slot unless the engine itself ended the exchange.
-func (s *stream) cancelAtEngine(err error, a request.Attempt) {
+func (s *stream) cancelAtEngine(err error, a *request.Attempt) {
 	var attempt request.ErrAttempt
 	if errors.As(err, &attempt) && attempt.Status != 0 {
 		return
--- a/request/dispatch/completion_test.go
+++ b/request/dispatch/completion_test.go
@@ -20,7 +20,7 @@
 )
 
 // attemptFunc plays one exchange with an engine.
-type attemptFunc func(ctx context.Context, a request.Attempt, onData func([]byte, bool) error) error
+type attemptFunc func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error
 
 // bench is a dispatcher whose engine plays a list of exchanges.
 type bench struct {
@@ -74,8 +74,8 @@
 	return grant, nil
 }
 
-func (b *bench) stream(ctx context.Context, a request.Attempt, onData func([]byte, bool) error) error {
-	b.sent = append(b.sent, a)
+func (b *bench) stream(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+	b.sent = append(b.sent, *a)
 	play := b.plays[0]
 	b.plays = b.plays[1:]
 	return play(ctx, a, onData)
@@ -88,7 +88,7 @@
 	c, err := request.ParseCompletion(request.PathChat, []byte(body))
 	assert.NilError(t, err)
 	w := httptest.NewRecorder()
-	err = b.Complete(ctx, w, request.Meta{ID: "r1", Arrived: time.Now()}, c)
+	err = b.Complete(ctx, w, &request.Meta{ID: "r1", Arrived: time.Now()}, c)
 	assert.Equal(t, b.Live(), 0)
 	assert.Equal(t, len(b.releases), len(b.grants), "each grant is released")
 	return w.Body.String(), err
@@ -100,7 +100,7 @@
 
 // tokens sends n tokens and ends with err.
 func tokens(n int, err error) attemptFunc {
-	return func(_ context.Context, _ request.Attempt, onData func([]byte, bool) error) error {
+	return func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
 		for i := range n {
 			if err := onData(token(fmt.Sprintf("t%d ", i)), false); err != nil {
 				return err
@@ -202,13 +202,13 @@
 		paused := make(chan struct{})
 		var b *bench
 		b = newBench(
-			func(_ context.Context, _ request.Attempt, onData func([]byte, bool) error) error {
+			func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
 				_ = onData(token("a"), false)
 				time.AfterFunc(time.Second, b.grants[0].Preempt)
 				<-paused
 				return request.ErrPaused{}
 			},
-			func(_ context.Context, _ request.Attempt, onData func([]byte, bool) error) error {
+			func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
 				return onData(token("b"), false)
 			},
 		)
@@ -234,7 +234,7 @@
 
 func TestPausedStreamIsCancelledWhenItsCallerLeaves(t *testing.T) {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	b := newBench(func(context.Context, request.Attempt, func([]byte, bool) error) error {
+	b := newBench(func(context.Context, *request.Attempt, func([]byte, bool) error) error {
 		cancel(ErrCallerGone{})
 		return request.ErrPaused{}
 	})
@@ -254,7 +254,7 @@
 
 func TestDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(func(ctx context.Context, _ request.Attempt, _ func([]byte, bool) error) error {
+		b := newBench(func(ctx context.Context, _ *request.Attempt, _ func([]byte, bool) error) error {
 			<-ctx.Done()
 			return request.ErrAttempt{Sent: true, Err: ctx.Err()}
 		})
@@ -284,7 +284,7 @@
 
 func TestServerThatLeaves(t *testing.T) {
 	b := newBench(nil, tokens(1, nil))
-	b.plays[0] = func(ctx context.Context, _ request.Attempt, _ func([]byte, bool) error) error {
+	b.plays[0] = func(ctx context.Context, _ *request.Attempt, _ func([]byte, bool) error) error {
 		assert.Equal(t, b.CancelServer("other"), 0)
 		assert.Equal(t, b.CancelServer("s1"), 1)
 		<-ctx.Done()
@@ -297,7 +297,7 @@
 
 func TestObservations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(func(_ context.Context, _ request.Attempt, onData func([]byte, bool) error) error {
+		b := newBench(func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
 			for _, gap := range []time.Duration{100, 10, 30, 20} {
 				time.Sleep(gap * time.Millisecond)
 				_ = onData(token("x"), false)
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -140,7 +140,7 @@
 	// Observe takes the record of each finished request. Optional.
 	Observe func(Outcome)
 	// Stream sends an attempt to an engine; see engine.Client.
-	Stream func(ctx context.Context, a request.Attempt, onData func(data []byte, more bool) error) error
+	Stream func(ctx context.Context, a *request.Attempt, onData func(data []byte, more bool) error) error
 	// Pause asks an engine to pause a stream.
 	Pause func(ctx context.Context, address, id string) error
 	// Cancel asks an engine to end a stream.
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -15,7 +15,7 @@
 // run is one request on its way; it is used by one goroutine.
 type run struct {
 	d      *Dispatcher
-	meta   request.Meta
+	meta   *request.Meta
 	rights Rights
 	ctx    context.Context
 	live   live
@@ -32,10 +32,10 @@
 }
 
 // start finds the request's rights and registers it as live. Its end must be called in any case.
-func (d *Dispatcher) start(ctx context.Context, meta request.Meta, ask Ask) (*run, error) {
+func (d *Dispatcher) start(ctx context.Context, meta *request.Meta, ask *Ask) (*run, error) {
 	r := &run{d: d, meta: meta, ctx: ctx}
 	r.out = Outcome{RequestID: meta.ID, Class: ask.Class, Route: ask.Route}
-	rights, err := d.Resolve(ask)
+	rights, err := d.Resolve(*ask)
 	if err != nil {
 		return r, err
 	}
@@ -44,7 +44,7 @@
 	r.ctx, r.live.cancel = context.WithCancelCause(ctx)
 	d.live.add(&r.live)
 	// A withdrawal between the look-up and the registration would miss this request.
-	if _, err := d.Resolve(ask); err != nil {
+	if _, err := d.Resolve(*ask); err != nil {
 		return r, err
 	}
 	return r, nil
@@ -116,6 +116,14 @@
 	return answer
 }
 
+// noteSent notes whether an attempt that ended with err may have sent a byte.
+func (r *run) noteSent(err error) {
+	var attempt request.ErrAttempt
+	if !errors.As(err, &attempt) || attempt.Sent {
+		r.sent = true
+	}
+}
+
 func (r *run) classify(err error) request.ErrAnswer {
 	if answer, ok := r.endCause(); ok {
 		return answer
--- a/request/dispatch/service.go
+++ b/request/dispatch/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -15,8 +14,8 @@
 )
 
 // Serve runs a call of a plain service and writes the service's answer to w. An error is a request.ErrAnswer.
-func (d *Dispatcher) Serve(ctx context.Context, w http.ResponseWriter, meta request.Meta, call request.ServiceCall) error {
-	r, err := d.start(ctx, meta, Ask{
+func (d *Dispatcher) Serve(ctx context.Context, w http.ResponseWriter, meta *request.Meta, call request.ServiceCall) error {
+	r, err := d.start(ctx, meta, &Ask{
 		Key:    meta.Key,
 		Kind:   wire.RouteKindService,
 		Route:  call.Route,
@@ -96,10 +95,7 @@
 	begin := time.Now()
 	answer, err := r.d.Call(ctx, call)
 	release.DurationMs = int(time.Since(begin).Milliseconds())
-	var attempt request.ErrAttempt
-	if !errors.As(err, &attempt) || attempt.Sent {
-		r.sent = true
-	}
+	r.noteSent(err)
 	if err != nil {
 		release.Failed = r.ctx.Err() == nil
 		r.exclude = append(r.exclude, grant.Server())
--- a/request/dispatch/service_test.go
+++ b/request/dispatch/service_test.go
@@ -40,7 +40,7 @@
 
 func (b *serviceBench) serve(key string) (*httptest.ResponseRecorder, error) {
 	w := httptest.NewRecorder()
-	err := b.Serve(context.Background(), w, request.Meta{ID: "r1", IdempotencyKey: key, Arrived: time.Now()},
+	err := b.Serve(context.Background(), w, &request.Meta{ID: "r1", IdempotencyKey: key, Arrived: time.Now()},
 		request.ServiceCall{Route: "orders", Method: http.MethodPost, Path: "/book", Body: []byte("two ladoos")})
 	return w, err
 }
@@ -103,7 +103,7 @@
 	_, err := b.serve("k")
 	assert.NilError(t, err)
 	w := httptest.NewRecorder()
-	err = b.Serve(context.Background(), w, request.Meta{ID: "r2", IdempotencyKey: "k", Arrived: time.Now()},
+	err = b.Serve(context.Background(), w, &request.Meta{ID: "r2", IdempotencyKey: "k", Arrived: time.Now()},
 		request.ServiceCall{Route: "orders", Method: http.MethodPost, Path: "/book", Body: []byte("three ladoos")})
 	assert.NilError(t, err)
 	assert.Equal(t, b.claims[0].Workspace, "w1")
