Tell the fleet the demand of each pool in the data centre

Cause: the fleet left all backend servers as they were, since it had no demand; spending did not track service. Change: each instance averages arrivals, slot times and the share of work that can't be paused per pool; the holder of the fleet's lease adds them up over the links, and decides nothing where an instance can't be asked.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -235,6 +235,13 @@
 	return reply.Running, err
 }
 
+// Demand reads the load of a pool at the peer.
+func (l *Link) Demand(ctx context.Context, pool string) (wire.PoolDemand, error) {
+	var reply wire.PoolDemand
+	err := l.call(ctx, methodDemand, wire.PoolDemand{Pool: pool}, &reply)
+	return reply, err
+}
+
 func (l *Link) notify(ctx context.Context, method string, params any) error {
 	conn, err := l.get()
 	if err != nil {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -47,6 +47,7 @@
 	methodUsage    = "usage"
 	methodFleet    = "fleet"
 	methodStreams  = "streams"
+	methodDemand   = "demand"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -42,6 +42,8 @@
 	Fleet func() wire.FleetView
 	// Streams returns the number of this instance's streams at a backend server.
 	Streams func(server string) int
+	// Demand returns the load of a pool at this instance.
+	Demand func(pool string) wire.PoolDemand
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
 	Lost func(instance string)
 
@@ -171,6 +173,8 @@
 		return s.server.Fleet(), nil
 	case methodStreams:
 		return s.streams(req)
+	case methodDemand:
+		return s.demand(req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -310,6 +314,14 @@
 	return q, nil
 }
 
+func (s *session) demand(req *jsonrpc2.Request) (any, error) {
+	q, err := decode[wire.PoolDemand](req)
+	if err != nil {
+		return nil, err
+	}
+	return s.server.Demand(q.Pool), nil
+}
+
 // end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
 func (s *session) end() {
 	s.idle.Stop()
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -66,6 +66,7 @@
 	callers  *caller.Server
 	book     burn.Book
 	retries  retries
+	demands  demands
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
 
@@ -160,6 +161,7 @@
 		Usage:     i.answerUsage,
 		Fleet:     i.fleetView,
 		Streams:   func(server string) int { return i.dispatch.Running(server) },
+		Demand:    i.ownDemand,
 		Lost:      func(instance string) { i.homes.dropHolder(instance) },
 	}
 	t := i.Settings.Tls
--- a/process/instance/instance_test.go
+++ b/process/instance/instance_test.go
@@ -78,3 +78,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, g.Server(), "s1")
 }
+
+func TestDemandAddsTheInstancesUp(t *testing.T) {
+	i := newInstance(t)
+	assert.NilError(t, i.setTable(testConfig()))
+	sum := i.sumDemand("chat", []wire.PoolDemand{
+		{Pool: "chat", Rps: 1, SlotSeconds: 2, Protected: 1, Waiting: 3},
+		{Pool: "chat", Rps: 3, SlotSeconds: 4, Protected: 0.5},
+	})
+	assert.Equal(t, sum.ObservedRPS, 4.0)
+	assert.Equal(t, sum.SlotSeconds, 3.5)
+	assert.Equal(t, sum.Protected, 8.0/14)
+	assert.Equal(t, sum.Waiting, 3)
+	quiet := i.sumDemand("chat", nil)
+	assert.Equal(t, quiet.Protected, 1.0)
+	assert.Equal(t, quiet.SlotSeconds, unknownHold.Seconds())
+}
--- a/process/instance/jobs.go
+++ b/process/instance/jobs.go
@@ -71,6 +71,7 @@
 		Start:      j.orders.StartServer,
 		Stop:       j.orders.StopServer,
 		Config:     i.versions.Config,
+		Demand:     i.demand,
 		Running:    i.streamsAt,
 		Pull:       i.pullFleet,
 		OnChange:   i.homes.configure,
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -117,6 +117,7 @@
 		return
 	}
 	c, _ := i.table.Load().Class(o.Class)
+	i.demands.observe(o, c)
 	delivered := 0
 	if o.Result == dispatch.ResultOK {
 		delivered = o.CompletionTokens
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -155,6 +155,9 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *GrantCancel `json:"cancel,omitempty,omitzero"`
 
+	// Demand corresponds to the JSON schema field "demand".
+	Demand *PoolDemand `json:"demand,omitempty,omitzero"`
+
 	// First corresponds to the JSON schema field "first".
 	First *GrantFirst `json:"first,omitempty,omitzero"`
 
@@ -177,6 +180,24 @@
 	Streams *ServerStreams `json:"streams,omitempty,omitzero"`
 }
 
+// PoolDemand is a question for the load of a pool at an instance, and its answer.
+type PoolDemand struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Share of the requests, 0 to 1, whose class can't be paused.
+	Protected float64 `json:"protected,omitempty,omitzero"`
+
+	// Requests a second.
+	Rps float64 `json:"rps,omitempty,omitzero"`
+
+	// Mean time for which a request holds a slot; 0 is unknown.
+	SlotSeconds float64 `json:"slot_seconds,omitempty,omitzero"`
+
+	// Waiting requests, at the pool's home only.
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
 // ServerStreams is a question for the streams of an instance at a backend server,
 // and its answer.
 type ServerStreams struct {
