Resume a paused stream at its own server, past its first-token target

Ruled out: engines that forget paused streams (none of their resumes failed). Change: the ask names the server to resume at, and goes to that server's data centre; the release says that the stream was paused. An instance without an ordering interface no longer asks one. The fixture leaves a script's own files alone: it had overwritten whole_path's questionnaire. Changed test: the ask of a paused stream names its server in resume; before it excluded the others. As strict: both tie it to one server. Checked: go test ./request/dispatch ./process/...; scenarios whole_path, route_alias, preempt_and_resume pass.

--- a/process/home/router.go
+++ b/process/home/router.go
@@ -54,6 +54,8 @@
 	Share func(pool string) *pool.Home
 	// Target returns the target for the first token of a class.
 	Target func(class string) time.Duration
+	// DataCentreOf returns the data centre of a backend server; empty is unknown.
+	DataCentreOf func(server string) string
 	// Serves tells whether a data centre has backend servers of a pool.
 	Serves func(pool, dataCentre string) bool
 
@@ -86,6 +88,9 @@
 // Acquire returns a slot for ask, or pool.ErrRefused with the time to come back.
 func (r *Router) Acquire(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error) {
 	arrived := time.Now().Add(-time.Duration(ask.WaitedMs) * time.Millisecond)
+	if ask.Resume != "" {
+		return r.resume(ctx, ask, arrived)
+	}
 	g, err := r.own(ctx, ask, arrived)
 	if err == nil || !r.maySpill(ask, arrived, err) {
 		return g, err
@@ -96,6 +101,19 @@
 	return nil, err
 }
 
+// resume gets a grant of the backend server that holds a paused stream, which another data centre's may be.
+func (r *Router) resume(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
+	dc := r.DataCentreOf(ask.Resume)
+	if dc == r.DataCentre {
+		return r.own(ctx, ask, arrived)
+	}
+	homes := r.Homes(ask.Pool, dc)
+	if len(homes) == 0 {
+		return nil, pool.ErrRefused{Reason: pool.ReasonNoServer, RetryAfter: time.Second}
+	}
+	return r.askHome(ctx, homes[0], dc, ask)
+}
+
 // own gets a grant in this data centre.
 func (r *Router) own(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
 	if !r.Serves(ask.Pool, r.DataCentre) {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -196,16 +196,17 @@
 		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
 	}
 	i.router = &home.Router{
-		Instance:    i.Settings.Instance,
-		DataCentre:  i.Settings.DataCentre,
-		Log:         i.Log,
-		Homes:       i.members.Homes,
-		DataCentres: func() []string { return i.table.Load().DataCentres() },
-		Peer:        i.links.homePeer,
-		Local:       i.homes.get,
-		Share:       i.homes.getShare,
-		Target:      i.target,
-		Serves:      func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
+		Instance:     i.Settings.Instance,
+		DataCentre:   i.Settings.DataCentre,
+		Log:          i.Log,
+		Homes:        i.members.Homes,
+		DataCentres:  func() []string { return i.table.Load().DataCentres() },
+		Peer:         i.links.homePeer,
+		Local:        i.homes.get,
+		Share:        i.homes.getShare,
+		Target:       i.target,
+		DataCentreOf: i.dataCentreOf,
+		Serves:       func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
 	}
 }
 
--- a/process/instance/jobs.go
+++ b/process/instance/jobs.go
@@ -76,11 +76,19 @@
 		Pull:       i.pullFleet,
 		OnChange:   i.homes.configure,
 	}
+	if i.Settings.Platform.Ordering == "" {
+		j.fleet.Servers = noServers
+	}
 	j.orders.Wanted = j.fleet.Wanted
 	i.buildUsage(j, intake, window)
 	return j
 }
 
+// noServers stands for the ordering interface of a deployment that has none.
+func noServers(context.Context, string) (wire.ServerStates, error) {
+	return wire.ServerStates{}, nil
+}
+
 // buildUsage makes the counter, the collector and the sealer of usage.
 func (i *Instance) buildUsage(j *jobs, intake *platform.Usage, window time.Duration) {
 	j.collector = &usage.Collector{
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -44,21 +44,20 @@
 	engines := &engine.Client{}
 	services := &service.Client{}
 	i.dispatch = &dispatch.Dispatcher{
-		Resolve:  func(ask dispatch.Ask) (dispatch.Rights, error) { return i.rights().resolve(ask) },
-		Models:   func(key string) ([]string, error) { return i.rights().models(key) },
-		Acquire:  i.acquire,
-		Address:  i.address,
-		Siblings: i.siblings,
-		Cheap:    i.cheap,
-		Retry:    func(name string) bool { return i.retries.get(name).AllowRetry() },
-		Claim:    i.claims.claim,
-		Unclaim:  i.claims.unclaim,
-		Count:    i.count,
-		Observe:  i.observe,
-		Stream:   engines.Stream,
-		Pause:    engines.Pause,
-		Cancel:   engines.Cancel,
-		Call:     services.Call,
+		Resolve: func(ask dispatch.Ask) (dispatch.Rights, error) { return i.rights().resolve(ask) },
+		Models:  func(key string) ([]string, error) { return i.rights().models(key) },
+		Acquire: i.acquire,
+		Address: i.address,
+		Cheap:   i.cheap,
+		Retry:   func(name string) bool { return i.retries.get(name).AllowRetry() },
+		Claim:   i.claims.claim,
+		Unclaim: i.claims.unclaim,
+		Count:   i.count,
+		Observe: i.observe,
+		Stream:  engines.Stream,
+		Pause:   engines.Pause,
+		Cancel:  engines.Cancel,
+		Call:    services.Call,
 	}
 }
 
@@ -76,27 +75,15 @@
 	return i.router.Acquire(ctx, ask)
 }
 
-func (i *Instance) address(server string) string {
+// dataCentreOf returns the data centre of a backend server; empty is unknown.
+func (i *Instance) dataCentreOf(server string) string {
 	s, _ := i.table.Load().Server(server)
-	return s.Address
+	return s.DataCentre
 }
 
-// siblings returns the other backend servers of a server's pool.
-func (i *Instance) siblings(server string) []string {
-	table := i.table.Load()
-	s, ok := table.Server(server)
-	if !ok {
-		return nil
-	}
-	var names []string
-	for _, dc := range table.DataCentres() {
-		for _, o := range table.Servers(s.Pool, dc) {
-			if o.Name != server {
-				names = append(names, o.Name)
-			}
-		}
-	}
-	return names
+func (i *Instance) address(server string) string {
+	s, _ := i.table.Load().Server(server)
+	return s.Address
 }
 
 func (i *Instance) cheap(server string) bool {
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/toucanroute/toucanroute/process/pool"
@@ -137,6 +136,7 @@
 		Pool:         s.rights.Route.Pool,
 		DurationMs:   int(time.Since(begin).Milliseconds()),
 		Failed:       failed,
+		Paused:       request.IsErrPaused(err),
 		Tokens:       max(s.answer.tokens()-before, 0),
 		CachedTokens: s.answer.cachedTokens(),
 	}
@@ -219,11 +219,8 @@
 
 // reacquire waits for a slot of the backend server that holds the paused stream.
 func (s *stream) reacquire(server string) (*pool.Grant, error) {
-	exclude := s.exclude
-	defer func() { s.exclude = exclude }()
-	if s.d.Siblings != nil {
-		s.exclude = slices.Concat(exclude, s.d.Siblings(server))
-	}
+	s.resume = server
+	defer func() { s.resume = "" }()
 	for {
 		grant, _, err := s.acquire(s.estimate(), s.c.Prefix())
 		if err != nil {
--- a/request/dispatch/completion_test.go
+++ b/request/dispatch/completion_test.go
@@ -44,16 +44,15 @@
 		Class: wire.Class{Name: "guide", Tier: 2, Resumable: true},
 	}}
 	b.Dispatcher = &Dispatcher{
-		Resolve:  func(Ask) (Rights, error) { return b.rights, nil },
-		Acquire:  b.acquire,
-		Address:  func(server string) string { return server + ":1" },
-		Siblings: func(string) []string { return []string{"sibling"} },
-		Retry:    func(string) bool { b.budget--; return b.budget >= 0 },
-		Observe:  func(o Outcome) { b.outcomes = append(b.outcomes, o) },
-		Count:    func(_, _ string, prompt, completion int) { b.counted = append(b.counted, prompt, completion) },
-		Stream:   b.stream,
-		Pause:    func(context.Context, string, string) error { return nil },
-		Cancel:   func(context.Context, string, string) error { b.cancels++; return nil },
+		Resolve: func(Ask) (Rights, error) { return b.rights, nil },
+		Acquire: b.acquire,
+		Address: func(server string) string { return server + ":1" },
+		Retry:   func(string) bool { b.budget--; return b.budget >= 0 },
+		Observe: func(o Outcome) { b.outcomes = append(b.outcomes, o) },
+		Count:   func(_, _ string, prompt, completion int) { b.counted = append(b.counted, prompt, completion) },
+		Stream:  b.stream,
+		Pause:   func(context.Context, string, string) error { return nil },
+		Cancel:  func(context.Context, string, string) error { b.cancels++; return nil },
 	}
 	return b
 }
@@ -226,7 +225,8 @@
 		assert.Equal(t, b.sent[1].Resume, true)
 		assert.Equal(t, b.sent[1].After, 1)
 		assert.Equal(t, b.sent[1].ID, b.sent[0].ID)
-		assert.DeepEqual(t, b.asks[1].Exclude, []string{"sibling"})
+		assert.Equal(t, b.asks[1].Resume, "s1")
+		assert.Assert(t, b.releases[0].Paused)
 		assert.Equal(t, b.releases[0].Failed, false)
 		assert.Equal(t, len(b.releases), 2)
 	})
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -125,8 +125,6 @@
 	Acquire func(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error)
 	// Address returns a backend server's IP address and port; empty is unknown.
 	Address func(server string) string
-	// Siblings returns the other backend servers of a server's pool. Optional: a paused stream then can't ask for its own server.
-	Siblings func(server string) []string
 	// Cheap tells whether a backend server is of the cheap kind. Optional.
 	Cheap func(server string) bool
 	// Retry takes one retry from a pool's budget and tells whether there was one. Optional: none is allowed.
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -29,6 +29,8 @@
 	attempt int
 	// exclude names backend servers that failed this request.
 	exclude []string
+	// resume names the backend server that holds the paused stream; empty is none.
+	resume string
 }
 
 // start finds the request's rights and registers it as live. Its end must be called in any case.
@@ -216,6 +218,7 @@
 		Tokens:    tokens,
 		Workspace: r.rights.Workspace,
 		Exclude:   r.exclude,
+		Resume:    r.resume,
 	})
 	if err != nil {
 		return nil, "", err
--- a/scenario/deploy_test.go
+++ b/scenario/deploy_test.go
@@ -56,7 +56,8 @@
 	return nil
 }
 
-// addFixture writes the fixture's files to the script's directory, with its variables filled in.
+// addFixture writes the fixture's files to the script's directory, with its variables filled in. A script's own file of
+// the same name stays.
 func addFixture(env *testscript.Env) error {
 	variable := regexp.MustCompile(`\$\{(\w+)\}`)
 	files, err := filepath.Glob(filepath.Join(fixtureDir, "*"))
@@ -68,10 +69,14 @@
 		if err != nil {
 			return err
 		}
+		target := filepath.Join(env.WorkDir, filepath.Base(file))
+		if _, err := os.Stat(target); err == nil {
+			continue
+		}
 		text := variable.ReplaceAllStringFunc(string(data), func(ref string) string {
 			return env.Getenv(strings.Trim(ref, "${}"))
 		})
-		if err := os.WriteFile(filepath.Join(env.WorkDir, filepath.Base(file)), []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(target, []byte(text), 0o600); err != nil {
 			return err
 		}
 	}
