--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -129,3 +129,103 @@
 		assert.NilError(t, <-done)
 	})
 }
+
+func refusedFor(t *testing.T, err error, reason string) {
+	t.Helper()
+	var refused ErrRefused
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, reason)
+}
+
+func TestGrantByTurnIsNotPreempted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		high, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+		assert.NilError(t, err)
+		go func() {
+			time.Sleep(15 * time.Second)
+			high.Release(wire.GrantRelease{})
+		}()
+		low, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		_, err = h.Ask(t.Context(), "i1", ask("hazard", "b"))
+		refusedFor(t, err, ReasonOverload)
+		select {
+		case <-low.Preempted():
+			t.Fatal("a grant that a turn brought was preempted")
+		default:
+		}
+	})
+}
+
+func TestShareDividesTheSlots(t *testing.T) {
+	h := &Home{Share: 3}
+	h.Configure(testClasses(), nil, []ServerSpec{testServer("s1", 8), testServer("s2", 1)})
+	_, _, slots := h.Status()
+	assert.Equal(t, slots, 4)
+}
+
+func TestRefusalsWithoutAServer(t *testing.T) {
+	cheap := testServer("cheap", 2)
+	cheap.Kind = wire.ServerKindCheap
+	draining := testServer("s1", 2)
+	draining.State = ServerDraining
+	h := testHome(cheap, draining)
+	_, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+	refusedFor(t, err, ReasonNoServer)
+	excluding := ask("question", "a")
+	excluding.Exclude = []string{"cheap"}
+	_, err = h.Ask(t.Context(), "i1", excluding)
+	refusedFor(t, err, ReasonNoServer)
+	_, err = h.Ask(t.Context(), "i1", ask("none", "a"))
+	refusedFor(t, err, ReasonNoClass)
+	late := ask("question", "a")
+	late.WaitedMs = 5000
+	_, err = h.Ask(t.Context(), "i1", late)
+	refusedFor(t, err, ReasonLate)
+	_, err = h.Ask(t.Context(), "i1", ask("question", "a"))
+	assert.NilError(t, err)
+}
+
+func TestLosingTheLastServerRefusesTheWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		_, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		start := time.Now()
+		go h.Configure(testClasses(), nil, nil)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonNoServer)
+		assert.Assert(t, time.Since(start) <= sweepEvery+time.Millisecond)
+	})
+}
+
+func TestCloseRefusesTheWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		held, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		go h.Close()
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonMoved)
+		held.Release(wire.GrantRelease{})
+		_, running, _ := h.Status()
+		assert.Equal(t, running, 0)
+	})
+}
+
+func TestWaitingAndRateLimitTellWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 9))
+		h.Configure(testClasses(), []wire.Workspace{{Name: "a", RequestsPerSecond: 1}}, []ServerSpec{testServer("s1", 9)})
+		_, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonRateLimit)
+		var refused ErrRefused
+		assert.Assert(t, errors.As(err, &refused))
+		time.Sleep(refused.RetryAfter)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+	})
+}
--- a/process/pool/policybench/cluster_test.go
+++ b/process/pool/policybench/cluster_test.go
@@ -47,6 +47,8 @@
 	if d.home == nil {
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var specs []pool.ServerSpec
 	for _, e := range d.engines {
 		specs = append(specs, e.spec)
--- /dev/null
+++ b/request/admission/admission_test.go
@@ -0,0 +1,49 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func TestLoadWait(t *testing.T) {
+	assert.Equal(t, Load{Free: 1}.Wait(), time.Duration(0))
+	assert.Equal(t, Load{Free: 1, Headroom: 1, Rate: 2}.Wait(), 500*time.Millisecond)
+	assert.Equal(t, Load{Ahead: 3, Rate: 4}.Wait(), time.Second)
+	assert.Equal(t, Load{Ahead: 3, Coming: 4}.Wait(), time.Duration(0))
+	assert.Equal(t, Load{Ahead: 3, Rate: 4, Higher: 2}.Wait(), 2*time.Second)
+	assert.Equal(t, Load{Ahead: 3}.Wait(), longestWait)
+}
+
+func TestHeadroomGrowsWithTheHigherTiersLoad(t *testing.T) {
+	assert.Equal(t, Headroom(0, 10, time.Second, 100), 0)
+	low := Headroom(1, 4, 100*time.Millisecond, 100)
+	high := Headroom(3, 4, 100*time.Millisecond, 100)
+	assert.Assert(t, 0 < low && low < high && high <= 25, "%d %d", low, high)
+	assert.Equal(t, Headroom(5, 4, time.Second, 100), 25)
+	assert.Equal(t, Headroom(1, 100, time.Second, 100), 0)
+}
+
+func TestLimitsTellWhenToComeBack(t *testing.T) {
+	var l Limits
+	l.Configure([]wire.Workspace{{Name: "r", RequestsPerSecond: 2}, {Name: "t", TokensPerSecond: 10}})
+	now := time.Unix(1000, 0)
+	for _, name := range []string{"r", "r", "t", "other"} {
+		ok, _ := l.Allow(name, now)
+		assert.Assert(t, ok, name)
+	}
+	ok, after := l.Allow("r", now)
+	assert.Assert(t, !ok)
+	ok, _ = l.Allow("r", now.Add(after))
+	assert.Assert(t, ok)
+	l.Use("t", 250, now)
+	ok, after = l.Allow("t", now)
+	assert.Assert(t, !ok)
+	ok, _ = l.Allow("t", now.Add(after-100*time.Millisecond))
+	assert.Assert(t, !ok)
+	ok, _ = l.Allow("t", now.Add(after))
+	assert.Assert(t, ok)
+}
