--- a/process/pool/home_bench_test.go
+++ b/process/pool/home_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/toucanroute/toucanroute/process/pool"
@@ -90,3 +91,23 @@
 		}
 	})
 }
+
+// BenchmarkHomeSize reports the memory of a home whose workspaces have all asked once.
+func BenchmarkHomeSize(b *testing.B) {
+	benchSizes(b, func(b *testing.B, workspaces, servers int) {
+		for b.Loop() {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			h := benchHome(workspaces, servers)
+			for i := range workspaces {
+				g, _ := h.Ask(context.Background(), "i0", benchAsk(i, workspaces))
+				g.Release(benchRelease())
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+			runtime.KeepAlive(h)
+		}
+	})
+}
--- a/process/pool/policybench/cluster_test.go
+++ b/process/pool/policybench/cluster_test.go
@@ -40,7 +40,8 @@
 	refused   bool
 	generated int
 	onCheap   int
-	refusedIn time.Duration
+	// attempts counts the runs on an engine, and cached those that found their prefix.
+	attempts, cached int
 }
 
 func (d *driver) configure() {
@@ -96,6 +97,8 @@
 	left      int
 	generated int
 	onCheap   int
+	attempts  int
+	cached    int
 	ask       wire.GrantAsk
 }
 
@@ -118,7 +121,7 @@
 	defer d.mu.Unlock()
 	d.results = append(d.results, result{
 		arrival: a, tier: class.Tier, met: met, refused: refused, generated: r.generated,
-		onCheap: r.onCheap, refusedIn: time.Since(r.began),
+		onCheap: r.onCheap, attempts: r.attempts, cached: r.cached,
 	})
 }
 
@@ -258,6 +261,10 @@
 		r.first = start.Add(first)
 	}
 	r.generated += n
+	r.attempts++
+	if cached > 0 {
+		r.cached++
+	}
 	if e.spec.Kind == wire.ServerKindCheap {
 		r.onCheap += n
 	}
--- a/process/pool/policybench/engine_test.go
+++ b/process/pool/policybench/engine_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/toucanroute/toucanroute/process/pool"
@@ -17,7 +18,9 @@
 	cachedTokens  = 256
 	// reportLag is the age of a load report when it arrives, and the time between two.
 	reportLag = time.Second
-	warmCache = 200
+	// warmCache is the number of prompts whose prefixes an engine remembers, of prefixKinds in the load.
+	warmCache   = 16
+	prefixKinds = 60
 )
 
 // engine is a fake model engine: slots, a line of its own for what comes beyond them, and speed.
@@ -155,7 +158,7 @@
 		deck = deck[1:]
 		out = append(out, arrival{
 			at: at, class: s.class, workspace: workspace,
-			prefix: string(rune('A' + rnd.IntN(40))), tokens: tail(rnd),
+			prefix: strconv.Itoa(rnd.IntN(prefixKinds)), tokens: tail(rnd),
 		})
 	}
 	return out
--- a/process/pool/policybench/policybench_test.go
+++ b/process/pool/policybench/policybench_test.go
@@ -209,6 +209,8 @@
 	offered          int
 	refused          int
 	onCheap          float64
+	// cached is the share of attempts that found their prefix in the engine's cache.
+	cached float64
 }
 
 func (d *driver) measure(greedy string) measures {
@@ -218,7 +220,7 @@
 	}
 	met, all := map[key]int{}, map[key]int{}
 	m := measures{attainment: map[int]float64{}, worst: 1, worstFair: 1}
-	cheap, generated := 0, 0
+	cheap, generated, attempts, cached := 0, 0, 0, 0
 	for _, r := range d.results {
 		for _, k := range []key{{r.tier, ""}, {r.tier, r.workspace}} {
 			all[k]++
@@ -238,7 +240,10 @@
 		}
 		cheap += r.onCheap
 		generated += r.generated
+		attempts += r.attempts
+		cached += r.cached
 	}
+	m.cached = float64(cached) / float64(max(1, attempts))
 	m.onCheap = float64(cheap) / float64(max(1, generated))
 	share := func(k key) float64 { return float64(met[k]) / float64(max(1, all[k])) }
 	for k := range all {
@@ -255,8 +260,8 @@
 }
 
 func (m measures) String() string {
-	return fmt.Sprintf("attainment %.3f %.3f %.3f  goodput %7d  wasted %7d  worst workspace %.2f fair %.2f  refused %5d  cheap %.2f",
-		m.attainment[1], m.attainment[2], m.attainment[3], m.goodput, m.wasted, m.worst, m.worstFair, m.refused, m.onCheap)
+	return fmt.Sprintf("attainment %.3f %.3f %.3f  goodput %7d  wasted %7d  worst workspace %.2f fair %.2f  refused %5d  cheap %.2f  cached %.2f",
+		m.attainment[1], m.attainment[2], m.attainment[3], m.goodput, m.wasted, m.worst, m.worstFair, m.refused, m.onCheap, m.cached)
 }
 
 // TestPolicyAgainstBaselines prints the measures of each scenario and checks the goals.
