--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -198,13 +198,23 @@
 	return len(h.recovering) > 0 && now.Before(h.recoveringUntil)
 }
 
-// Reclaim takes in the grants that an instance holds from an earlier home. They keep their numbers.
+// Reclaim takes in all grants that an instance holds. Those of an earlier home are added and keep
+// their numbers; those that the instance doesn't hold any more are taken back, since their release
+// was lost. Grants whose reply may still be on its way stay.
 func (h *Home) Reclaim(holder string, grants []wire.GrantHeld) {
 	h.lock()
 	defer h.unlock()
+	declared := make(map[int]bool, len(grants))
 	for _, d := range grants {
+		declared[d.Grant] = true
 		h.reclaim(holder, d)
 	}
+	before := time.Now().Add(-replyTime)
+	for key, g := range h.grants {
+		if key.holder == holder && !declared[key.number] && g.since.Before(before) {
+			h.end(g)
+		}
+	}
 	delete(h.recovering, holder)
 	h.schedule(time.Now())
 }
--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -58,6 +58,8 @@
 	retryAfterMin = 100 * time.Millisecond
 	// noServerRetry is the time after which a request without any server may come back.
 	noServerRetry = time.Second
+	// replyTime is the longest time that a grant's reply is on its way to its holder.
+	replyTime = 5 * time.Second
 	// numberRange bounds the random first number, so that the numbers of two homes seldom meet.
 	numberRange = 1 << 30
 )
--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -229,3 +229,23 @@
 		assert.NilError(t, err)
 	})
 }
+
+func TestReclaimTakesBackWhatTheHolderNoLongerHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 3))
+		_, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		kept, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		time.Sleep(replyTime + time.Second)
+		young, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		h.Reclaim("i2", []wire.GrantHeld{{Grant: kept.Number(), Server: "s1", Class: "batch", Workspace: "a"}})
+		_, running, _ := h.Status()
+		assert.Equal(t, running, 2)
+		kept.Release(wire.GrantRelease{})
+		young.Release(wire.GrantRelease{})
+		_, running, _ = h.Status()
+		assert.Equal(t, running, 0)
+	})
+}
