--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -242,7 +242,8 @@
 	h.trace(Event{Kind: EventGranted, Ask: -1, Class: d.Class, Tier: tier, Workspace: d.Workspace, Server: d.Server})
 }
 
-// preemptOne asks for the slot of the lowest tier's newest grant back, where the request may use it.
+// preemptOne asks for a slot of the lowest tier back, where the request could use it: of the newest
+// grant, and of streams that were paused before only where there is no other.
 func (h *Home) preemptOne(w *waiter) {
 	var victim *held
 	ask := h.pickAsk(w, time.Now())
@@ -275,6 +276,9 @@
 	if g.tier != o.tier {
 		return g.tier > o.tier
 	}
+	if g.resumed != o.resumed {
+		return o.resumed
+	}
 	if !g.since.Equal(o.since) {
 		return g.since.After(o.since)
 	}
--- a/process/pool/policybench/policybench_test.go
+++ b/process/pool/policybench/policybench_test.go
@@ -19,9 +19,8 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
-const seed = 20261107
-
 var (
+	seed   = flag.Uint64("seed", 20261107, "seed of the arrivals")
 	full   = flag.Bool("full", false, "run for fullTime and check the goals")
 	runFor = shortTime
 )
@@ -182,7 +181,7 @@
 		d.home = &pool.Home{Pool: "p", Instance: "i0", Trace: d.checker.Add}
 	}
 	d.configure()
-	rnd := rand.New(rand.NewPCG(seed, 0))
+	rnd := rand.New(rand.NewPCG(*seed, 0))
 	var arrivals []arrival
 	for _, st := range s.streams(s.capacity()) {
 		arrivals = append(arrivals, st.draw(rnd, runFor)...)
@@ -285,7 +284,7 @@
 				})
 			}
 			for _, name := range []string{"round_robin", "least_reported", "observed"} {
-				t.Logf("seed %d %-18s %-15s %s", seed, s.name, name, runs[name])
+				t.Logf("seed %d %-18s %-15s %s", *seed, s.name, name, runs[name])
 			}
 			if v := d.checker.Violations(); len(v) > 0 {
 				t.Errorf("%d violations, first: %s", len(v), v[0])
