--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -249,3 +249,33 @@
 		assert.Equal(t, running, 0)
 	})
 }
+
+func TestLateFirstTokenMarksAStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 10), testServer("s2", 10), testServer("s3", 10))
+		for range 15 {
+			g, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+			assert.NilError(t, err)
+			first := 50
+			if g.Server() == "s1" {
+				first = 2000
+			}
+			h.FirstToken("i1", wire.GrantFirst{Pool: "p", Grant: g.Number(), FirstTokenMs: first})
+			defer g.Release(wire.GrantRelease{})
+		}
+		assert.Assert(t, h.byName["s1"].Slow && !h.byName["s2"].Slow)
+		g, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+		assert.NilError(t, err)
+		assert.Assert(t, g.Server() != "s1")
+	})
+}
+
+func TestCachedPrefixDrawsWithinTheTarget(t *testing.T) {
+	h := testHome(testServer("s1", 8), testServer("s2", 8))
+	h.CacheEvents("s2", []wire.CacheEvent{{Seq: 1, Prefix: "p1", Tokens: 512, Type: wire.CacheEventTypeStored}})
+	prefixed := ask("hazard", "a")
+	prefixed.Prefix = "p1"
+	g, err := h.Ask(t.Context(), "i1", prefixed)
+	assert.NilError(t, err)
+	assert.Equal(t, g.Server(), "s2")
+}
--- a/process/pool/property_test.go
+++ b/process/pool/property_test.go
@@ -53,10 +53,16 @@
 	mu      sync.Mutex
 	asked   int
 	ended   int
+	// slow is a server whose first tokens come late; empty is none.
+	slow     string
+	declared int
 }
 
 func newWorld(seed uint64) *world {
 	w := &world{checker: tracecheck.New(), rnd: rand.New(rand.NewPCG(seed, 1))}
+	if seed%2 == 0 {
+		w.slow = "s1"
+	}
 	w.home = &pool.Home{Pool: "p", Instance: "i0", Trace: w.checker.Add}
 	for i := range 3 {
 		kind := wire.ServerKindRegular
@@ -97,6 +103,9 @@
 		w.home.DropHolder(fmt.Sprintf("i%d", s.a%3))
 	case stepReclaim:
 		w.home.Recover([]string{"i9"}, 300*time.Millisecond)
+		if s.b%2 == 0 {
+			w.declare(s)
+		}
 	case stepReport:
 		w.home.Report(wire.LoadReport{Server: "s0", Running: s.a % 5, Waiting: s.b % 3})
 	default:
@@ -107,6 +116,18 @@
 	time.Sleep(s.pause)
 }
 
+// declare plays an instance that holds a grant of an earlier home and releases it later.
+func (w *world) declare(s step) {
+	w.declared++
+	grant := wire.GrantHeld{Grant: w.declared, Server: fmt.Sprintf("s%d", s.a%4), Class: "batch", Workspace: "a"}
+	w.wg.Go(func() {
+		time.Sleep(time.Duration(s.a%250) * time.Millisecond)
+		w.home.Reclaim("i9", []wire.GrantHeld{grant})
+		time.Sleep(200 * time.Millisecond)
+		w.home.Release("i9", wire.GrantRelease{Pool: "p", Grant: grant.Grant})
+	})
+}
+
 func (w *world) ask(s step) {
 	w.asked++
 	names := classes()
@@ -151,6 +172,9 @@
 		}
 		took := time.Since(start)
 		first := min(took, 40*time.Millisecond)
+		if grant.Server() == w.slow {
+			first = took
+		}
 		grant.Release(wire.GrantRelease{
 			Pool: "p", FirstTokenMs: int(first.Milliseconds()), DurationMs: int(took.Milliseconds()),
 			Tokens: int(took.Milliseconds() / 20), Paused: paused,
