--- a/process/fleet/fleet.go
+++ b/process/fleet/fleet.go
@@ -122,8 +122,14 @@
 		f.log().Warn("fleet_unreadable", zap.Error(err))
 		return
 	}
+	moved := false
 	for server, stop := range known.stops {
-		f.advance(ctx, server, stop, known.servers[server])
+		moved = f.advance(ctx, server, stop, known.servers[server]) || moved
+	}
+	if moved {
+		if known, err = f.read(ctx); err != nil {
+			return
+		}
 	}
 	f.scale(ctx, known)
 	f.stopDrained(ctx)
@@ -208,23 +214,24 @@
 	return states
 }
 
-// advance moves a planned stop on.
-func (f *Fleet) advance(ctx context.Context, server string, stop storedStop, state wire.ServerState) {
+// advance moves a planned stop on and tells whether its record has changed.
+func (f *Fleet) advance(ctx context.Context, server string, stop storedStop, state wire.ServerState) bool {
 	switch stop.record.State {
 	case wire.StopRecordStatePlanned:
 		if time.Now().UnixMilli() >= int64(stop.record.NotBeforeMs) {
-			f.mark(ctx, stop, wire.StopRecordStateDraining)
+			return f.mark(ctx, stop, wire.StopRecordStateDraining)
 		}
 	case wire.StopRecordStateDraining:
 		since := time.UnixMilli(int64(stop.record.AtMs))
 		if time.Since(since) >= drainGrace && f.isIdle(server) {
-			f.mark(ctx, stop, wire.StopRecordStateStopped)
+			return f.mark(ctx, stop, wire.StopRecordStateStopped)
 		}
 	case wire.StopRecordStateStopped:
 		if state.State == wire.ServerStateStateRunning && f.isIdle(server) {
 			f.order(server, "stop", f.Stop(ctx, server))
 		}
 	}
+	return false
 }
 
 func (f *Fleet) isIdle(server string) bool {
@@ -232,16 +239,17 @@
 	return known && n == 0
 }
 
-// mark sets the state of a stop by a conditional update; a cancel that came first stays.
-func (f *Fleet) mark(ctx context.Context, stop storedStop, state wire.StopRecordState) {
+// mark sets the state of a stop by a conditional update and tells whether it did; a cancel that came first stays.
+func (f *Fleet) mark(ctx context.Context, stop storedStop, state wire.StopRecordState) bool {
 	if f.Lease.Check() != nil {
-		return
+		return false
 	}
 	record := stop.record
 	record.State = state
 	record.AtMs = int(time.Now().UnixMilli())
 	_, err := f.Objects.Update(ctx, platform.KindStop, stop.obj.Name, stop.obj.Version, record)
 	f.log().Info("stop_"+string(state), zap.String("server", stop.obj.Name), zap.Error(err))
+	return err == nil
 }
 
 func (f *Fleet) order(server, action string, err error) {
