--- a/tools/launch/launch.go
+++ b/tools/launch/launch.go
@@ -219,7 +219,7 @@
 	if !g.isModel {
 		return args
 	}
-	args = append(args, "--model", "*", "--load-lag", d.LoadLag.String())
+	args = append(args, "--model", g.pool, "--load-lag", d.LoadLag.String())
 	if d.TokenTime > 0 {
 		args = append(args, "--token-time", d.TokenTime.String())
 	}
