Let a scenario's own files go before the fixture's

Cause: addFixture wrote over questionnaire.jsonc of whole_path, which then met servers that nobody started (whole_path failed 5 of 5 with 502 or 503, now passes). Ruled out: load of the machine, the daemon.

--- a/scenario/deploy_test.go
+++ b/scenario/deploy_test.go
@@ -56,7 +56,8 @@
 	return nil
 }
 
-// addFixture writes the fixture's files to the script's directory, with its variables filled in.
+// addFixture writes the fixture's files to the script's directory, with its variables filled in. A file of the script
+// goes before the fixture's of the same name.
 func addFixture(env *testscript.Env) error {
 	variable := regexp.MustCompile(`\$\{(\w+)\}`)
 	files, err := filepath.Glob(filepath.Join(fixtureDir, "*"))
@@ -64,6 +65,10 @@
 		return err
 	}
 	for _, file := range files {
+		path := filepath.Join(env.WorkDir, filepath.Base(file))
+		if _, err := os.Stat(path); err == nil {
+			continue
+		}
 		data, err := os.ReadFile(file)
 		if err != nil {
 			return err
@@ -71,7 +76,7 @@
 		text := variable.ReplaceAllStringFunc(string(data), func(ref string) string {
 			return env.Getenv(strings.Trim(ref, "${}"))
 		})
-		if err := os.WriteFile(filepath.Join(env.WorkDir, filepath.Base(file)), []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
 	}
