--- a/scenario/deploy_test.go
+++ b/scenario/deploy_test.go
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// addFixture writes the fixture's files to the script's directory, with its variables filled in. A script's own file of
-// the same name stays.
+// addFixture writes the fixture's files to the script's directory, with its variables filled in. A file of the script
+// goes before the fixture's of the same name.
 func addFixture(env *testscript.Env) error {
 	variable := regexp.MustCompile(`\$\{(\w+)\}`)
 	files, err := filepath.Glob(filepath.Join(fixtureDir, "*"))
@@ -65,18 +65,18 @@
 		return err
 	}
 	for _, file := range files {
+		path := filepath.Join(env.WorkDir, filepath.Base(file))
+		if _, err := os.Stat(path); err == nil {
+			continue
+		}
 		data, err := os.ReadFile(file)
 		if err != nil {
 			return err
 		}
-		target := filepath.Join(env.WorkDir, filepath.Base(file))
-		if _, err := os.Stat(target); err == nil {
-			continue
-		}
 		text := variable.ReplaceAllStringFunc(string(data), func(ref string) string {
 			return env.Getenv(strings.Trim(ref, "${}"))
 		})
-		if err := os.WriteFile(target, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
 	}
