Count requests, grants and the state of an instance in metrics with stable names

Cause: /metrics had the platform's calls and two counters of reports only. Change: process/metrics holds the families, each with unit, labels and meaning; toucanctl metrics writes docs/METRICS.md. No label names a workspace; classes beyond 64 share one value. status and burn take TOUCAN_INSTANCES as the others do. Tests: the page is current, each name in the source is listed, the number of series is bounded.

--- a/cmd/toucanctl/burn.go
+++ b/cmd/toucanctl/burn.go
@@ -12,7 +12,7 @@
 
 // burnCommand prints the service-level burn of a deployment.
 type burnCommand struct {
-	Instances []string `long:"instance" description:"operators' address of an instance; repeat for each" required:"true"`
+	Instances []string `long:"instance" env:"TOUCAN_INSTANCES" env-delim:"," value-name:"ADDR" description:"operators' address of an instance; repeat for each, or separate by commas" required:"true"`
 	JSON      bool     `long:"json" description:"print as JSON"`
 	HTML      string   `long:"html" description:"write plots to this file"`
 }
@@ -26,7 +26,7 @@
 
 // Execute runs the command.
 func (c *burnCommand) Execute(_ []string) error {
-	answers, missing := fetchAll[wire.Burn](c.Instances, "/burn")
+	answers, missing := fetchAll[wire.Burn](split(c.Instances), "/burn")
 	s := burn.Summarize(answers, missing)
 	if c.HTML != "" {
 		if err := writeFile(c.HTML, s.HTML); err != nil {
--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -13,6 +13,7 @@
 	addGenerate(parser)
 	addKey(parser)
 	addLoad(parser)
+	addMetrics(parser)
 	addReference(parser)
 	addRoute(parser)
 	addStatus(parser)
--- /dev/null
+++ b/cmd/toucanctl/metrics.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/toucanroute/toucanroute/process/metrics"
+)
+
+// metricsCommand prints the page of the metrics.
+type metricsCommand struct{}
+
+func addMetrics(parser *flags.Parser) {
+	_, err := parser.AddCommand("metrics", "Print the page of the metrics",
+		"Writes the names, units, labels and meanings of an instance's metrics, as Markdown.", &metricsCommand{})
+	mustAdd(err)
+}
+
+// Execute runs the command.
+func (*metricsCommand) Execute(_ []string) error {
+	fmt.Print(metrics.Page())
+	return nil
+}
--- a/cmd/toucanctl/options.go
+++ b/cmd/toucanctl/options.go
@@ -86,10 +86,7 @@
 
 // until asks the instances until check holds at each; without instances it asks none.
 func (o instanceOptions) until(check operator.Check) ([]operator.InForce, error) {
-	var addrs []string
-	for _, list := range o.Instances {
-		addrs = append(addrs, strings.Split(list, ",")...)
-	}
+	addrs := split(o.Instances)
 	if len(addrs) == 0 {
 		return []operator.InForce{}, nil
 	}
@@ -100,6 +97,15 @@
 	return watcher.Until(context.Background(), check)
 }
 
+// split returns the addresses of lists that are separated by commas.
+func split(lists []string) []string {
+	var addrs []string
+	for _, list := range lists {
+		addrs = append(addrs, strings.Split(list, ",")...)
+	}
+	return addrs
+}
+
 // writeInForce writes what is in force where.
 func writeInForce(w io.Writer, answers []operator.InForce) {
 	if len(answers) == 0 {
--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -15,7 +15,7 @@
 
 // statusCommand prints what each instance sees.
 type statusCommand struct {
-	Instances []string `long:"instance" description:"operators' address of an instance; repeat for each" required:"true"`
+	Instances []string `long:"instance" env:"TOUCAN_INSTANCES" env-delim:"," value-name:"ADDR" description:"operators' address of an instance; repeat for each, or separate by commas" required:"true"`
 	JSON      bool     `long:"json" description:"print as JSON"`
 }
 
@@ -34,7 +34,7 @@
 
 // Execute runs the command.
 func (c *statusCommand) Execute(_ []string) error {
-	answers, missing := fetchAll[wire.Status](c.Instances, "/status")
+	answers, missing := fetchAll[wire.Status](split(c.Instances), "/status")
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(statusAnswer{Instances: answers, Missing: missing})
 	}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/toucanroute/toucanroute/process/burn"
 	"github.com/toucanroute/toucanroute/process/home"
 	"github.com/toucanroute/toucanroute/process/members"
+	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/process/versions"
@@ -65,6 +66,7 @@
 	dispatch *dispatch.Dispatcher
 	callers  *caller.Server
 	book     burn.Book
+	metrics  *metrics.Metrics
 	retries  retries
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
@@ -88,6 +90,8 @@
 	defer stop()
 	g, run := errgroup.WithContext(base)
 	i.build(run)
+	i.metrics.Register()
+	defer i.metrics.Unregister()
 	g.Go(func() error { return i.peers.Run(run) })
 	g.Go(func() error { return i.operators().Run(run) })
 	g.Go(func() error { i.versions.Run(run); return nil })
@@ -119,6 +123,7 @@
 func (i *Instance) build(run context.Context) {
 	i.ring.Store(keyring.NewRing())
 	i.withdrawn = map[string]map[string]bool{}
+	i.metrics = metrics.New(i.gauges)
 	i.objects = &platform.Objects{Client: i.client(i.Settings.Platform.Objects)}
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(run)
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -73,7 +73,9 @@
 	if i.baseline != nil {
 		return i.baseline.Acquire(ctx, ask)
 	}
-	return i.router.Acquire(ctx, ask)
+	g, err := i.router.Acquire(ctx, ask)
+	i.measureGrant(g, err)
+	return g, err
 }
 
 func (i *Instance) address(server string) string {
@@ -113,6 +115,7 @@
 // observe counts a finished request.
 func (i *Instance) observe(o dispatch.Outcome) {
 	i.claims.finish(o)
+	i.measure(o)
 	if o.Workspace == "" || o.Result == dispatch.ResultCallerGone {
 		return
 	}
--- /dev/null
+++ b/process/metrics/metrics_test.go
@@ -0,0 +1,94 @@
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// TestPageIsCurrent fails where the families changed and the page didn't; go test -update writes it.
+func TestPageIsCurrent(t *testing.T) {
+	golden.Assert(t, Page(), "../../../docs/METRICS.md")
+}
+
+// TestAllNamesAreListed looks for names in the source: each must have a family, and each family a place that writes it.
+func TestAllNamesAreListed(t *testing.T) {
+	pattern := regexp.MustCompile(`"toucanroute_\w+|` + "`" + `toucanroute_\w+`)
+	used := map[string]bool{}
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, name := range pattern.FindAllString(string(data), -1) {
+			used[name[1:]] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	listed := map[string]bool{}
+	for _, f := range Families() {
+		assert.Assert(t, !listed[f.Name], f.Name)
+		listed[f.Name] = true
+	}
+	assert.DeepEqual(t, used, listed)
+}
+
+func TestValues(t *testing.T) {
+	m := New(func() Gauges {
+		return Gauges{
+			Running: 7, Slots: 12, Busy: 5, Waiting: 3, Live: 2, ConfigVersion: 4, KeyringVersion: 9,
+			VersionsAge: -1, Fleet: Lease{Held: true, Fence: 6},
+		}
+	})
+	m.Register()
+	defer m.Unregister()
+	m.Observe(Request{Class: "question", Result: "ok", FirstToken: 30 * time.Millisecond, Tokens: 5})
+	m.Observe(Request{Result: "refused", Reason: "key_invalid"})
+	m.Observe(Request{Class: "question", Result: "failed", Reason: "server_failed", Wasted: 2})
+	m.Grant("east-a", "granted")
+	text := written(m)
+	for _, line := range []string{
+		`toucanroute_requests_total{class="question",result="ok"} 1`,
+		`toucanroute_requests_total{class="none",result="refused"} 1`,
+		`toucanroute_request_errors_total{reason="key_invalid"} 1`,
+		`toucanroute_first_token_seconds_bucket{class="question",le="0.025"} 0`,
+		`toucanroute_first_token_seconds_bucket{class="question",le="0.05"} 1`,
+		`toucanroute_tokens_delivered_total{class="question"} 5`,
+		`toucanroute_tokens_wasted_total{class="question"} 2`,
+		`toucanroute_grants_total{data_centre="east-a",result="granted"} 1`,
+		`toucanroute_requests_running 7`,
+		`toucanroute_members{state="live"} 2`,
+		`toucanroute_versions_age_seconds -1`,
+		`toucanroute_lease_held{job="fleet"} 1`,
+		`toucanroute_lease_fence{job="fleet"} 6`,
+		`toucanroute_lease_held{job="usage"} 0`,
+	} {
+		assert.Assert(t, strings.Contains(text, line+"\n"), "%s is not in\n%s", line, text)
+	}
+}
+
+// TestSeriesAreBounded sends requests of more classes than are kept apart.
+func TestSeriesAreBounded(t *testing.T) {
+	m := New(func() Gauges { return Gauges{} })
+	for i := range 1200 {
+		m.Observe(Request{Class: fmt.Sprint("class-", i), Result: "ok", FirstToken: time.Second, Tokens: 1, Wasted: 1})
+	}
+	perClass := 3 + len(firstTokenBounds) + len([]string{"+Inf", "sum", "count"})
+	assert.Equal(t, strings.Count(written(m), "\n"), (MaxClasses+1)*perClass)
+}
+
+func written(m *Metrics) string {
+	var b bytes.Buffer
+	m.set.WritePrometheus(&b)
+	return b.String()
+}
