Write the README, the operators' pages and the glossary; run each command that they show

Cause: there was no README, index, glossary or page for operators. Change: pages on operating, keys, configuration, planned stops, cut-off data centres, evictions, usage disputes and leases. scenario/testdata/operator_*.txtar runs their commands, and TestCommandsOfPagesAreRun fails for one that isn't run. status and burn are compared with golden texts. Found: the demo's toucanctl took TOUCAN_INSTANCES of whoever starts it, and failed with exit code 4. operator_tour showed it; launch now leaves these variables out.

--- /dev/null
+++ b/scenario/pages_test.go
@@ -0,0 +1,77 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// commandPages are the pages whose commands are run by scenarios.
+var commandPages = []string{"../README.md", "../docs/OPERATING.md", "../docs/operators/*.md"}
+
+// TestCommandsOfPagesAreRun fails for a command of a page that no operator's scenario runs.
+func TestCommandsOfPagesAreRun(t *testing.T) {
+	scripts := readAll(t, "testdata/operator_*.txtar")
+	makefile := readAll(t, "../Makefile")
+	n := 0
+	for _, pattern := range commandPages {
+		files, err := filepath.Glob(pattern)
+		assert.NilError(t, err)
+		assert.Assert(t, len(files) > 0, pattern)
+		for _, file := range files {
+			for _, line := range shellLines(readAll(t, file)) {
+				n++
+				assert.Assert(t, isRun(line, scripts, makefile), "%s: no scenario runs %q", file, line)
+			}
+		}
+	}
+	assert.Assert(t, n > 0)
+}
+
+func readAll(t *testing.T, pattern string) string {
+	t.Helper()
+	files, err := filepath.Glob(pattern)
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0, pattern)
+	var b strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		b.Write(data)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// shellLines returns the commands of a page's sh blocks, without the settings of the environment.
+func shellLines(page string) []string {
+	var lines []string
+	inside := false
+	for line := range strings.Lines(page) {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "```"):
+			inside = line == "```sh"
+		case inside && line != "" && !strings.HasPrefix(line, "export "):
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// isRun tells whether a script runs a command, or the Makefile has its target.
+func isRun(line, scripts, makefile string) bool {
+	if target, ok := strings.CutPrefix(line, "make "); ok {
+		return regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(target) + `:`).MatchString(makefile)
+	}
+	if tool, ok := strings.CutPrefix(line, "go run ./tools/"); ok {
+		name, flag, _ := strings.Cut(tool, " ")
+		return regexp.MustCompile(`(?m)^start \S+ ` + regexp.QuoteMeta(name) + ` .*` + regexp.QuoteMeta(flag)).MatchString(scripts)
+	}
+	call := `(?m)^(.* )?(run|exec|start \S+) ` + regexp.QuoteMeta(line) + `$`
+	return regexp.MustCompile(call).MatchString(scripts)
+}
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -214,7 +214,7 @@
 }
 
 // log looks for a pattern in what a process wrote: log NAME PATTERN.
-func (s *session) log(args []string, _ io.Writer) error {
+func (s *session) log(args []string, out io.Writer) error {
 	if len(args) != 2 {
 		return errUsage{"log NAME PATTERN"}
 	}
@@ -226,9 +226,11 @@
 	if err != nil {
 		return err
 	}
-	if !re.MatchString(p.out.String()) {
+	found := re.FindString(p.out.String())
+	if found == "" {
 		return fmt.Errorf("no match for %q in the log of %s", args[1], args[0])
 	}
+	_, _ = fmt.Fprintln(out, found)
 	return nil
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -2,7 +2,8 @@
 //
 // A scenario is a testscript file in testdata. Beside testscript's own commands it has those of commands in
 // session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers,
-// $BIN the directory of the binaries and $ROOT that of the source tree.
+// $BIN the directory of the binaries and $ROOT that of the source tree. toucanctl finds the deployment of the fixture
+// by its environment.
 package scenario
 
 import (
@@ -12,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -88,6 +90,8 @@
 		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
 	}
 	env.Setenv("BIN", binDir)
+	env.Setenv("TOUCAN_OBJECTS", block.Address(0))
+	env.Setenv("TOUCAN_INSTANCES", strings.Join([]string{block.Address(12), block.Address(15), block.Address(18)}, ","))
 	env.Setenv("ROOT", root)
 	if err := addFixture(env); err != nil {
 		return err
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -74,6 +74,7 @@
 	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"expand":  expand,
 		"capture": capture,
+		"mask":    mask,
 	}
 	for name, cmd := range all() {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
@@ -181,6 +182,17 @@
 	ts.Setenv(args[0], groups[1])
 }
 
+// mask replaces what a pattern matches in a file, so that the file can be compared: mask FILE PATTERN TEXT.
+func mask(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: mask FILE PATTERN TEXT")
+	}
+	re, err := regexp.Compile("(?m)" + args[1])
+	ts.Check(err)
+	text := re.ReplaceAllString(ts.ReadFile(args[0]), args[2])
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
+
 // path returns a file of the script as an absolute path.
 func (s *session) path(file string) string {
 	if filepath.IsAbs(file) {
--- a/tools/launch/control.go
+++ b/tools/launch/control.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -51,10 +53,14 @@
 	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body)
 }
 
+// controlVariables begin the names of the variables by which an operator leads toucanctl to another deployment.
+const controlVariables = "TOUCAN_"
+
 // Control runs toucanctl with its progress lines on progress and returns its standard output.
 func (d *Deployment) Control(ctx context.Context, progress io.Writer, args ...string) ([]byte, error) {
 	var stdout, stderr bytes.Buffer
 	cmd := exec.CommandContext(ctx, d.binary("toucanctl"), args...)
+	cmd.Env = slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, controlVariables) })
 	cmd.Stdout = &stdout
 	cmd.Stderr = &stderr
 	if progress != nil {
