--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -72,7 +72,9 @@
 	if i.baseline != nil {
 		return i.baseline.Acquire(ctx, ask)
 	}
-	return i.router.Acquire(ctx, ask)
+	g, err := i.router.Acquire(ctx, ask)
+	i.measureGrant(g, err)
+	return g, err
 }
 
 // dataCentreOf returns the data centre of a backend server; empty is unknown.
@@ -100,6 +102,7 @@
 // observe counts a finished request.
 func (i *Instance) observe(o dispatch.Outcome) {
 	i.claims.finish(o)
+	i.measure(o)
 	if o.Workspace == "" || o.Result == dispatch.ResultCallerGone {
 		return
 	}
