--- a/process/home/router.go
+++ b/process/home/router.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -260,6 +261,18 @@
 	}
 }
 
+// Declare tells each home which grants this instance holds, so that a slot whose release was lost comes back.
+func (r *Router) Declare() {
+	r.mu.Lock()
+	homes := maps.Clone(r.homes)
+	r.mu.Unlock()
+	for key, home := range homes {
+		if home != r.Instance {
+			r.declare(key, home)
+		}
+	}
+}
+
 func (r *Router) rehome(key poolKey, home string, became, ceased func(pool string)) {
 	r.mu.Lock()
 	if r.homes == nil {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -69,6 +69,7 @@
 	metrics  *metrics.Metrics
 	retries  retries
 	demands  demands
+	spending spending
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
 
--- a/process/instance/jobs.go
+++ b/process/instance/jobs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oklog/ulid/v2"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/toucanroute/toucanroute/connection/peer"
@@ -29,6 +30,9 @@
 // forgetAfter is the silence after which an instance counts as gone, with all its streams.
 const forgetAfter = 2 * time.Minute
 
+// sweepInterval is the time between two looks for expired claims.
+const sweepInterval = time.Hour
+
 // defaultWindow is the length of a usage window where the configuration gives none.
 const defaultWindow = time.Minute
 
@@ -67,7 +71,7 @@
 		Lease:      j.fleetLease,
 		Objects:    i.objects.Store(),
 		Log:        i.Log,
-		Servers:    ordering.Servers,
+		Servers:    i.readServers,
 		Start:      j.orders.StartServer,
 		Stop:       j.orders.StopServer,
 		Config:     i.versions.Config,
@@ -76,19 +80,11 @@
 		Pull:       i.pullFleet,
 		OnChange:   i.homes.configure,
 	}
-	if i.Settings.Platform.Ordering == "" {
-		j.fleet.Servers = noServers
-	}
 	j.orders.Wanted = j.fleet.Wanted
 	i.buildUsage(j, intake, window)
 	return j
 }
 
-// noServers stands for the ordering interface of a deployment that has none.
-func noServers(context.Context, string) (wire.ServerStates, error) {
-	return wire.ServerStates{}, nil
-}
-
 // buildUsage makes the counter, the collector and the sealer of usage.
 func (i *Instance) buildUsage(j *jobs, intake *platform.Usage, window time.Duration) {
 	j.collector = &usage.Collector{
@@ -113,7 +109,11 @@
 		Lease:      j.usageLease,
 		Objects:    i.objects.Store(),
 		Log:        i.Log,
-		Report:     intake.Report,
+		Report: func(ctx context.Context, report wire.UsageReport, guard func() error) error {
+			err := intake.Report(ctx, report, guard)
+			i.spending.noteReport(report, err)
+			return err
+		},
 	}
 }
 
@@ -154,6 +154,7 @@
 	if i.Settings.Platform.Usage != "" {
 		run(j.usageLease.Run)
 		run(j.sealer.Run)
+		run(i.sweepClaims)
 	}
 	if i.Settings.Platform.Ordering != "" {
 		run(j.fleetLease.Run)
@@ -242,3 +243,24 @@
 	}
 	return total, true
 }
+
+// sweepClaims removes the expired claims while this instance holds the usage's lease.
+func (i *Instance) sweepClaims(ctx context.Context) {
+	j := i.jobs.Load()
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		if j.usageLease.Check() != nil {
+			continue
+		}
+		for _, w := range i.table.Load().Config().Workspaces {
+			n, err := i.claims.claims.Sweep(ctx, w.Name, j.usageLease.Check)
+			if err != nil {
+				i.Log.Warn("claims_unswept", zap.String("workspace", w.Name), zap.Error(err))
+				break
+			}
+			if n > 0 {
+				i.Log.Info("claims_swept", zap.String("workspace", w.Name), zap.Int("removed", n))
+			}
+		}
+	}
+}
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -22,6 +22,8 @@
 	discoverInterval = 5 * time.Second
 	// rehomeInterval is the time after which homes are looked at anew even without a word of a change.
 	rehomeInterval = time.Second
+	// declareInterval is the time between two tellings of the grants held.
+	declareInterval = 10 * time.Second
 	// announceTo is the number of peers that hear of a new digest at once.
 	announceTo = 3
 	// elsewhereShare is the share of the digest comparisons that go to an instance out of turn.
@@ -81,9 +83,13 @@
 	defer list.Stop()
 	look := time.NewTicker(rehomeInterval)
 	defer look.Stop()
+	declare := time.NewTicker(declareInterval)
+	defer declare.Stop()
 	i.readList(ctx)
 	for {
 		select {
+		case <-declare.C:
+			i.router.Declare()
 		case <-ctx.Done():
 			return
 		case <-list.C:
--- a/process/instance/version.go
+++ b/process/instance/version.go
@@ -205,6 +205,8 @@
 		return b
 	}
 	b.ConfigVersion = table.Version()
+	b.Servers = i.spending.servers(table)
+	b.Reports = i.spending.counts()
 	b.Rows = i.book.Rows(func(name string) wire.Class {
 		c, _ := table.Class(name)
 		return c
