Tell a pool's home at once of a first token that came late

Change: a first token that took more than half of its class's target at the engine is told to the grant's home over the link. Checked: go test of process/home, request/dispatch, connection/peer.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -197,6 +197,11 @@
 	return l.notify(ctx, methodRelease, r)
 }
 
+// First tells the peer that the first token of a grant came late.
+func (l *Link) First(ctx context.Context, f wire.GrantFirst) error {
+	return l.notify(ctx, methodFirst, f)
+}
+
 // Claim tells the peer which slots this instance holds from an earlier home.
 func (l *Link) Claim(ctx context.Context, c wire.GrantsHeld) error {
 	return l.notify(ctx, methodClaim, c)
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -40,6 +40,7 @@
 	methodAsk      = "ask"
 	methodCancel   = "cancel"
 	methodRelease  = "release"
+	methodFirst    = "first"
 	methodClaim    = "claim"
 	methodPreempt  = "preempt"
 	methodExchange = "exchange"
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -30,6 +30,8 @@
 	Ask func(ctx context.Context, from string, ask wire.GrantAsk) wire.GrantReply
 	// Release takes a slot back.
 	Release func(from string, r wire.GrantRelease)
+	// First hears that the first token of a grant came late.
+	First func(from string, f wire.GrantFirst)
 	// Claim hears which slots a peer holds from an earlier home.
 	Claim func(from string, c wire.GrantsHeld)
 	// Exchange returns the versions that a peer with the digest lacks.
@@ -161,6 +163,8 @@
 		return s.cancel(req)
 	case methodRelease:
 		return s.release(from, req)
+	case methodFirst:
+		return s.first(from, req)
 	case methodClaim:
 		return s.claim(from, req)
 	case methodExchange:
@@ -271,6 +275,15 @@
 	return nil, nil
 }
 
+func (s *session) first(from string, req *jsonrpc2.Request) (any, error) {
+	f, err := decode[wire.GrantFirst](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.First(from, f)
+	return nil, nil
+}
+
 func (s *session) claim(from string, req *jsonrpc2.Request) (any, error) {
 	c, err := decode[wire.GrantsHeld](req)
 	if err != nil {
--- a/process/home/router.go
+++ b/process/home/router.go
@@ -31,6 +31,8 @@
 	Ask func(ctx context.Context, ask wire.GrantAsk, late func(wire.GrantReply)) (wire.GrantReply, error)
 	// Release returns a slot.
 	Release func(ctx context.Context, r wire.GrantRelease) error
+	// First tells that the first token of a grant came late.
+	First func(ctx context.Context, f wire.GrantFirst) error
 	// Claim tells which slots this instance holds from an earlier home.
 	Claim func(ctx context.Context, c wire.GrantsHeld) error
 }
@@ -218,6 +220,19 @@
 	r.held[key] = &held{grant: g, ask: ask, dataCentre: dataCentre}
 	r.mu.Unlock()
 	g.Redirect(home, r.releaser(key, home))
+	g.OnFirstToken(func(home string, f wire.GrantFirst) { r.first(key.pool, home, f) })
+}
+
+// first tells a grant's home that its first token came late.
+func (r *Router) first(name, home string, f wire.GrantFirst) {
+	f.Pool = name
+	if home == r.Instance {
+		r.Local(name).FirstToken(r.Instance, f)
+		return
+	}
+	if peer, ok := r.Peer(home); ok {
+		_ = peer.First(context.Background(), f)
+	}
 }
 
 // releaser returns what a release of the grant does while it belongs to home.
--- a/process/home/router_test.go
+++ b/process/home/router_test.go
@@ -24,6 +24,7 @@
 	asked    []string
 	released map[string][]int
 	claims   map[string][]wire.GrantHeld
+	firsts   []wire.GrantFirst
 	local    *pool.Home
 	share    *pool.Home
 }
@@ -75,6 +76,10 @@
 			b.released[instance] = append(b.released[instance], r.Grant)
 			return nil
 		},
+		First: func(_ context.Context, f wire.GrantFirst) error {
+			b.firsts = append(b.firsts, f)
+			return nil
+		},
 		Claim: func(_ context.Context, c wire.GrantsHeld) error {
 			b.claims[instance] = append(b.claims[instance], c.Grants...)
 			return nil
@@ -199,3 +204,12 @@
 		t.Fatal("the grant was not preempted")
 	}
 }
+
+func TestLateFirstTokenReachesTheHome(t *testing.T) {
+	b := newBench()
+	b.replies["b"] = wire.GrantReply{Grant: 4, Server: "s1"}
+	g, err := b.acquire(wire.GrantAsk{})
+	assert.NilError(t, err)
+	g.FirstToken(900 * time.Millisecond)
+	assert.DeepEqual(t, b.firsts, []wire.GrantFirst{{Pool: "chat", Grant: 4, FirstTokenMs: 900}})
+}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -161,6 +161,7 @@
 		Heard:     func(h wire.Hello) { i.members.Add(h.Instance, h.DataCentre) },
 		Ask:       i.answerAsk,
 		Release:   i.answerRelease,
+		First:     i.answerFirst,
 		Claim:     i.answerClaim,
 		Exchange:  i.answerExchange,
 		Announced: func(from string, d wire.VersionDigest) { i.versions.Hear(from, d) },
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -241,6 +241,13 @@
 	}
 }
 
+// answerFirst takes in that the first token of a peer's grant came late.
+func (i *Instance) answerFirst(from string, f wire.GrantFirst) {
+	if hm := i.homes.lookup(f.Pool); hm != nil {
+		hm.FirstToken(from, f)
+	}
+}
+
 // answerClaim takes in the grants that a peer declares. A peer may know a pool that this instance has yet to learn of.
 func (i *Instance) answerClaim(from string, c wire.GrantsHeld) {
 	table := i.table.Load()
--- a/process/pool/grant.go
+++ b/process/pool/grant.go
@@ -40,6 +40,8 @@
 	home string
 	// onRelease is nil once the grant is released.
 	onRelease func(wire.GrantRelease)
+	// onFirst may be nil.
+	onFirst func(home string, f wire.GrantFirst)
 }
 
 // NewGrant returns a grant that calls onRelease once when it is released.
@@ -76,6 +78,23 @@
 	return true
 }
 
+// OnFirstToken sets what tells the grant's home that the first token came late.
+func (g *Grant) OnFirstToken(tell func(home string, f wire.GrantFirst)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onFirst = tell
+}
+
+// FirstToken tells the home how late the first token came, so that a straggler is known before its streams end.
+func (g *Grant) FirstToken(late time.Duration) {
+	g.mu.Lock()
+	tell, home := g.onFirst, g.home
+	g.mu.Unlock()
+	if tell != nil {
+		tell(home, wire.GrantFirst{Grant: g.number, FirstTokenMs: int(late.Milliseconds())})
+	}
+}
+
 // Number returns the grant's number at its home.
 func (g *Grant) Number() int { return g.number }
 
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -52,6 +52,8 @@
 	// left is true once the running attempt's backend server has left.
 	left bool
 	// attemptStart is the time at which the running attempt was sent.
+	// grant is the grant of the running attempt.
+	grant        *pool.Grant
 	attemptStart time.Time
 	first        time.Time
 	last         time.Time
@@ -116,6 +118,7 @@
 
 // hold streams while it holds the grant, and releases the grant when the engine's slot is free.
 func (s *stream) hold(grant *pool.Grant, a *request.Attempt) error {
+	s.grant = grant
 	begin := time.Now()
 	before := s.answer.tokens()
 	err := s.send(grant, a)
@@ -249,6 +252,7 @@
 	now := time.Now()
 	if s.first.IsZero() {
 		s.first = now
+		s.tellLate(now)
 	} else {
 		s.betweenMax = max(s.betweenMax, now.Sub(s.last))
 	}
@@ -256,6 +260,15 @@
 	return err
 }
 
+// tellLate tells the home of a first token that took more than half of the class's target at the engine.
+func (s *stream) tellLate(now time.Time) {
+	took := now.Sub(s.attemptStart)
+	target := time.Duration(s.rights.Class.TtftMs) * time.Millisecond
+	if target > 0 && took > target/2 && s.grant != nil {
+		s.grant.FirstToken(took)
+	}
+}
+
 // observe fills the request's record and counts its usage: a whole answer by the engine's count, a stream that
 // ended early by the tokens that the caller was shown.
 func (s *stream) observe(err error) {
