--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,8 +1,29 @@
 // Package scenario runs scripted scenarios of separate processes: the daemon, its command, the demo and the stand-ins.
 //
-// A scenario is a testscript file in testdata. Beside testscript's own commands it has those of commands in
-// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers,
-// $BIN the directory of the binaries and $ROOT that of the source tree.
+// A scenario is a testscript file in testdata. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers, $BIN
+// the directory of the binaries and $ROOT that of the source tree. Beside testscript's own commands it has these:
+//
+//	deploy [NAME]...                  start the fixture's deployment without the named processes
+//	start NAME PROGRAM ARG...         start a process that goes on
+//	signal NAME SIGNAL                send SIGKILL, SIGSTOP, SIGCONT, SIGTERM or SIGINT
+//	terminate NAME...                 send SIGTERM and wait for the ends with exit code 0
+//	exited NAME CODE                  has ended with the code
+//	log NAME PATTERN                  has written a match to its log
+//	waitready ADDRESS|URL...          wait until it takes connections or answers with success
+//	run PROGRAM ARG...                run a program to its end
+//	http [OPTION]... METHOD URL [BODY|@FILE]
+//	fault ADDRESS JSON                set faults of a stand-in
+//	stat ADDRESS|URL FIELD OPERATOR VALUE
+//	eventually DURATION COMMAND...    run one of these commands until it succeeds
+//	always DURATION COMMAND...        run it again and again; it must succeed each time
+//	match PATTERN COMMAND...          run it and look for a match in its output
+//	background NAME COMMAND...        run it beside the script
+//	join NAME                         wait for it, with its output and failure
+//	sleep DURATION                    wait
+//	expand FILE...                    replace ${NAME} in files
+//	capture NAME PATTERN              set a variable to the first group of a match in the last output
+//
+// At its end a script kills what it started, and fails if a log shows a data race or a crash.
 package scenario
 
 import (
