--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -20,6 +20,7 @@
 	"github.com/toucanroute/toucanroute/process/burn"
 	"github.com/toucanroute/toucanroute/process/home"
 	"github.com/toucanroute/toucanroute/process/members"
+	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/process/versions"
@@ -65,8 +66,10 @@
 	dispatch *dispatch.Dispatcher
 	callers  *caller.Server
 	book     burn.Book
+	metrics  *metrics.Metrics
 	retries  retries
 	demands  demands
+	spending spending
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
 
@@ -89,6 +92,8 @@
 	defer stop()
 	g, run := errgroup.WithContext(base)
 	i.build(run)
+	i.metrics.Register()
+	defer i.metrics.Unregister()
 	g.Go(func() error { return i.peers.Run(run) })
 	g.Go(func() error { return i.operators().Run(run) })
 	g.Go(func() error { i.versions.Run(run); return nil })
@@ -120,6 +125,7 @@
 func (i *Instance) build(run context.Context) {
 	i.ring.Store(keyring.NewRing())
 	i.withdrawn = map[string]map[string]bool{}
+	i.metrics = metrics.New(i.gauges)
 	i.objects = &platform.Objects{Client: i.client(i.Settings.Platform.Objects)}
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(run)
@@ -196,16 +202,17 @@
 		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
 	}
 	i.router = &home.Router{
-		Instance:    i.Settings.Instance,
-		DataCentre:  i.Settings.DataCentre,
-		Log:         i.Log,
-		Homes:       i.members.Homes,
-		DataCentres: func() []string { return i.table.Load().DataCentres() },
-		Peer:        i.links.homePeer,
-		Local:       i.homes.get,
-		Share:       i.homes.getShare,
-		Target:      i.target,
-		Serves:      func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
+		Instance:     i.Settings.Instance,
+		DataCentre:   i.Settings.DataCentre,
+		Log:          i.Log,
+		Homes:        i.members.Homes,
+		DataCentres:  func() []string { return i.table.Load().DataCentres() },
+		Peer:         i.links.homePeer,
+		Local:        i.homes.get,
+		Share:        i.homes.getShare,
+		Target:       i.target,
+		DataCentreOf: i.dataCentreOf,
+		Serves:       func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
 	}
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -23,7 +23,8 @@
 //	expand FILE...                    replace ${NAME} in files
 //	capture NAME PATTERN              set a variable to the first group of a match in the last output
 //
-// At its end a script kills what it started, and fails if a log shows a data race or a crash.
+// At its end a script kills what it started, and fails if a log shows a data race or a crash. toucanctl finds the
+// deployment of the fixture by its environment.
 package scenario
 
 import (
@@ -33,6 +34,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -109,6 +111,8 @@
 		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
 	}
 	env.Setenv("BIN", binDir)
+	env.Setenv("TOUCAN_OBJECTS", block.Address(0))
+	env.Setenv("TOUCAN_INSTANCES", strings.Join([]string{block.Address(12), block.Address(15), block.Address(18)}, ","))
 	env.Setenv("ROOT", root)
 	if err := addFixture(env); err != nil {
 		return err
