--- /dev/null
+++ b/connection/caller/main_test.go
@@ -0,0 +1,27 @@
+package caller
+
+import (
+	"net/http"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(speedEngine); address != "" {
+		runInstance(address)
+		return
+	}
+	goleak.VerifyTestMain(leakCheck{m})
+}
+
+// leakCheck closes the test client's idle connections before leaks are looked for.
+type leakCheck struct{ m *testing.M }
+
+// Run runs the tests.
+func (l leakCheck) Run() int {
+	code := l.m.Run()
+	http.DefaultClient.CloseIdleConnections()
+	return code
+}
--- /dev/null
+++ b/connection/engine/client.go
@@ -0,0 +1,137 @@
+// Package engine is the streaming client of model engines.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/request"
+)
+
+const (
+	controlTimeout  = 800 * time.Millisecond
+	defaultMaxEvent = 1 << 20
+	maxErrorBytes   = 64 << 10
+)
+
+// Client streams completions from engines. Its fields are set before first use.
+type Client struct {
+	// MaxEvent is the largest event of a stream in bytes; 0 is 1 MB.
+	MaxEvent int
+
+	transport upstream.Transport
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.Close() }
+
+// Stream sends one attempt and calls onData for each event of the answer. The data is only valid during the call;
+// more tells that the next event is at hand already. Stream returns nil once the engine has ended the stream,
+// request.ErrPaused if it paused it, and request.ErrAttempt where the attempt failed. An error of onData ends the
+// stream and is returned.
+func (c *Client) Stream(ctx context.Context, a *request.Attempt, onData func(data []byte, more bool) error) error {
+	res, err := c.send(ctx, a)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return c.read(res.Body, onData)
+}
+
+// send sends an attempt and returns the engine's answer if it is a stream.
+func (c *Client) send(ctx context.Context, a *request.Attempt) (*http.Response, error) {
+	req, err := newRequest(ctx, a)
+	if err != nil {
+		return nil, request.ErrAttempt{Err: err}
+	}
+	res, err := c.transport.Send(req, a.ID, a.Fresh)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode == http.StatusOK {
+		return res, nil
+	}
+	err = refusal(res)
+	_ = res.Body.Close()
+	return nil, err
+}
+
+func newRequest(ctx context.Context, a *request.Attempt) (*http.Request, error) {
+	target := "http://" + a.Address + a.Path
+	body := a.Body
+	if a.Resume {
+		target = streamURL(a.Address, a.ID, "resume") + "?after=" + strconv.Itoa(a.After)
+		body = nil
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	return req, nil
+}
+
+func streamURL(address, id, verb string) string {
+	return "http://" + address + "/v1/streams/" + url.PathEscape(id) + "/" + verb
+}
+
+// engineError is the error answer of a completions API.
+type engineError struct {
+	Error struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func refusal(res *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	if err != nil {
+		return request.ErrAttempt{Sent: true, Status: res.StatusCode, Err: err}
+	}
+	var e engineError
+	_ = json.Unmarshal(body, &e)
+	seconds, _ := strconv.Atoi(res.Header.Get("Retry-After"))
+	return request.ErrAttempt{
+		Sent:       true,
+		Status:     res.StatusCode,
+		Message:    e.Error.Message,
+		RetryAfter: time.Duration(seconds) * time.Second,
+	}
+}
+
+// Pause asks the engine to pause a stream and free its slot.
+func (c *Client) Pause(ctx context.Context, address, id string) error {
+	return c.control(ctx, address, id, "pause")
+}
+
+// Cancel asks the engine to end a stream and free its slot.
+func (c *Client) Cancel(ctx context.Context, address, id string) error {
+	return c.control(ctx, address, id, "cancel")
+}
+
+func (c *Client) control(ctx context.Context, address, id, verb string) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, streamURL(address, id, verb), http.NoBody)
+	if err != nil {
+		return err
+	}
+	res, err := c.transport.Send(req, id, false)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxErrorBytes))
+	_ = res.Body.Close()
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s of stream %s: status %d", verb, id, res.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/process/control/wiring_test.go
@@ -0,0 +1,148 @@
+// Package control tests leases, orders, fleet and usage together, over sockets and with frozen processes.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/fleet"
+	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/orders"
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/process/usage"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Jobs of a data centre that need one holder.
+const (
+	JobFleet = "fleet"
+	JobUsage = "usage"
+)
+
+// DefaultWindow is the usage window of a test that sets none.
+const DefaultWindow = time.Minute
+
+// Control is what one instance does for its data centre. The exported fields are set before Run.
+type Control struct {
+	Instance   string
+	DataCentre string
+	// RunID names the process; it differs from that of the instance's earlier processes.
+	RunID   string
+	Objects platform.Store
+	Log     *zap.Logger
+	// Ordering is the client of the ordering interface.
+	Ordering *platform.Ordering
+	// Intake is the client of the usage intake; nil is none, and then the instance never takes JobUsage.
+	Intake *platform.Usage
+	// Window is the length of a usage window; 0 is DefaultWindow.
+	Window time.Duration
+	// Config returns the configuration in force, or nil.
+	Config func() *wire.Config
+	// Demand returns the load of a pool; nil never scales.
+	Demand func(pool string) (fleet.Demand, bool)
+	// Running returns the streams on a server over all listed instances; false is that one of them couldn't be asked.
+	Running func(server string) (int, bool)
+
+	once       sync.Once
+	fleetLease *lease.Lease
+	usageLease *lease.Lease
+	orders     *orders.Orders
+	fleet      *fleet.Fleet
+	counter    *usage.Counter
+	collector  *usage.Collector
+	sealer     *usage.Sealer
+}
+
+func (c *Control) build() {
+	c.once.Do(func() {
+		if c.Window == 0 {
+			c.Window = DefaultWindow
+		}
+		if c.Log == nil {
+			c.Log = zap.NewNop()
+		}
+		c.fleetLease = c.newLease(JobFleet, true)
+		c.usageLease = c.newLease(JobUsage, c.Intake != nil)
+		c.buildFleet()
+		c.buildUsage()
+	})
+}
+
+func (c *Control) newLease(job string, able bool) *lease.Lease {
+	return &lease.Lease{
+		DataCentre: c.DataCentre, Job: job, Holder: c.Instance, RunID: c.RunID, Objects: c.Objects, Log: c.Log,
+		Duration: lease.DefaultDuration, Margin: lease.DefaultMargin, MaxInFlight: lease.DefaultMaxInFlight,
+		Candidate: func() bool { return able },
+	}
+}
+
+func (c *Control) buildFleet() {
+	c.orders = &orders.Orders{
+		DataCentre: c.DataCentre, Instance: c.Instance, RunID: c.RunID, Lease: c.fleetLease, Objects: c.Objects, Log: c.Log,
+	}
+	c.fleet = &fleet.Fleet{
+		DataCentre: c.DataCentre, Instance: c.Instance, Lease: c.fleetLease, Objects: c.Objects, Log: c.Log,
+		Start: c.orders.StartServer, Stop: c.orders.StopServer, Config: c.Config, Demand: c.Demand, Running: c.Running,
+		Servers: c.Ordering.Servers,
+	}
+	c.orders.Wanted = c.fleet.Wanted
+	c.orders.SendServer = c.Ordering.Send
+}
+
+func (c *Control) buildUsage() {
+	c.collector = &usage.Collector{DataCentre: c.DataCentre, RunID: c.RunID, Window: c.Window, Objects: c.Objects, Log: c.Log}
+	c.counter = &usage.Counter{DataCentre: c.DataCentre, RunID: c.RunID, Window: c.Window, Objects: c.Objects, Log: c.Log}
+	c.counter.HandOver = func(_ context.Context, counts wire.UsageHandOver) (wire.UsageHandOverReply, error) {
+		return c.collector.Take(counts), nil
+	}
+	c.sealer = &usage.Sealer{
+		DataCentre: c.DataCentre, Instance: c.Instance, Window: c.Window, Lease: c.usageLease, Objects: c.Objects, Log: c.Log,
+	}
+	if c.Intake != nil {
+		c.sealer.Report = c.Intake.Report
+	}
+}
+
+// Run does the work until ctx ends, and then releases what is held.
+func (c *Control) Run(ctx context.Context) {
+	c.build()
+	held, release := context.WithCancel(context.WithoutCancel(ctx))
+	var leases, work sync.WaitGroup
+	leases.Go(func() { c.fleetLease.Run(held) })
+	leases.Go(func() { c.usageLease.Run(held) })
+	work.Go(func() { c.orders.Run(ctx) })
+	work.Go(func() { c.fleet.Run(ctx) })
+	work.Go(func() { c.sealer.Run(ctx) })
+	work.Go(func() { c.collector.Run(ctx) })
+	work.Go(func() { c.counter.Run(ctx) })
+	work.Wait()
+	release()
+	leases.Wait()
+}
+
+// Count counts one answered request.
+func (c *Control) Count(workspace, class string, prompt, completion int) {
+	c.build()
+	c.counter.Add(workspace, class, prompt, completion)
+}
+
+// Leases returns the data centre's leases as this instance sees them.
+func (c *Control) Leases() []wire.LeaseStatus {
+	c.build()
+	return []wire.LeaseStatus{c.fleetLease.Status(), c.usageLease.Status()}
+}
+
+// ServerState returns the state of a backend server of the data centre.
+func (c *Control) ServerState(server string) wire.FleetServerState {
+	c.build()
+	return c.fleet.State(server)
+}
+
+// FleetView returns what this instance knows of the backend servers, for its peers.
+func (c *Control) FleetView() wire.FleetView {
+	c.build()
+	return c.fleet.View()
+}
