Keep the library's pooled buffers from mixing callers' answers

Seen as data races under -race, one in 36 runs of the package, and then in tests of their own. Ruled out: our own buffers, which are never shared. Change: answers are written in pieces of 16 KB at most and flushed before more waits; TLS takes its buffers from the heap. With the first guard off TestAnswersDoNotMix doesn't end (callers wait for answers with broken framing, 15 s limit; with -race it reports the race); with the second off TestAnswersDoNotMixOverTLS reports races (2 in one run). Both pass with the guards on.

--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
 	"go.uber.org/zap"
@@ -157,6 +158,8 @@
 		return cfg
 	}
 	cfg.AddrsTLS = []string{s.Listen}
+	// The library's TLS gives a record's buffer back to its pool while the record is still read from it.
+	cfg.TLSAllocator = mempool.NewSTD()
 	cfg.TLSConfig = s.Certificate.config()
 	return cfg
 }
--- a/connection/caller/writer.go
+++ b/connection/caller/writer.go
@@ -15,6 +15,9 @@
 	stallPoll = 5 * time.Millisecond
 	// chunkOverhead is a rough size of the framing of one write.
 	chunkOverhead = 8
+	// maxPiece bounds what is written at once, and what waits for a flush. From 64 KB on, nbhttp's chunked writer
+	// goes on using a buffer that it has given back to the pool, and answers of two callers would mix.
+	maxPiece = 16 << 10
 )
 
 // ErrSlowReader tells that a caller took nothing of its answer for too long.
@@ -42,6 +45,8 @@
 	guard  *guard
 	server *Server
 	begun  bool
+	// unflushed is the number of bytes that were written since the last flush.
+	unflushed int
 }
 
 // Header returns the answer's headers.
@@ -56,17 +61,37 @@
 // Write adds to the answer; it waits while too much is on its way to a slow reader.
 func (w *writer) Write(data []byte) (int, error) {
 	w.begun = true
+	for rest := data; len(rest) > 0; {
+		n := min(len(rest), maxPiece)
+		if err := w.writePiece(rest[:n]); err != nil {
+			return len(data) - len(rest), err
+		}
+		rest = rest[n:]
+	}
+	return len(data), nil
+}
+
+func (w *writer) writePiece(data []byte) error {
 	if w.guard.pending.Load() > w.server.StreamBuffer {
+		w.Flush()
 		if err := w.waitForReader(); err != nil {
-			return 0, err
+			return err
 		}
 	}
+	if w.unflushed+len(data) > maxPiece {
+		w.Flush()
+	}
+	w.unflushed += len(data) + chunkOverhead
 	w.guard.pending.Add(int64(len(data) + chunkOverhead))
-	return w.res.Write(data)
+	_, err := w.res.Write(data)
+	return err
 }
 
 // Flush sends what was written.
-func (w *writer) Flush() { w.res.Flush() }
+func (w *writer) Flush() {
+	w.unflushed = 0
+	w.res.Flush()
+}
 
 func (w *writer) waitForReader() error {
 	taken := w.guard.taken.Load()
