--- a/scenario/pages_test.go
+++ b/scenario/pages_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -75,3 +76,39 @@
 	call := `(?m)^(.* )?(run|exec|start \S+) ` + regexp.QuoteMeta(line) + `$`
 	return regexp.MustCompile(call).MatchString(scripts)
 }
+
+// TestEventsAreListed fails for an event of the daemon's log that OPERATING.md doesn't list.
+func TestEventsAreListed(t *testing.T) {
+	page := readAll(t, "../docs/OPERATING.md")
+	event := regexp.MustCompile(`(?:Info|Warn|Error|logOrder)\("([a-z_]+)"`)
+	n := 0
+	for _, dir := range []string{"cmd", "connection", "process", "request"} {
+		err := filepath.WalkDir(filepath.Join("..", dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			for _, found := range event.FindAllStringSubmatch(readAll(t, path), -1) {
+				n++
+				assert.Check(t, strings.Contains(page, "`"+found[1]+"`") || strings.HasSuffix(found[1], "_"), "%s: %s", path, found[1])
+			}
+			return nil
+		})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, n > 0)
+}
+
+// TestLinksOfPages fails for a link to a file that doesn't exist.
+func TestLinksOfPages(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^):#]+)\)`)
+	for _, pattern := range append([]string{"../docs/*.md"}, commandPages...) {
+		files, err := filepath.Glob(pattern)
+		assert.NilError(t, err)
+		for _, file := range files {
+			for _, found := range link.FindAllStringSubmatch(readAll(t, file), -1) {
+				_, err := os.Stat(filepath.Join(filepath.Dir(file), found[1]))
+				assert.Check(t, err, "%s", file)
+			}
+		}
+	}
+}
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -47,6 +47,7 @@
 		"match":      (*session).match,
 		"deploy":     (*session).deploy,
 		"background": (*session).background,
+		"record":     (*session).record,
 	}
 }
 
@@ -150,6 +151,25 @@
 	return nil
 }
 
+// record appends a command and its output to a file: record FILE COMMAND...
+func (s *session) record(args []string, out io.Writer) error {
+	if len(args) < 2 {
+		return errUsage{"record FILE COMMAND..."}
+	}
+	var buf bytes.Buffer
+	err := s.call(args[1:], &buf)
+	_, _ = out.Write(buf.Bytes())
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(s.path(args[0]), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(f, "$ %s\n%s\n", strings.Join(args[1:], " "), buf.Bytes())
+	return errors.Join(err, f.Close())
+}
+
 // expand replaces ${NAME} in files by the script's variables: expand FILE...
 func expand(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
