Charge workspaces for answers without tokens

Cause: plain services report no tokens, so each release gave the whole charge back and a service pool had no fair shares: the test saw the busy workspace served before the other (aaba order aa, expected b first). Change: an answer without tokens counts as estimated.

--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -117,9 +117,18 @@
 	h.schedule(now)
 }
 
+// charge returns what the attempt counts against its workspace, in tokens. An answer without tokens, such
+// as a plain service's, counts as estimated, and a failure without an answer as nothing.
+func (g *held) charge(r wire.GrantRelease) float64 {
+	if r.Tokens == 0 && r.FirstTokenMs > 0 && !r.Failed {
+		return g.estimated
+	}
+	return min(float64(r.Tokens), maxCharge*g.estimated)
+}
+
 // observe learns from a finished attempt.
 func (h *Home) observe(g *held, r wire.GrantRelease, now time.Time) {
-	h.queue.Settle(g.tier, g.workspace, g.estimated, min(float64(r.Tokens), maxCharge*g.estimated))
+	h.queue.Settle(g.tier, g.workspace, g.estimated, g.charge(r))
 	h.limits.Use(g.workspace, r.Tokens, now)
 	if r.FirstTokenMs <= 0 || r.Failed {
 		return
--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -275,3 +275,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, g.Server(), "s2")
 }
+
+// TestAnswersWithoutTokensCountAgainstTheirWorkspace asks as a plain service's pool does, whose answers have no tokens.
+func TestAnswersWithoutTokensCountAgainstTheirWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		release := wire.GrantRelease{FirstTokenMs: 10, DurationMs: 10}
+		for range 20 {
+			g, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+			assert.NilError(t, err)
+			g.Release(release)
+		}
+		busy, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		order := make(chan string, 4)
+		for _, workspace := range []string{"a", "a", "b", "b"} {
+			go func() {
+				g, err := h.Ask(t.Context(), "i1", ask("batch", workspace))
+				assert.Check(t, err)
+				order <- workspace
+				g.Release(release)
+			}()
+			synctest.Wait()
+		}
+		busy.Release(release)
+		synctest.Wait()
+		assert.Equal(t, <-order+<-order+<-order+<-order, "baba")
+	})
+}
