Resume paused streams only at their own server, also while it drains

Cause: a grant at another server is useless to a stream whose tokens the caller has seen; the home gave the first free slot where the stream's server was full. A paused stream on a draining server was refused. Change: Resume is strict; a draining server takes its paused streams back, so that a planned stop cuts none. Test: TestPausedStreamGoesOnAtItsOwnServer fails on the commit before (granted at s2).

--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -303,3 +303,38 @@
 		assert.Equal(t, <-order+<-order+<-order+<-order, "baba")
 	})
 }
+
+func TestPausedStreamGoesOnAtItsOwnServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s1, s2 := testServer("s1", 1), testServer("s2", 1)
+		h := testHome(s1, s2)
+		resumed := ask("batch", "a")
+		for range 2 {
+			g, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+			assert.NilError(t, err)
+			go func() {
+				after := 100 * time.Millisecond
+				if g.Server() == "s1" {
+					after = time.Second
+				}
+				time.Sleep(after)
+				g.Release(wire.GrantRelease{})
+			}()
+		}
+		resumed.Resume = "s1"
+		start := time.Now()
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			s1.State = ServerDraining
+			h.Configure(testClasses(), nil, []ServerSpec{s1, s2})
+		}()
+		g, err := h.Ask(t.Context(), "i1", resumed)
+		assert.NilError(t, err)
+		assert.Equal(t, g.Server(), "s1")
+		assert.Equal(t, time.Since(start), time.Second)
+		s1.State = ServerStopped
+		h.Configure(testClasses(), nil, []ServerSpec{s1, s2})
+		_, err = h.Ask(t.Context(), "i1", resumed)
+		refusedFor(t, err, ReasonNoServer)
+	})
+}
--- a/process/pool/policybench/cluster_test.go
+++ b/process/pool/policybench/cluster_test.go
@@ -149,6 +149,7 @@
 			if !r.class.Idempotent {
 				return true
 			}
+			r.ask.Resume = ""
 			r.ask.Exclude = append(r.ask.Exclude, grant.Server())
 		}
 	}
--- a/process/pool/schedule.go
+++ b/process/pool/schedule.go
@@ -29,7 +29,7 @@
 	}
 	n := 0
 	for _, s := range h.servers {
-		if s.serving() {
+		if s.serving() || s.draining() {
 			n += s.Free()
 		}
 	}
@@ -46,7 +46,7 @@
 func (h *Home) choices(w *waiter, byTurn bool, now time.Time) []*pick.Server {
 	h.candidates = h.candidates[:0]
 	var keep reserve
-	if !byTurn {
+	if !byTurn && !h.resumesDraining(w) {
 		keep = h.reserve(w.item.Tier, now)
 	}
 	regular, cheap := h.supplies(nil)
@@ -71,6 +71,12 @@
 	return h.candidates
 }
 
+// resumesDraining tells whether the request goes on at a server that drains, whose slots are nobody else's.
+func (h *Home) resumesDraining(w *waiter) bool {
+	s := h.byName[w.ask.Resume]
+	return s != nil && s.draining()
+}
+
 func (h *Home) pickAsk(w *waiter, now time.Time) pick.Ask {
 	ask := pick.Ask{
 		BetweenTokens: time.Duration(w.class.TbtMs) * time.Millisecond,
@@ -101,11 +107,6 @@
 
 func (h *Home) choose(w *waiter, byTurn bool, now time.Time) *server {
 	choices := h.choices(w, byTurn, now)
-	for _, s := range choices {
-		if s.Name == w.ask.Resume {
-			return h.byName[s.Name]
-		}
-	}
 	return h.byName[h.Policy.Choose(choices, h.pickAsk(w, now)).Name]
 }
 
@@ -118,7 +119,7 @@
 	var unfit []int
 	h.queue.Each(func(it *queue.Item) bool {
 		other := h.waiters[it.Number]
-		if it.Tier < w.item.Tier && h.mayServe(s, other) && !pick.Fits(&s.Server, h.pickAsk(other, time.Now())) {
+		if it.Tier < w.item.Tier && h.mayServe(s, other) && pick.TooSlow(&s.Server, h.pickAsk(other, time.Now())) {
 			unfit = append(unfit, it.Number)
 		}
 		return true
--- a/process/pool/servers.go
+++ b/process/pool/servers.go
@@ -40,6 +40,8 @@
 
 func (s *server) serving() bool { return s.configured && s.state == ServerServing }
 
+func (s *server) draining() bool { return s.configured && s.state == ServerDraining }
+
 // Configure takes in the classes, the workspaces and the pool's backend servers of this data centre.
 // It is called for each new version and each change of a server's state; servers that aren't listed
 // get no new work.
@@ -109,11 +111,15 @@
 }
 
 func (h *Home) traceServer(s *server) {
-	h.trace(Event{Kind: EventServer, Server: s.Name, Slots: s.Slots, Cheap: s.Cheap, Serving: s.serving()})
+	h.trace(Event{Kind: EventServer, Server: s.Name, Slots: s.Slots, Cheap: s.Cheap, Serving: s.serving(), Draining: s.draining()})
 }
 
-// mayServe tells whether the rules let the server take the request, however loaded and slow it is.
+// mayServe tells whether the rules let the server take the request, however loaded and slow it is. A paused
+// stream goes on only where it was, also while that server drains.
 func (h *Home) mayServe(s *server, w *waiter) bool {
+	if w.ask.Resume != "" {
+		return s.Name == w.ask.Resume && (s.serving() || s.draining())
+	}
 	if !s.serving() || s.Cheap && !w.class.CheapAllowed {
 		return false
 	}
--- a/process/pool/trace.go
+++ b/process/pool/trace.go
@@ -56,10 +56,11 @@
 	Recovering bool
 	// TooSlow tells in a refusal for overload on which servers the request would miss its targets.
 	TooSlow []string
-	// Slots, Cheap and Serving belong to EventServer.
-	Slots   int
-	Cheap   bool
-	Serving bool
+	// Slots, Cheap, Serving and Draining belong to EventServer.
+	Slots    int
+	Cheap    bool
+	Serving  bool
+	Draining bool
 	// Unfit tells in EventGranted which waiting requests of higher tiers found the server too slow.
 	Unfit []int
 }
--- a/process/pool/tracecheck/tracecheck.go
+++ b/process/pool/tracecheck/tracecheck.go
@@ -45,8 +45,8 @@
 }
 
 type server struct {
-	slots, running int
-	cheap, serving bool
+	slots, running           int
+	cheap, serving, draining bool
 }
 
 // New returns an empty checker.
@@ -97,7 +97,7 @@
 
 func (c *Checker) server(e pool.Event) {
 	s := c.serverOf(e.Server)
-	s.slots, s.cheap, s.serving = e.Slots, e.Cheap, e.Serving
+	s.slots, s.cheap, s.serving, s.draining = e.Slots, e.Cheap, e.Serving, e.Draining
 }
 
 func (c *Checker) serverOf(name string) *server {
@@ -226,6 +226,9 @@
 
 // mayUse tells whether the rules let the request on the server, however loaded and slow it is.
 func mayUse(e pool.Event, name string, s *server) bool {
+	if s != nil && e.Resume != "" {
+		return name == e.Resume && (s.serving || s.draining)
+	}
 	if s == nil || !s.serving || s.cheap && !e.CheapAllowed {
 		return false
 	}
