--- a/Makefile
+++ b/Makefile
@@ -33,15 +33,24 @@
 	$(BIN)/gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^wire/')
 
 lint: $(BIN)/golangci-lint
-	$(BIN)/golangci-lint run ./...
-	cd tools && $(BIN)/golangci-lint run --config ../.golangci.yml ./...
+	$(BIN)/golangci-lint run --allow-parallel-runners ./...
+	cd tools && $(BIN)/golangci-lint run --allow-parallel-runners --config ../.golangci.yml ./...
 
 unit:
 	go vet ./... ./tools/...
-	go test -race ./... ./tools/...
+	go run ./tools/testrun -- -race ./... ./tools/...
 
 # test is the whole check: build, vet, linter, unit tests with the race detector, scenarios.
 test: build lint unit
 
+# demo starts the whole path on loopback, sends a mixed load and prints how the service levels were met.
+demo:
+	go run ./tools/demo
+
+# bench compares the scheduling with the baselines on the same loads and faults, and an instance with an engine alone.
+bench:
+	go run ./tools/bench policy
+	go run ./tools/bench speed
+
 clean:
 	rm -rf $(BIN) out
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/mempool"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/samber/oops"
@@ -119,12 +118,17 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.setDefaults()
 	s.calls = make(map[*call]struct{})
-	logging.SetLogger(engineLog{log: s.Log.Sugar()})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The engine does not return from a failed listen, so that the listener is opened before.
+	ln, err := s.listen(ctx)
+	if err != nil {
+		return oops.In("caller").With("listen", s.Listen).Wrap(err)
+	}
 	s.workers = newWorkers()
 	defer s.workers.stop()
 	cfg := s.config()
+	cfg.Listen = func(string, string) (net.Listener, error) { return ln, nil }
 	s.http = nbhttp.NewServer(cfg)
 	s.http.Engine.Engine.OnOpen(s.onOpen)
 	s.http.OnWrittenSize(onWritten)
@@ -150,7 +154,6 @@
 		MaxWriteBufferSize: maxWriteBuffer,
 		KeepaliveTime:      s.IdleTimeout,
 		SupportServerOnly:  true,
-		Listen:             s.listen,
 		ServerExecutor:     s.workers.run,
 	}
 	if s.Certificate == nil {
@@ -164,9 +167,10 @@
 	return cfg
 }
 
-func (s *Server) listen(network, address string) (net.Listener, error) {
+// listen opens the listener.
+func (s *Server) listen(ctx context.Context) (net.Listener, error) {
 	var lc net.ListenConfig
-	ln, err := lc.Listen(context.Background(), network, address)
+	ln, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err == nil {
 		s.address = ln.Addr().String()
 	}
@@ -248,11 +252,3 @@
 		g.written(int64(n))
 	}
 }
-
-// engineLog passes the library's own lines on.
-type engineLog struct{ log *zap.SugaredLogger }
-
-func (l engineLog) Debug(format string, v ...any) { l.log.Debugf("nbio "+format, v...) }
-func (l engineLog) Info(format string, v ...any)  { l.log.Debugf("nbio "+format, v...) }
-func (l engineLog) Warn(format string, v ...any)  { l.log.Warnf("nbio "+format, v...) }
-func (l engineLog) Error(format string, v ...any) { l.log.Warnf("nbio "+format, v...) }
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -45,6 +45,9 @@
 	methodExchange = "exchange"
 	methodAnnounce = "announce"
 	methodUsage    = "usage"
+	methodFleet    = "fleet"
+	methodStreams  = "streams"
+	methodDemand   = "demand"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -36,8 +36,14 @@
 	Exchange func(from string, digest wire.VersionDigest) wire.VersionOffer
 	// Announced hears that a peer has the digest.
 	Announced func(from string, digest wire.VersionDigest)
-	// Usage takes counts of a peer over; an error leaves them with the peer.
-	Usage func(from string, counts []wire.UsageCount) error
+	// Usage takes counts of a peer over and tells which are stored.
+	Usage func(from string, counts wire.UsageHandOver) (wire.UsageHandOverReply, error)
+	// Fleet returns this instance's view of the backend servers.
+	Fleet func() wire.FleetView
+	// Streams returns the number of this instance's streams at a backend server.
+	Streams func(server string) int
+	// Demand returns the load of a pool at this instance.
+	Demand func(pool string) wire.PoolDemand
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
 	Lost func(instance string)
 
@@ -163,6 +169,12 @@
 		return s.announce(from, req)
 	case methodUsage:
 		return s.usage(from, req)
+	case methodFleet:
+		return s.server.Fleet(), nil
+	case methodStreams:
+		return s.streams(req)
+	case methodDemand:
+		return s.demand(req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -286,11 +298,28 @@
 }
 
 func (s *session) usage(from string, req *jsonrpc2.Request) (any, error) {
-	counts, err := decode[[]wire.UsageCount](req)
+	counts, err := decode[wire.UsageHandOver](req)
 	if err != nil {
 		return nil, err
 	}
-	return nil, s.server.Usage(from, counts)
+	return s.server.Usage(from, counts)
+}
+
+func (s *session) streams(req *jsonrpc2.Request) (any, error) {
+	q, err := decode[wire.ServerStreams](req)
+	if err != nil {
+		return nil, err
+	}
+	q.Running = s.server.Streams(q.Server)
+	return q, nil
+}
+
+func (s *session) demand(req *jsonrpc2.Request) (any, error) {
+	q, err := decode[wire.PoolDemand](req)
+	if err != nil {
+		return nil, err
+	}
+	return s.server.Demand(q.Pool), nil
 }
 
 // end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
--- a/process/instance/homes.go
+++ b/process/instance/homes.go
@@ -5,7 +5,6 @@
 
 	"github.com/toucanroute/toucanroute/connection/peer"
 	"github.com/toucanroute/toucanroute/process/pool"
-	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/version/route"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -16,15 +15,14 @@
 type homes struct {
 	instance   string
 	dataCentre string
-	policy     pick.Policy
 	// table returns the configuration in force; it is never nil once a request is served.
 	table func() *route.Table
 	// state returns whether a backend server may get new work.
 	state func(server string) pool.ServerState
 	// live returns the number of live instances of this data centre.
 	live func() int
-	// others returns the other live instances of this data centre.
-	others func() []string
+	// declarers returns the other live instances of this data centre that may hold grants.
+	declarers func() []string
 	// preempt asks another instance to pause the stream of a grant.
 	preempt func(holder string, p wire.GrantPreempt)
 
@@ -84,7 +82,6 @@
 	hm := &pool.Home{
 		Pool:           name,
 		Instance:       h.instance,
-		Policy:         h.policy,
 		Share:          share,
 		ExpectedTokens: spec.ExpectedTokens,
 		Preempt:        h.preempt,
@@ -103,7 +100,7 @@
 		hm = h.open(name)
 	}
 	var missing []string
-	for _, holder := range append(h.others(), h.instance) {
+	for _, holder := range append(h.declarers(), h.instance) {
 		if !h.declared[name][holder] {
 			missing = append(missing, holder)
 		}
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,11 @@
 	"github.com/toucanroute/toucanroute/process/burn"
 	"github.com/toucanroute/toucanroute/process/home"
 	"github.com/toucanroute/toucanroute/process/members"
+	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/process/versions"
+	"github.com/toucanroute/toucanroute/request/claim"
 	"github.com/toucanroute/toucanroute/request/dispatch"
 	"github.com/toucanroute/toucanroute/request/pick"
 	"github.com/toucanroute/toucanroute/version/keyring"
@@ -48,8 +49,8 @@
 	Settings *settings.Settings
 	// Log gets one line for each event.
 	Log *zap.Logger
-	// Policy chooses among backend servers; the zero value is the project's own.
-	Policy pick.Policy
+	// Baseline, where it has a Choose, takes the place of the project's scheduling in experiments.
+	Baseline pick.Policy
 	// Build names the build in the status.
 	Build string
 
@@ -61,14 +62,22 @@
 	homes    *homes
 	router   *home.Router
 	health   *health
+	claims   claims
 	dispatch *dispatch.Dispatcher
 	callers  *caller.Server
 	book     burn.Book
+	metrics  *metrics.Metrics
 	retries  retries
+	demands  demands
+	spending spending
+	// baseline is nil but in experiments.
+	baseline *home.Baseline
 
 	// table and ring are what is in force; table is nil until the first configuration.
 	table atomic.Pointer[route.Table]
 	ring  atomic.Pointer[keyring.Ring]
+	// jobs is nil until the first configuration.
+	jobs atomic.Pointer[jobs]
 	// joined is set once the links have had joinDelay.
 	joined atomic.Bool
 
@@ -83,16 +92,25 @@
 	defer stop()
 	g, run := errgroup.WithContext(base)
 	i.build(run)
+	i.metrics.Register()
+	defer i.metrics.Unregister()
 	g.Go(func() error { return i.peers.Run(run) })
 	g.Go(func() error { return i.operators().Run(run) })
 	g.Go(func() error { i.versions.Run(run); return nil })
 	g.Go(func() error { i.health.run(run); return nil })
+	g.Go(func() error { i.claims.claims.Run(run); return nil })
 	g.Go(func() error { i.discover(run); return nil })
+	jobsCtx, stopJobs := context.WithCancel(run)
+	defer stopJobs()
+	jobsDone := make(chan struct{})
+	g.Go(func() error { i.runJobs(jobsCtx); close(jobsDone); return nil })
 	g.Go(func() error { return i.serveCallers(run) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 			i.leave(run)
+			stopJobs()
+			<-jobsDone
 			stop()
 		case <-run.Done():
 		}
@@ -107,14 +125,13 @@
 func (i *Instance) build(run context.Context) {
 	i.ring.Store(keyring.NewRing())
 	i.withdrawn = map[string]map[string]bool{}
-	i.objects = &platform.Objects{Client: platform.Client{
-		BaseURL:  "http://" + i.Settings.Platform.Objects,
-		Instance: i.Settings.Instance,
-	}}
+	i.metrics = metrics.New(i.gauges)
+	i.objects = &platform.Objects{Client: i.client(i.Settings.Platform.Objects)}
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(run)
 	i.buildVersions()
 	i.buildHomes()
+	i.claims.claims = &claim.Claims{Objects: i.objects.Store(), Log: i.Log}
 	i.buildDispatch()
 	i.callers = &caller.Server{
 		Listen:     i.Settings.Listen.Callers,
@@ -147,7 +164,10 @@
 		Claim:     i.answerClaim,
 		Exchange:  i.answerExchange,
 		Announced: func(from string, d wire.VersionDigest) { i.versions.Hear(from, d) },
-		Usage:     func(string, []wire.UsageCount) error { return errors.New("no collector") },
+		Usage:     i.answerUsage,
+		Fleet:     i.fleetView,
+		Streams:   func(server string) int { return i.dispatch.Running(server) },
+		Demand:    i.ownDemand,
 		Lost:      func(instance string) { i.homes.dropHolder(instance) },
 	}
 	t := i.Settings.Tls
@@ -165,30 +185,34 @@
 		log:     i.Log,
 		servers: i.watchedServers,
 		home:    func(name string) *pool.Home { return i.homes.lookup(name) },
+		report:  i.report,
 		changed: func() { i.homes.configure() },
 		isModel: i.isModel,
 	}
 	i.homes = &homes{
 		instance:   i.Settings.Instance,
 		dataCentre: i.Settings.DataCentre,
-		policy:     i.Policy,
 		table:      i.table.Load,
 		state:      i.serverState,
 		live:       func() int { return i.members.Live(i.Settings.DataCentre) },
-		others:     i.others,
+		declarers:  i.declarers,
 		preempt:    func(holder string, p wire.GrantPreempt) { go i.peers.Preempt(holder, p) },
 	}
+	if i.Baseline.Choose != nil {
+		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
+	}
 	i.router = &home.Router{
-		Instance:    i.Settings.Instance,
-		DataCentre:  i.Settings.DataCentre,
-		Log:         i.Log,
-		Homes:       i.members.Homes,
-		DataCentres: func() []string { return i.table.Load().DataCentres() },
-		Peer:        i.links.homePeer,
-		Local:       i.homes.get,
-		Share:       i.homes.getShare,
-		Target:      i.target,
-		Serves:      func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
+		Instance:     i.Settings.Instance,
+		DataCentre:   i.Settings.DataCentre,
+		Log:          i.Log,
+		Homes:        i.members.Homes,
+		DataCentres:  func() []string { return i.table.Load().DataCentres() },
+		Peer:         i.links.homePeer,
+		Local:        i.homes.get,
+		Share:        i.homes.getShare,
+		Target:       i.target,
+		DataCentreOf: i.dataCentreOf,
+		Serves:       func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
 	}
 }
 
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -22,6 +22,8 @@
 	discoverInterval = 5 * time.Second
 	// rehomeInterval is the time after which homes are looked at anew even without a word of a change.
 	rehomeInterval = time.Second
+	// declareInterval is the time between two tellings of the grants held.
+	declareInterval = 10 * time.Second
 	// announceTo is the number of peers that hear of a new digest at once.
 	announceTo = 3
 	// elsewhereShare is the share of the digest comparisons that go to an instance out of turn.
@@ -81,9 +83,13 @@
 	defer list.Stop()
 	look := time.NewTicker(rehomeInterval)
 	defer look.Stop()
+	declare := time.NewTicker(declareInterval)
+	defer declare.Stop()
 	i.readList(ctx)
 	for {
 		select {
+		case <-declare.C:
+			i.router.Declare()
 		case <-ctx.Done():
 			return
 		case <-list.C:
@@ -99,10 +105,7 @@
 	if i.Settings.Platform.Instances == "" {
 		return
 	}
-	client := &platform.Instances{Client: platform.Client{
-		BaseURL:  "http://" + i.Settings.Platform.Instances,
-		Instance: i.Settings.Instance,
-	}}
+	client := &platform.Instances{Client: i.client(i.Settings.Platform.Instances)}
 	list, err := client.List(ctx)
 	if err != nil {
 		i.Log.Warn("instance_list_failed", zap.Error(err))
@@ -117,7 +120,7 @@
 	}
 }
 
-// peersOf returns the other live instances of this data centre, sorted.
+// others returns the other live instances of this data centre, sorted.
 func (i *Instance) others() []string {
 	var names []string
 	for _, m := range i.members.All() {
@@ -128,6 +131,18 @@
 	return names
 }
 
+// declarers returns the other live instances of this data centre that may hold grants: one that has no configuration
+// yet holds none and declares none.
+func (i *Instance) declarers() []string {
+	var names []string
+	for _, m := range i.members.All() {
+		if m.DataCentre() == i.Settings.DataCentre && m.State() == members.StateLive && m.Config() > 0 {
+			names = append(names, m.Instance())
+		}
+	}
+	return names
+}
+
 // rank returns this instance's place among the live instances of its data centre, with their sorted names.
 func (i *Instance) rank() (int, []string) {
 	names := append(i.others(), i.Settings.Instance)
--- a/process/instance/version.go
+++ b/process/instance/version.go
@@ -17,6 +17,9 @@
 		return err
 	}
 	i.table.Store(table)
+	if i.jobs.Load() == nil {
+		i.jobs.Store(i.buildJobs(window(cfg)))
+	}
 	i.Log.Info("config_in_force", zap.Int("version", cfg.Version))
 	i.homes.configure()
 	i.rehome()
@@ -68,12 +71,35 @@
 
 // serverState tells whether a backend server may get new work.
 func (i *Instance) serverState(server string) pool.ServerState {
+	switch i.fleetState(server) {
+	case wire.FleetServerStateDraining, wire.FleetServerStateEvicting:
+		return pool.ServerDraining
+	case wire.FleetServerStateStopped:
+		return pool.ServerStopped
+	}
 	if i.health.suspect(server) {
 		return pool.ServerSuspect
 	}
 	return pool.ServerServing
 }
 
+// fleetState returns the state that the fleet's view gives a backend server.
+func (i *Instance) fleetState(server string) wire.FleetServerState {
+	if j := i.jobs.Load(); j != nil {
+		return j.fleet.State(server)
+	}
+	return wire.FleetServerStateServing
+}
+
+// statusState returns the state of a backend server as the status page shows it.
+func (i *Instance) statusState(server string) wire.ServerStatusState {
+	state := i.fleetState(server)
+	if state == wire.FleetServerStateServing && i.health.suspect(server) {
+		return wire.ServerStatusStateSuspect
+	}
+	return wire.ServerStatusState(state)
+}
+
 // watchedServers returns the backend servers of the pools whose home this instance is.
 func (i *Instance) watchedServers() []wire.Server {
 	table := i.table.Load()
@@ -83,13 +109,35 @@
 	var list []wire.Server
 	for _, p := range table.Pools() {
 		homes := i.members.Homes(p.Name, i.Settings.DataCentre)
-		if len(homes) > 0 && homes[0] == i.Settings.Instance {
+		isHome := len(homes) > 0 && homes[0] == i.Settings.Instance
+		if isHome || i.baseline != nil {
 			list = append(list, table.Servers(p.Name, i.Settings.DataCentre)...)
 		}
 	}
 	return list
 }
 
+// localServers returns the backend servers of a pool in this data centre that may get work.
+func (i *Instance) localServers(name string) []wire.Server {
+	var list []wire.Server
+	for _, s := range i.table.Load().Servers(name, i.Settings.DataCentre) {
+		if i.serverState(s.Name) == pool.ServerServing {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// report passes the load report of a backend server on.
+func (i *Instance) report(s wire.Server, r wire.LoadReport) {
+	if i.baseline != nil {
+		i.baseline.Report(r)
+	}
+	if hm := i.homes.lookup(s.Pool); hm != nil {
+		hm.Report(r)
+	}
+}
+
 func (i *Instance) isModel(name string) bool {
 	spec, _ := i.table.Load().Pool(name)
 	return spec.Kind == wire.PoolSpecKindModel
@@ -111,6 +159,9 @@
 	if age, ok := i.versions.Age(); ok {
 		s.PlatformReachable = age < unreachableAfter
 	}
+	if j := i.jobs.Load(); j != nil {
+		s.Leases = append(s.Leases, j.fleetLease.Status(), j.usageLease.Status())
+	}
 	if table := i.table.Load(); table != nil {
 		s.ConfigVersion = table.Version()
 		i.poolStatus(&s, table)
@@ -139,7 +190,8 @@
 				DataCentre: b.DataCentre,
 				Pool:       b.Pool,
 				Kind:       string(b.Kind),
-				State:      wire.ServerStatusState(i.serverState(b.Name)),
+				State:      i.statusState(b.Name),
+				Running:    i.dispatch.Running(b.Name),
 			})
 		}
 	}
@@ -153,6 +205,8 @@
 		return b
 	}
 	b.ConfigVersion = table.Version()
+	b.Servers = i.spending.servers(table)
+	b.Reports = i.spending.counts()
 	b.Rows = i.book.Rows(func(name string) wire.Class {
 		c, _ := table.Class(name)
 		return c
--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -45,10 +45,21 @@
 	// turnAfterMin and turnAfterMax bound the wait until a class gets a turn.
 	turnAfterMin = 2 * time.Second
 	turnAfterMax = time.Minute
+	// creditAnswers is the number of usual answers that a workspace may be behind and catch up.
+	creditAnswers = 10
+	// maxCharge is how many times the estimated length one answer counts at most against its
+	// workspace, so that a single long answer doesn't shut it out.
+	maxCharge = 2
+	// unsureMargin is how many times its slack the predicted wait of a request above the lowest tier
+	// may be, and unsureRate the rate of lower tiers' requests per second from which that counts.
+	unsureMargin = 2
+	unsureRate   = 0.01
 	// retryAfterMin is the shortest time after which a refused request is asked to come back.
 	retryAfterMin = 100 * time.Millisecond
 	// noServerRetry is the time after which a request without any server may come back.
 	noServerRetry = time.Second
+	// replyTime is the longest time that a grant's reply is on its way to its holder.
+	replyTime = 5 * time.Second
 	// numberRange bounds the random first number, so that the numbers of two homes seldom meet.
 	numberRange = 1 << 30
 )
@@ -92,14 +103,14 @@
 	preemptible map[lane]int
 	// coming counts the grants that are being paused, by the kind of their server.
 	coming kinds
-	// lastGrant holds the time of the last grant without a turn, by tier and kind of server.
-	lastGrant map[lane]time.Time
 	// recovering holds the instances that have yet to declare their grants.
 	recovering      map[string]bool
 	recoveringUntil time.Time
 	timer           *time.Timer
-	calls           []func()
-	candidates      []*pick.Server
+	// armed is the time of the next sweep; zero is none.
+	armed      time.Time
+	calls      []func()
+	candidates []*pick.Server
 }
 
 type classInfo struct {
@@ -174,6 +185,7 @@
 	h.queue.Push(&w.item)
 	h.trace(w.event(EventAsked))
 	h.schedule(now)
+	h.armFor(&w.item, now)
 	return w, nil
 }
 
@@ -216,9 +228,9 @@
 	h.lock()
 	defer h.unlock()
 	h.closed = true
-	h.queue.Items(func(it *queue.Item) {
+	for _, it := range h.queue.Items() {
 		h.refuse(h.waiters[it.Number], ReasonMoved, 0)
-	})
+	}
 	h.timer.Stop()
 }
 
@@ -246,7 +258,6 @@
 	h.grants = make(map[grantKey]*held)
 	h.arrivals = make(map[lane]*estimate.Rate)
 	h.preemptible = make(map[lane]int)
-	h.lastGrant = make(map[lane]time.Time)
 	h.queue.TurnAfter = turnAfterMin
 	h.prefixes.Limit = prefixLimit
 	h.service.ExpectedTokens = h.ExpectedTokens
@@ -268,5 +279,6 @@
 		Exclude:      w.ask.Exclude,
 		Resume:       w.ask.Resume,
 		CheapAllowed: w.class.CheapAllowed,
+		Latest:       w.item.Latest,
 	}
 }
--- a/request/attempt/straggler.go
+++ b/request/attempt/straggler.go
@@ -12,16 +12,24 @@
 	// stragglerFactor is how far above the pool's median a straggler's times are.
 	stragglerFactor = 2
 	// recoveredFactor is the hysteresis: below it the server is no straggler any more.
-	recoveredFactor     = 1.4
-	stragglerSamples    = 3
-	stragglerWindow     = 8
+	recoveredFactor = 1.4
+	// medianShare is the number of servers for each observation between two looks at the medians.
+	medianShare      = 8
+	stragglerSamples = 3
+	stragglerWindow  = 8
+	// stragglerProbeEvery is the time between two probes by work that can be repeated, and
+	// stragglerProbeOther the same by other work.
 	stragglerProbeEvery = 2 * time.Second
+	stragglerProbeOther = time.Minute
 )
 
 // Stragglers compares the observed times of backend servers with the median of their pool.
 type Stragglers struct {
 	mu      sync.Mutex
 	servers map[string]*observed
+	// medians are as old as some observations, a share of the number of servers.
+	medianFirst, medianBetween float64
+	sinceMedian                int
 }
 
 type observed struct {
@@ -49,7 +57,11 @@
 	if between > 0 {
 		o.between.Observe(between.Seconds())
 	}
+	slow := o.slow
 	s.judge(o)
+	if o.slow && !slow {
+		o.probed = time.Now()
+	}
 }
 
 func (s *Stragglers) judge(o *observed) {
@@ -60,9 +72,18 @@
 	if o.slow {
 		factor = recoveredFactor
 	}
-	first := s.median(func(o *observed) estimate.Mean { return o.firstToken })
-	between := s.median(func(o *observed) estimate.Mean { return o.between })
-	o.slow = above(o.firstToken.Value(), factor*first) || above(o.between.Value(), factor*between)
+	s.updateMedians()
+	o.slow = above(o.firstToken.Value(), factor*s.medianFirst) || above(o.between.Value(), factor*s.medianBetween)
+}
+
+func (s *Stragglers) updateMedians() {
+	if s.sinceMedian > 0 {
+		s.sinceMedian--
+		return
+	}
+	s.sinceMedian = len(s.servers) / medianShare
+	s.medianFirst = s.median(func(o *observed) estimate.Mean { return o.firstToken })
+	s.medianBetween = s.median(func(o *observed) estimate.Mean { return o.between })
 }
 
 func above(v, limit float64) bool { return limit > 0 && v > limit }
@@ -89,12 +110,17 @@
 	return o != nil && o.slow
 }
 
-// ProbeDue tells whether a straggler may get one request to see whether it has recovered.
-func (s *Stragglers) ProbeDue(server string, now time.Time) bool {
+// ProbeDue tells whether a straggler may get one request to see whether it has recovered. Work that
+// can't be repeated probes seldom.
+func (s *Stragglers) ProbeDue(server string, now time.Time, repeatable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.servers[server]
-	return o != nil && o.slow && now.Sub(o.probed) >= stragglerProbeEvery
+	every := stragglerProbeEvery
+	if !repeatable {
+		every = stragglerProbeOther
+	}
+	return o != nil && o.slow && now.Sub(o.probed) >= every
 }
 
 // Probed notes that a probe has gone to the server.
--- a/request/completion_test.go
+++ b/request/completion_test.go
@@ -38,7 +38,7 @@
 	} {
 		c, err := ParseCompletion(PathCompletions, []byte(tc.body))
 		assert.NilError(t, err)
-		body, err := c.EngineBody(1, tc.class)
+		body, err := c.EngineBody(c.Model(), 1, tc.class)
 		assert.NilError(t, err)
 		assert.Assert(t, strings.Contains(string(body), tc.want), string(body))
 		assert.Equal(t, strings.Count(string(body), "_tokens"), 1)
@@ -70,7 +70,7 @@
 			assert.Assert(t, answer.NotRun && answer.Code == CodeBadRequest)
 			return
 		}
-		out, err := c.EngineBody(3, 0)
+		out, err := c.EngineBody(c.Model(), 3, 0)
 		assert.NilError(t, err)
 		var lenient struct {
 			Model    string
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -125,8 +125,6 @@
 	Acquire func(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error)
 	// Address returns a backend server's IP address and port; empty is unknown.
 	Address func(server string) string
-	// Siblings returns the other backend servers of a server's pool. Optional: a paused stream then can't ask for its own server.
-	Siblings func(server string) []string
 	// Cheap tells whether a backend server is of the cheap kind. Optional.
 	Cheap func(server string) bool
 	// Retry takes one retry from a pool's budget and tells whether there was one. Optional: none is allowed.
@@ -181,6 +179,9 @@
 // Live returns the number of live requests.
 func (d *Dispatcher) Live() int { return d.live.len() }
 
+// Running returns the number of running attempts at a backend server.
+func (d *Dispatcher) Running(server string) int { return d.live.running(server) }
+
 // live is one running request.
 type live struct {
 	workspace string
@@ -225,6 +226,18 @@
 	return len(t.all)
 }
 
+func (t *liveTable) running(server string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for l := range t.all {
+		if l.server == server && l.cancelAttempt != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *liveTable) cancel(cause error, match func(*live) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -29,6 +29,8 @@
 	attempt int
 	// exclude names backend servers that failed this request.
 	exclude []string
+	// resume names the backend server that holds the paused stream; empty is none.
+	resume string
 }
 
 // start finds the request's rights and registers it as live. Its end must be called in any case.
@@ -112,7 +114,8 @@
 // answerOf gives err the form of an answer that tells the truth about what was sent.
 func (r *run) answerOf(err error) request.ErrAnswer {
 	answer := r.classify(err)
-	answer.NotRun = !r.sent
+	// A repeat is not sent, but its call may have run under the same key: a new key would run it twice.
+	answer.NotRun = !r.sent && answer.Code != request.CodeClaimed
 	return answer
 }
 
@@ -215,6 +218,7 @@
 		Tokens:    tokens,
 		Workspace: r.rights.Workspace,
 		Exclude:   r.exclude,
+		Resume:    r.resume,
 	})
 	if err != nil {
 		return nil, "", err
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,12 +21,17 @@
 const (
 	// terminateTimeout is the time in which a process must end after SIGTERM.
 	terminateTimeout = 20 * time.Second
+	// stopTimeout is the time in which a process must stand still after SIGSTOP.
+	stopTimeout = 5 * time.Second
 	// runTimeout bounds a command of the product that runs to its end.
 	runTimeout = 60 * time.Second
 )
 
-// flaw matches what no process may write to its log.
-var flaw = regexp.MustCompile(`(?m)^(WARNING: DATA RACE|panic: |fatal error: )`)
+// crash matches what no process may write to its log.
+var crash = regexp.MustCompile(`(?m)^(panic: |fatal error: )`)
+
+// raceInLog leaves the judgement of the race detector's reports to firstRace, which reads the log.
+const raceInLog = "GORACE=atexit_sleep_ms=0 exitcode=0"
 
 // signals are those that a script may send.
 var signals = map[string]syscall.Signal{
@@ -78,7 +85,7 @@
 	}
 	p.cmd = exec.CommandContext(context.Background(), args[1], args[2:]...)
 	p.cmd.Dir = s.dir
-	p.cmd.Env = s.env.Vars
+	p.cmd.Env = append(slices.Clone(s.env.Vars), raceInLog)
 	p.cmd.Stdout = p.out
 	p.cmd.Stderr = p.out
 	if err := p.cmd.Start(); err != nil {
@@ -139,8 +146,31 @@
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		return err
 	}
-	if sig == syscall.SIGKILL {
+	switch sig {
+	case syscall.SIGKILL:
 		return p.waitFor(terminateTimeout)
+	case syscall.SIGSTOP:
+		return poll(stopTimeout, func() error { return isStopped(p.cmd.Process.Pid) })
+	}
+	return nil
+}
+
+// isStopped returns an error unless all threads of a process stand still; the signal takes effect a little after it
+// was sent.
+func isStopped(pid int) error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("no threads of process %d: %w", pid, err)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		_, state, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return fmt.Errorf("%s: still runs", file)
+		}
 	}
 	return nil
 }
@@ -184,7 +214,7 @@
 }
 
 // log looks for a pattern in what a process wrote: log NAME PATTERN.
-func (s *session) log(args []string, _ io.Writer) error {
+func (s *session) log(args []string, out io.Writer) error {
 	if len(args) != 2 {
 		return errUsage{"log NAME PATTERN"}
 	}
@@ -196,9 +226,11 @@
 	if err != nil {
 		return err
 	}
-	if !re.MatchString(p.out.String()) {
+	found := re.FindString(p.out.String())
+	if found == "" {
 		return fmt.Errorf("no match for %q in the log of %s", args[1], args[0])
 	}
+	_, _ = fmt.Fprintln(out, found)
 	return nil
 }
 
@@ -235,8 +267,11 @@
 		text := p.out.String()
 		s.env.T().Log(fmt.Sprintf("--- log of %s:\n%s", name, tail(text)))
 		_ = os.WriteFile(filepath.Join(s.env.WorkDir, name+".log"), []byte(text), 0o600)
-		if flaw.MatchString(text) {
-			s.env.T().Fatal("flaw in the log of " + name + ":\n" + text)
+		if crash.MatchString(text) {
+			s.env.T().Fatal("crash in the log of " + name + ":\n" + text)
+		}
+		if race, ok := firstRace(text); ok {
+			s.env.T().Fatal("data race in the log of " + name + ":\n" + race)
 		}
 	}
 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,7 +1,9 @@
-// Package scenario runs scripted scenarios of separate processes: the daemon, its command and the stand-ins.
+// Package scenario runs scripted scenarios of separate processes: the daemon, its command, the demo and the stand-ins.
 //
 // A scenario is a testscript file in testdata. Beside testscript's own commands it has those of commands in
-// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers.
+// session_test.go. $P0 to $P39 are free addresses, $N0 to $N39 their port numbers,
+// $BIN the directory of the binaries and $ROOT that of the source tree. toucanctl finds the deployment of the fixture
+// by its environment.
 package scenario
 
 import (
@@ -10,13 +12,23 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/toucanroute/toucanroute/standin/port"
 )
 
+// portsPerScript is the number of addresses that a script gets.
+const portsPerScript = 40
+
 // binaries are the packages built for the scenarios, with the race detector.
-var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin"}
+var binaries = []string{"./cmd/toucanrouted", "./cmd/toucanctl", "./tools/standin", "./tools/demo"}
+
+// binDir is where the binaries are.
+var binDir string
 
 func TestMain(m *testing.M) {
 	os.Exit(runWithBinaries(m))
@@ -34,6 +46,7 @@
 		fmt.Fprintln(os.Stderr, "build for scenarios:", err)
 		return 1
 	}
+	binDir = dir
 	path := dir + string(filepath.ListSeparator) + os.Getenv("PATH")
 	if err := os.Setenv("PATH", path); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -63,16 +76,27 @@
 
 // setup gives a script its addresses and its session.
 func setup(env *testscript.Env) error {
-	block, err := reservePorts()
+	block, err := port.Reserve()
+	if err != nil {
+		return err
+	}
+	env.Defer(block.Free)
+	root, err := filepath.Abs("..")
 	if err != nil {
 		return err
 	}
-	env.Defer(block.free)
 	for i := range portsPerScript {
-		port := block.first + i
-		env.Setenv(fmt.Sprintf("P%d", i), fmt.Sprintf("127.0.0.1:%d", port))
-		env.Setenv(fmt.Sprintf("N%d", i), fmt.Sprint(port))
+		env.Setenv(fmt.Sprintf("P%d", i), block.Address(i))
+		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
+	}
+	env.Setenv("BIN", binDir)
+	env.Setenv("TOUCAN_OBJECTS", block.Address(0))
+	env.Setenv("TOUCAN_INSTANCES", strings.Join([]string{block.Address(12), block.Address(15), block.Address(18)}, ","))
+	env.Setenv("ROOT", root)
+	if err := addFixture(env); err != nil {
+		return err
 	}
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	s := newSession(env)
 	env.Values[sessionKey{}] = s
 	env.Defer(s.end)
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -41,6 +41,19 @@
 	Pool string `json:"p"`
 }
 
+// GrantFirst tells a first token that came unusually late, before the grant is
+// released.
+type GrantFirst struct {
+	// Time to first token in milliseconds.
+	FirstTokenMs int `json:"f"`
+
+	// Grant number.
+	Grant int `json:"g"`
+
+	// Pool.
+	Pool string `json:"p"`
+}
+
 // GrantHeld is one grant that a holder declares to a new home of the pool.
 type GrantHeld struct {
 	// Class.
@@ -142,6 +155,12 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *GrantCancel `json:"cancel,omitempty,omitzero"`
 
+	// Demand corresponds to the JSON schema field "demand".
+	Demand *PoolDemand `json:"demand,omitempty,omitzero"`
+
+	// First corresponds to the JSON schema field "first".
+	First *GrantFirst `json:"first,omitempty,omitzero"`
+
 	// Held corresponds to the JSON schema field "held".
 	Held *GrantsHeld `json:"held,omitempty,omitzero"`
 
@@ -156,4 +175,35 @@
 
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *GrantReply `json:"reply,omitempty,omitzero"`
+
+	// Streams corresponds to the JSON schema field "streams".
+	Streams *ServerStreams `json:"streams,omitempty,omitzero"`
+}
+
+// PoolDemand is a question for the load of a pool at an instance, and its answer.
+type PoolDemand struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Share of the requests, 0 to 1, whose class can't be paused.
+	Protected float64 `json:"protected,omitempty,omitzero"`
+
+	// Requests a second.
+	Rps float64 `json:"rps,omitempty,omitzero"`
+
+	// Mean time for which a request holds a slot; 0 is unknown.
+	SlotSeconds float64 `json:"slot_seconds,omitempty,omitzero"`
+
+	// Waiting requests, at the pool's home only.
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
+// ServerStreams is a question for the streams of an instance at a backend server,
+// and its answer.
+type ServerStreams struct {
+	// Running corresponds to the JSON schema field "running".
+	Running int `json:"running,omitempty,omitzero"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
 }
