End attempts at backend servers that send nothing

Cause: a frozen engine held requests of classes without a deadline until their callers left. Change: an attempt without a sign of life for StallTimeout (30 s) ends; idempotent requests of which nothing was shown go elsewhere. The timer stands still while a caller holds its stream up: TestSlowCallerIsNoStall failed before that ('internal: backend server sends nothing').

--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -49,7 +49,7 @@
 	chunks int
 	// resumes is the number of times that the stream was resumed.
 	resumes int
-	// left is true once the running attempt's backend server has left.
+	// left is true once the running attempt's backend server has left or stalled.
 	left bool
 	// attemptStart is the time at which the running attempt was sent.
 	attemptStart time.Time
@@ -154,7 +154,7 @@
 		go s.watchPreempt(ctx, grant, a)
 	}
 	err := s.d.Stream(ctx, a, s.onData)
-	s.left = errors.Is(context.Cause(ctx), ErrServerLeft{})
+	s.left = hasLeft(ctx)
 	s.noteSent(err)
 	if err != nil && !request.IsErrPaused(err) && s.sent && s.d.Cancel != nil {
 		s.cancelAtEngine(err, a)
@@ -162,6 +162,12 @@
 	return err
 }
 
+// hasLeft tells whether an attempt ended because its backend server left or stalled.
+func hasLeft(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrServerLeft{}) || errors.Is(cause, ErrStalled{})
+}
+
 // watchPreempt pauses the engine's stream when the home wants the slot back.
 func (s *stream) watchPreempt(ctx context.Context, grant *pool.Grant, a *request.Attempt) {
 	select {
@@ -242,6 +248,9 @@
 // onData takes one event of the engine's stream.
 func (s *stream) onData(data []byte, more bool) error {
 	s.chunks++
+	// The caller may hold the stream up for long.
+	s.stall.Stop()
+	defer s.stall.Reset(s.d.stallTimeout())
 	isToken, err := s.answer.add(data, more)
 	if !isToken {
 		return err
--- a/request/dispatch/completion_test.go
+++ b/request/dispatch/completion_test.go
@@ -35,6 +35,19 @@
 	cancels  int
 	counted  []int
 	budget   int
+	// slow is the time that each write to the caller takes.
+	slow time.Duration
+}
+
+// slowRecorder records an answer whose caller takes its time.
+type slowRecorder struct {
+	*httptest.ResponseRecorder
+	wait time.Duration
+}
+
+func (w slowRecorder) Write(data []byte) (int, error) {
+	time.Sleep(w.wait)
+	return w.ResponseRecorder.Write(data)
 }
 
 func newBench(plays ...attemptFunc) *bench {
@@ -86,7 +99,7 @@
 	body := fmt.Sprintf(`{"model":"guide","stream":%t,"messages":[{"role":"user","content":"x"}]}`, stream)
 	c, err := request.ParseCompletion(request.PathChat, []byte(body))
 	assert.NilError(t, err)
-	w := httptest.NewRecorder()
+	w := slowRecorder{ResponseRecorder: httptest.NewRecorder(), wait: b.slow}
 	err = b.Complete(ctx, w, &request.Meta{ID: "r1", Arrived: time.Now()}, c)
 	assert.Equal(t, b.Live(), 0)
 	assert.Equal(t, len(b.releases), len(b.grants), "each grant is released")
@@ -295,6 +308,59 @@
 	assert.Equal(t, b.sent[1].Address, "s2:1")
 }
 
+// An engine that sends nothing loses the request to another one, unless its answer was shown.
+func TestStalledEngine(t *testing.T) {
+	stalled := func(n int) attemptFunc {
+		return func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			_ = tokens(n, nil)(ctx, a, onData)
+			<-ctx.Done()
+			return request.ErrAttempt{Sent: true, Err: context.Cause(ctx)}
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stalled(0), tokens(1, nil))
+		begin := time.Now()
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begin), DefaultStallTimeout)
+		assert.Equal(t, b.sent[1].Address, "s2:1")
+		assert.Equal(t, b.releases[0].Failed, true)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stalled(2))
+		_, err := b.complete(context.Background(), t, true)
+		checkAnswer(t, err, "stream_interrupted", false)
+		assert.Equal(t, b.cancels, 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			for range 5 {
+				time.Sleep(DefaultStallTimeout - time.Second)
+				if ctx.Err() != nil {
+					return context.Cause(ctx)
+				}
+				_ = onData(token("slow"), false)
+			}
+			return nil
+		})
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err, "a slow engine isn't a stalled one")
+	})
+}
+
+// A caller that holds its stream up for long is no sign of a stalled engine.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			_ = tokens(3, nil)(ctx, a, onData)
+			return context.Cause(ctx)
+		})
+		b.slow = 2 * DefaultStallTimeout
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err)
+	})
+}
+
 func TestObservations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -22,6 +22,9 @@
 	pauseBackoff = 20 * time.Millisecond
 )
 
+// DefaultStallTimeout is the time in which a backend server must send something.
+const DefaultStallTimeout = 30 * time.Second
+
 // Ask is what a request's rights depend on.
 type Ask struct {
 	// Key is the caller's key; empty is none.
@@ -129,6 +132,8 @@
 	Cheap func(server string) bool
 	// Retry takes one retry from a pool's budget and tells whether there was one. Optional: none is allowed.
 	Retry func(pool string) bool
+	// StallTimeout bounds the time in which a backend server must send something; 0 is DefaultStallTimeout.
+	StallTimeout time.Duration
 	// Claim reserves a call that may run at most once; its errors are request.ErrAnswer. Optional.
 	Claim func(ctx context.Context, ask ClaimAsk) error
 	// Unclaim gives up a claim whose call provably didn't run. Optional.
@@ -154,6 +159,11 @@
 
 func (ErrKeyWithdrawn) Error() string { return "key withdrawn" }
 
+// ErrStalled is the cause of the end of attempts at a backend server that sends nothing.
+type ErrStalled struct{}
+
+func (ErrStalled) Error() string { return "backend server sends nothing" }
+
 // ErrServerLeft is the cause of the end of attempts at a backend server that is gone.
 type ErrServerLeft struct{}
 
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -25,6 +25,8 @@
 	sent bool
 	// shown is true once the caller has seen a part of the answer.
 	shown bool
+	// stall ends the running attempt unless it is reset by each sign of life.
+	stall *time.Timer
 	// attempt is the number of the running attempt, from 1.
 	attempt int
 	// exclude names backend servers that failed this request.
@@ -237,18 +239,27 @@
 
 var errNoAddress = errors.New("backend server has no address")
 
-// beginAttempt returns the context of an attempt at a backend server.
+// beginAttempt returns the context of an attempt at a backend server. It ends if r.stall isn't reset in time.
 func (r *run) beginAttempt(server string) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	r.d.live.setAttempt(&r.live, server, cancel)
+	r.stall = time.AfterFunc(r.d.stallTimeout(), func() { cancel(ErrStalled{}) })
 	return ctx, cancel
 }
 
 func (r *run) endAttempt(cancel context.CancelCauseFunc) {
+	r.stall.Stop()
 	r.d.live.setAttempt(&r.live, "", nil)
 	cancel(nil)
 }
 
+func (d *Dispatcher) stallTimeout() time.Duration {
+	if d.StallTimeout == 0 {
+		return DefaultStallTimeout
+	}
+	return d.StallTimeout
+}
+
 func (r *run) attemptID() string {
 	return r.meta.ID + "." + strconv.Itoa(r.attempt)
 }
--- a/request/dispatch/service_test.go
+++ b/request/dispatch/service_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -120,3 +121,20 @@
 	assert.Equal(t, b.claims[0].Key, "k")
 	assert.Assert(t, b.claims[0].Fingerprint != b.claims[1].Fingerprint)
 }
+
+// A service that never answers leaves the outcome unknown after the stall time, and its claim in place.
+func TestStalledService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newServiceBench()
+		b.rights.Idempotent = false
+		b.Call = func(ctx context.Context, _ request.ServiceCall) (request.ServiceAnswer, error) {
+			<-ctx.Done()
+			return request.ServiceAnswer{}, request.ErrAttempt{Sent: true, Err: context.Cause(ctx)}
+		}
+		begin := time.Now()
+		_, err := b.serve("k")
+		checkAnswer(t, err, "outcome_unknown", false)
+		assert.Equal(t, time.Since(begin), DefaultStallTimeout)
+		assert.Equal(t, b.unclaims, 0)
+	})
+}
