Send service paths as callers escaped them, and match rules by what they mean

Cause: the decoded path was put into the request line, so that an escaped question mark became a query; rules saw the path before cleaning, so that /%62ook or /x/../book could miss a rule. Change: the escaped path goes on, the cleaned one is matched. The default buffer for a slow reader is 64 KB a stream.

--- a/connection/caller/call.go
+++ b/connection/caller/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -105,14 +107,14 @@
 	if err := s.readBody(c); err != nil {
 		return err
 	}
-	path := c.r.URL.Path
+	p := c.r.URL.Path
 	switch {
-	case path == request.PathChat || path == request.PathCompletions:
-		return s.complete(c, path)
-	case path == pathModels || strings.HasPrefix(path, pathModels+"/"):
-		return s.models(c, strings.TrimPrefix(path, pathModels))
-	case strings.HasPrefix(path, pathServices):
-		return s.service(c, strings.TrimPrefix(path, pathServices))
+	case p == request.PathChat || p == request.PathCompletions:
+		return s.complete(c, p)
+	case p == pathModels || strings.HasPrefix(p, pathModels+"/"):
+		return s.models(c, strings.TrimPrefix(p, pathModels))
+	case strings.HasPrefix(c.r.URL.EscapedPath(), pathServices):
+		return s.service(c)
 	}
 	return errNoPath
 }
@@ -154,11 +156,11 @@
 	}
 }
 
-func (s *Server) complete(c *call, path string) error {
+func (s *Server) complete(c *call, endpoint string) error {
 	if err := allow(c, allowPost); err != nil {
 		return err
 	}
-	completion, err := request.ParseCompletion(path, c.body)
+	completion, err := request.ParseCompletion(endpoint, c.body)
 	if err != nil {
 		return err
 	}
@@ -168,9 +170,15 @@
 	return s.Dispatcher.Complete(c.ctx, c.w, s.meta(c), completion)
 }
 
-func (s *Server) service(c *call, rest string) error {
-	route, path, _ := strings.Cut(rest, "/")
-	if route == "" {
+func (s *Server) service(c *call) error {
+	rest := strings.TrimPrefix(c.r.URL.EscapedPath(), pathServices)
+	name, raw, _ := strings.Cut(rest, "/")
+	route, err := url.PathUnescape(name)
+	if err != nil || route == "" {
+		return errNoPath
+	}
+	plain, err := url.PathUnescape(raw)
+	if err != nil {
 		return errNoPath
 	}
 	meta := s.meta(c)
@@ -179,12 +187,13 @@
 	request.StripKeyHeaders(header, meta.Key)
 	header.Del("Host")
 	return s.Dispatcher.Serve(c.ctx, c.w, meta, request.ServiceCall{
-		Route:  route,
-		Method: c.r.Method,
-		Path:   "/" + path,
-		Query:  request.StripKeyQuery(c.r.URL.RawQuery, meta.Key),
-		Header: header,
-		Body:   c.body,
+		Route:   route,
+		Method:  c.r.Method,
+		Path:    path.Clean("/" + plain),
+		RawPath: "/" + raw,
+		Query:   request.StripKeyQuery(c.r.URL.RawQuery, meta.Key),
+		Header:  header,
+		Body:    c.body,
 	})
 }
 
--- a/connection/caller/end_test.go
+++ b/connection/caller/end_test.go
@@ -219,7 +219,7 @@
 	assert.Assert(t, strings.HasSuffix(header.Get("X-Request-Id"), ".1"))
 }
 
-// An answer that comes late on a connection never reaches another caller.
+// A stream that breaks after its first token ends in an error event.
 func TestBrokenStreamEndsInErrorEvent(t *testing.T) {
 	s := newStack(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/cancel") {
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -29,7 +29,7 @@
 	DefaultRequestTimeout = 20 * time.Second
 	DefaultIdleTimeout    = 120 * time.Second
 	DefaultStallTimeout   = 20 * time.Second
-	DefaultStreamBuffer   = 256 << 10
+	DefaultStreamBuffer   = 64 << 10
 )
 
 const (
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -1,12 +1,17 @@
 package caller
 
 import (
+	"bufio"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/request/dispatch"
 )
 
 func TestStreamReachesCaller(t *testing.T) {
@@ -43,3 +48,35 @@
 	assert.Equal(t, s.outcomes[0].Result, "ok")
 	assert.Equal(t, s.released(), 1)
 }
+
+// A service gets its path as the caller escaped it, while rules see what it means.
+func TestServicePaths(t *testing.T) {
+	for _, tc := range []struct{ sent, seen, rule string }{
+		{"/v1/services/orders/book", "/book", "/book"},
+		{"/v1/services/orders", "/", "/"},
+		{"/v1/services/orders/%62ook", "/%62ook", "/book"},
+		{"/v1/services/orders/a%3Fb%20c?d=%2F", "/a%3Fb%20c?d=%2F", "/a?b c"},
+		{"/v1/services/orders/x/..//./book/", "/x/..//./book/", "/book"},
+		{"/v1/services/or%64ers/%2e%2e/book", "/%2e%2e/book", "/book"},
+	} {
+		e := &fakeEngine{tokens: 1}
+		var asked dispatch.Ask
+		s := newStack(t, e, func(s *stack) {
+			s.dispatcher.Resolve = func(ask dispatch.Ask) (dispatch.Rights, error) {
+				asked = ask
+				return resolve(ask)
+			}
+		})
+		conn, err := net.Dial("tcp", s.server.Address())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", tc.sent, testKey)
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		_ = conn.Close()
+		assert.Equal(t, e.lastURL(), tc.seen)
+		assert.Equal(t, asked.Route, "orders")
+		assert.Equal(t, asked.Path, tc.rule)
+	}
+}
--- a/connection/service/client.go
+++ b/connection/service/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/request"
@@ -59,7 +60,10 @@
 }
 
 func newRequest(ctx context.Context, call request.ServiceCall) (*http.Request, error) {
-	target := "http://" + call.Address + call.Path
+	target := "http://" + call.Address + (&url.URL{Path: call.Path}).EscapedPath()
+	if call.RawPath != "" {
+		target = "http://" + call.Address + call.RawPath
+	}
 	if call.Query != "" {
 		target += "?" + call.Query
 	}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -44,8 +44,10 @@
 	Route string
 	// Method is the HTTP method.
 	Method string
-	// Path is the path behind the service's name, with a leading slash.
+	// Path is the unescaped and cleaned path behind the service's name, with a leading slash, by which rules go.
 	Path string
+	// RawPath is the same path as the caller escaped it; empty is Path.
+	RawPath string
 	// Query is the raw query without key parameters.
 	Query string
 	// Header holds the caller's headers without keys and hop-by-hop headers.
