Measure how the roles' costs grow and work them out for the size ahead

Cause: the page for the size that the users expect within two years was missing, and nothing told where a budget breaks first. Change: make capacity drives the real packages and a few whole daemons at growing sizes, one size at a time, and rewrites the tables of docs/CAPACITY.md between marker lines; a figure beyond the measured sizes is marked.

--- a/Makefile
+++ b/Makefile
@@ -52,5 +52,9 @@
 	go run ./tools/bench policy
 	go run ./tools/bench speed
 
+# capacity measures the slopes on this machine and rewrites the tables of docs/CAPACITY.md.
+capacity:
+	go run ./tools/capacity
+
 clean:
 	rm -rf $(BIN) out
