--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -197,7 +197,7 @@
 		state:      i.serverState,
 		live:       func() int { return i.members.Live(i.Settings.DataCentre) },
 		declarers:  i.declarers,
-		preempt:    func(holder string, p wire.GrantPreempt) { go i.peers.Preempt(holder, p) },
+		preempt:    i.preempt,
 	}
 	if i.Baseline.Choose != nil {
 		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -241,6 +241,15 @@
 	}
 }
 
+// preempt asks the holder of a grant to pause its stream; grants of an earlier home may be this instance's own.
+func (i *Instance) preempt(holder string, p wire.GrantPreempt) {
+	if holder == i.Settings.Instance {
+		i.router.Preempt(p)
+		return
+	}
+	go i.peers.Preempt(holder, p)
+}
+
 // answerFirst takes in that the first token of a peer's grant came late.
 func (i *Instance) answerFirst(from string, f wire.GrantFirst) {
 	if hm := i.homes.lookup(f.Pool); hm != nil {
