Set toucanctl's environment in deploy only

Cause: the fixture's addresses in every script's environment made toucanctl wait for instances that a script of its own addresses never started; frozen_holder, outage and planned_stop_streams failed with exit code 4, 1 of 1. Ruled out: the daemon, load.

--- a/scenario/deploy_test.go
+++ b/scenario/deploy_test.go
@@ -33,8 +33,29 @@
 	"run toucanctl key grant --json --as ana --objects $P0 --instance $P12,$P15,$P18 shop",
 }
 
+// deploymentVariables lead toucanctl to the deployment.
+var deploymentVariables = map[string]string{
+	"TOUCAN_OBJECTS":   "$P0",
+	"TOUCAN_INSTANCES": "$P12,$P15,$P18",
+}
+
 // deploy starts the deployment of the fixture: deploy [NAME]... leaves the named processes out. The last output is
-// that of the key's grant.
+// that of the key's grant. toucanctl then finds the deployment by its environment; without deploy it must not, since
+// it would wait for instances that nobody started.
+func deploy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("usage: deploy [NAME]...")
+	}
+	s := ts.Value(sessionKey{}).(*session)
+	ts.Check(s.deploy(args, ts.Stdout()))
+	for name, text := range deploymentVariables {
+		value := os.Expand(text, s.env.Getenv)
+		ts.Setenv(name, value)
+		s.env.Setenv(name, value)
+	}
+}
+
+// deploy starts all processes of the deployment but those named.
 func (s *session) deploy(args []string, out io.Writer) error {
 	left := map[string]bool{}
 	for _, name := range args {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -23,8 +23,8 @@
 //	expand FILE...                    replace ${NAME} in files
 //	capture NAME PATTERN              set a variable to the first group of a match in the last output
 //
-// At its end a script kills what it started, and fails if a log shows a data race or a crash. toucanctl finds the
-// deployment of the fixture by its environment.
+// At its end a script kills what it started, and fails if a log shows a data race or a crash. After deploy, toucanctl
+// finds the deployment by its environment.
 package scenario
 
 import (
@@ -34,7 +34,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -111,8 +110,6 @@
 		env.Setenv(fmt.Sprintf("N%d", i), strconv.Itoa(block.Port(i)))
 	}
 	env.Setenv("BIN", binDir)
-	env.Setenv("TOUCAN_OBJECTS", block.Address(0))
-	env.Setenv("TOUCAN_INSTANCES", strings.Join([]string{block.Address(12), block.Address(15), block.Address(18)}, ","))
 	env.Setenv("ROOT", root)
 	if err := addFixture(env); err != nil {
 		return err
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -45,7 +45,6 @@
 		"eventually": (*session).eventually,
 		"always":     (*session).always,
 		"match":      (*session).match,
-		"deploy":     (*session).deploy,
 		"background": (*session).background,
 		"record":     (*session).record,
 	}
@@ -75,6 +74,7 @@
 	cmds := map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"expand":  expand,
 		"capture": capture,
+		"deploy":  deploy,
 		"mask":    mask,
 	}
 	for name, cmd := range all() {
