Give up on an endless answer without a race for its connection

Cause: the timer that closed an answer's body ran beside the body's own close (seen as a data race, 1 of 6 runs of connection/caller with -race); a late one could have closed a connection in use again. Change: the timer only cuts the exchange, and a connection whose timer has fired is never reused. With that rule off TestDrainAtTheLimit fails ('i/o timeout' on a reused connection).

--- a/connection/caller/speed_test.go
+++ b/connection/caller/speed_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio/logging"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/connection/engine"
@@ -39,6 +40,7 @@
 
 // runInstance serves callers in a process of its own until its standard input ends.
 func runInstance(address string) {
+	logging.SetLevel(logging.LevelNone)
 	client := &engine.Client{}
 	s := &Server{Listen: "127.0.0.1:0", Dispatcher: &dispatch.Dispatcher{
 		Resolve: resolve,
--- a/connection/engine/events.go
+++ b/connection/engine/events.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/request"
 )
 
@@ -41,7 +42,7 @@
 			return broken(err)
 		}
 		if bytes.Equal(data, doneData) {
-			drain(body, r)
+			upstream.Drain(body, r, drainTimeout)
 			return nil
 		}
 		if isPaused(data) {
@@ -127,11 +128,3 @@
 	buffered, _ := r.Peek(n)
 	return bytes.Contains(buffered[1:], eventEnd)
 }
-
-// drain reads the end of the answer, so that the connection may be reused. An engine that doesn't end its answer
-// in time loses the connection and holds nobody up.
-func drain(body io.Closer, r io.Reader) {
-	late := time.AfterFunc(drainTimeout, func() { _ = body.Close() })
-	_, _ = io.CopyN(io.Discard, r, readerBytes)
-	late.Stop()
-}
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// readerBytes is the size of a connection's read buffer.
-const readerBytes = 2 << 10
+const (
+	// readerBytes is the size of a connection's read buffer.
+	readerBytes = 2 << 10
+	// drainBytes bounds what is read of an answer behind its end mark.
+	drainBytes = 4 << 10
+)
 
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
@@ -92,6 +96,20 @@
 	return nil
 }
 
+// Drain reads r, which reads from the body of an answer of Send, to the body's end, so that the connection may be
+// reused. A server that doesn't end its answer in time loses the connection and holds nobody up.
+func Drain(rc io.ReadCloser, r io.Reader, within time.Duration) {
+	b, ok := rc.(*body)
+	if !ok {
+		return
+	}
+	late := time.AfterFunc(within, func() { _ = b.conn.SetDeadline(time.Unix(1, 0)) })
+	_, _ = io.CopyN(io.Discard, r, drainBytes)
+	if !late.Stop() {
+		b.reusable = false
+	}
+}
+
 // causeOf returns why ctx ended, if it did, in place of the error that followed from it.
 func causeOf(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/connection/upstream/transport_test.go
+++ b/connection/upstream/transport_test.go
@@ -105,3 +105,27 @@
 	assert.Assert(t, attempt.Sent)
 	assert.ErrorIs(t, err, cause)
 }
+
+// A server that ends its answers about when Drain gives up must not spoil a connection that is reused.
+func TestDrainAtTheLimit(t *testing.T) {
+	const limit = 2 * time.Millisecond
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+		_, _ = io.WriteString(w, "answer")
+		w.(http.Flusher).Flush()
+		time.Sleep(limit)
+	}))
+	defer s.Close()
+	tr := &Transport{}
+	defer tr.Close()
+	for range 200 {
+		req, err := http.NewRequest(http.MethodPost, s.URL, strings.NewReader("x"))
+		assert.NilError(t, err)
+		res, err := tr.Send(req, "r.1", false)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(res.Body, make([]byte, len("answer")))
+		assert.NilError(t, err)
+		Drain(res.Body, res.Body, limit)
+		assert.NilError(t, res.Body.Close())
+	}
+}
--- a/request/dispatch/answer.go
+++ b/request/dispatch/answer.go
@@ -48,11 +48,12 @@
 	} `json:"prompt_tokens_details"`
 }
 
-// chunk is the part of an engine's event that the router reads.
+// chunk is the part of an engine's event that the router reads. Its choices are decoded on their own, which keeps
+// the stack of the stream's goroutine small.
 type chunk struct {
-	Choices []chunkChoice `json:"choices"`
-	Usage   *usage        `json:"usage"`
-	Error   *chunkError   `json:"error"`
+	Choices []json.RawMessage `json:"choices"`
+	Usage   *usage            `json:"usage"`
+	Error   *chunkError       `json:"error"`
 }
 
 type chunkChoice struct {
@@ -127,7 +128,11 @@
 }
 
 func (c *chunk) hasTokens() bool {
-	for _, choice := range c.Choices {
+	for _, raw := range c.Choices {
+		var choice chunkChoice
+		if json.Unmarshal(raw, &choice) != nil {
+			continue
+		}
 		d := choice.Delta
 		if choice.Text != "" || d.Content != "" || d.Refusal != "" || d.ReasoningContent != "" || len(d.ToolCalls) > 0 {
 			return true
