--- a/connection/caller/answer.go
+++ b/connection/caller/answer.go
@@ -58,12 +58,14 @@
 // fail sends an error: as the whole answer, or as the last event of a stream that has begun.
 func (s *Server) fail(c *call, err error) {
 	answer := request.AnswerOf(err)
-	s.Log.Info("request_failed",
-		zap.String("request_id", c.id),
-		zap.Int("status", answer.Status),
-		zap.String("code", answer.Code),
-		zap.Bool("not_run", answer.NotRun),
-	)
+	if !c.dispatched {
+		s.Log.Info("request_refused",
+			zap.String("request_id", c.id),
+			zap.Int("status", answer.Status),
+			zap.String("code", answer.Code),
+			zap.Bool("not_run", answer.NotRun),
+		)
+	}
 	if c.guard.isClosed() {
 		return
 	}
--- a/connection/caller/call.go
+++ b/connection/caller/call.go
@@ -41,6 +41,8 @@
 	r       *http.Request
 	body    []byte
 	arrived time.Time
+	// dispatched is true once the dispatcher has the request and logs its end.
+	dispatched bool
 
 	// cleared is true once the idle deadline that the library may set late was taken back; guarded by Server.mu.
 	cleared bool
@@ -167,6 +169,7 @@
 	if completion.Stream() && !c.r.ProtoAtLeast(1, 1) {
 		return errOldProtocol
 	}
+	c.dispatched = true
 	return s.Dispatcher.Complete(c.ctx, c.w, s.meta(c), completion)
 }
 
@@ -186,6 +189,7 @@
 	request.StripHopHeaders(header)
 	request.StripKeyHeaders(header, meta.Key)
 	header.Del("Host")
+	c.dispatched = true
 	return s.Dispatcher.Serve(c.ctx, c.w, meta, request.ServiceCall{
 		Route:   route,
 		Method:  c.r.Method,
--- a/connection/caller/end_test.go
+++ b/connection/caller/end_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/wire"
@@ -239,3 +241,27 @@
 		FirstTokenMs: s.releases[0].FirstTokenMs, DurationMs: s.releases[0].DurationMs,
 	}})
 }
+
+// Each request leaves one line with its id, workspace and class, and no line holds the key or the prompt.
+func TestRequestLines(t *testing.T) {
+	core, lines := observer.New(zap.DebugLevel)
+	s := newStack(t, &fakeEngine{tokens: 1}, func(s *stack) {
+		s.server.Log = zap.New(core)
+		s.dispatcher.Log = s.server.Log
+	})
+	_, ok, _ := s.post(t, "/v1/chat/completions", chatBody(true))
+	_, unknown, _ := s.post(t, "/v1/chat/completions?key="+testKey, strings.Replace(chatBody(true), "guide", "other", 1))
+	_, malformed, _ := s.post(t, "/v1/chat/completions", `{"swim":`)
+	eventually(t, time.Second, "the lines are there", func() bool { return lines.Len() == 3 })
+	all := lines.All()
+	assert.Equal(t, all[0].ContextMap()["request_id"], ok.Get(HeaderRequestID))
+	assert.Equal(t, all[0].ContextMap()["workspace"], "w1")
+	assert.Equal(t, all[0].ContextMap()["class"], "guide")
+	assert.Equal(t, all[1].ContextMap()["request_id"], unknown.Get(HeaderRequestID))
+	assert.Equal(t, all[1].ContextMap()["reason"], "model_not_found")
+	assert.Equal(t, all[2].ContextMap()["request_id"], malformed.Get(HeaderRequestID))
+	for _, line := range all {
+		text := fmt.Sprint(line.Message, line.ContextMap())
+		assert.Assert(t, !strings.Contains(text, testKey) && !strings.Contains(text, "swim"), text)
+	}
+}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/wire"
@@ -140,6 +142,8 @@
 	Unclaim func(ctx context.Context, ask ClaimAsk)
 	// Count adds to a workspace's usage. Optional.
 	Count func(workspace, class string, prompt, completion int)
+	// Log takes one line for each finished request. Optional.
+	Log *zap.Logger
 	// Observe takes the record of each finished request. Optional.
 	Observe func(Outcome)
 	// Stream sends an attempt to an engine; see engine.Client.
--- a/request/dispatch/run.go
+++ b/request/dispatch/run.go
@@ -86,6 +86,9 @@
 		r.out.Result = resultOf(answer)
 		err = answer
 	}
+	if r.d.Log != nil {
+		r.d.Log.Info("request", r.out.fields()...)
+	}
 	if r.d.Observe != nil {
 		r.d.Observe(r.out)
 	}
