--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -197,6 +197,11 @@
 	return l.notify(ctx, methodRelease, r)
 }
 
+// First tells the peer that the first token of a grant came late.
+func (l *Link) First(ctx context.Context, f wire.GrantFirst) error {
+	return l.notify(ctx, methodFirst, f)
+}
+
 // Claim tells the peer which slots this instance holds from an earlier home.
 func (l *Link) Claim(ctx context.Context, c wire.GrantsHeld) error {
 	return l.notify(ctx, methodClaim, c)
@@ -235,6 +240,13 @@
 	return reply.Running, err
 }
 
+// Demand reads the load of a pool at the peer.
+func (l *Link) Demand(ctx context.Context, pool string) (wire.PoolDemand, error) {
+	var reply wire.PoolDemand
+	err := l.call(ctx, methodDemand, wire.PoolDemand{Pool: pool}, &reply)
+	return reply, err
+}
+
 func (l *Link) notify(ctx context.Context, method string, params any) error {
 	conn, err := l.get()
 	if err != nil {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -40,6 +40,7 @@
 	methodAsk      = "ask"
 	methodCancel   = "cancel"
 	methodRelease  = "release"
+	methodFirst    = "first"
 	methodClaim    = "claim"
 	methodPreempt  = "preempt"
 	methodExchange = "exchange"
@@ -47,6 +48,7 @@
 	methodUsage    = "usage"
 	methodFleet    = "fleet"
 	methodStreams  = "streams"
+	methodDemand   = "demand"
 )
 
 // ErrFormat tells that a peer speaks a message format that this instance does not.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -30,6 +30,8 @@
 	Ask func(ctx context.Context, from string, ask wire.GrantAsk) wire.GrantReply
 	// Release takes a slot back.
 	Release func(from string, r wire.GrantRelease)
+	// First hears that the first token of a grant came late.
+	First func(from string, f wire.GrantFirst)
 	// Claim hears which slots a peer holds from an earlier home.
 	Claim func(from string, c wire.GrantsHeld)
 	// Exchange returns the versions that a peer with the digest lacks.
@@ -42,6 +44,8 @@
 	Fleet func() wire.FleetView
 	// Streams returns the number of this instance's streams at a backend server.
 	Streams func(server string) int
+	// Demand returns the load of a pool at this instance.
+	Demand func(pool string) wire.PoolDemand
 	// Lost is called when a peer has had no session for HeartbeatTimeout.
 	Lost func(instance string)
 
@@ -159,6 +163,8 @@
 		return s.cancel(req)
 	case methodRelease:
 		return s.release(from, req)
+	case methodFirst:
+		return s.first(from, req)
 	case methodClaim:
 		return s.claim(from, req)
 	case methodExchange:
@@ -171,6 +177,8 @@
 		return s.server.Fleet(), nil
 	case methodStreams:
 		return s.streams(req)
+	case methodDemand:
+		return s.demand(req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -267,6 +275,15 @@
 	return nil, nil
 }
 
+func (s *session) first(from string, req *jsonrpc2.Request) (any, error) {
+	f, err := decode[wire.GrantFirst](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.First(from, f)
+	return nil, nil
+}
+
 func (s *session) claim(from string, req *jsonrpc2.Request) (any, error) {
 	c, err := decode[wire.GrantsHeld](req)
 	if err != nil {
@@ -310,6 +327,14 @@
 	return q, nil
 }
 
+func (s *session) demand(req *jsonrpc2.Request) (any, error) {
+	q, err := decode[wire.PoolDemand](req)
+	if err != nil {
+		return nil, err
+	}
+	return s.server.Demand(q.Pool), nil
+}
+
 // end cancels the session's asks and, unless the peer comes back in time, tells that it is lost.
 func (s *session) end() {
 	s.idle.Stop()
--- a/process/home/router.go
+++ b/process/home/router.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	Ask func(ctx context.Context, ask wire.GrantAsk, late func(wire.GrantReply)) (wire.GrantReply, error)
 	// Release returns a slot.
 	Release func(ctx context.Context, r wire.GrantRelease) error
+	// First tells that the first token of a grant came late.
+	First func(ctx context.Context, f wire.GrantFirst) error
 	// Claim tells which slots this instance holds from an earlier home.
 	Claim func(ctx context.Context, c wire.GrantsHeld) error
 }
@@ -54,6 +57,8 @@
 	Share func(pool string) *pool.Home
 	// Target returns the target for the first token of a class.
 	Target func(class string) time.Duration
+	// DataCentreOf returns the data centre of a backend server; empty is unknown.
+	DataCentreOf func(server string) string
 	// Serves tells whether a data centre has backend servers of a pool.
 	Serves func(pool, dataCentre string) bool
 
@@ -86,6 +91,9 @@
 // Acquire returns a slot for ask, or pool.ErrRefused with the time to come back.
 func (r *Router) Acquire(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error) {
 	arrived := time.Now().Add(-time.Duration(ask.WaitedMs) * time.Millisecond)
+	if ask.Resume != "" {
+		return r.resume(ctx, ask, arrived)
+	}
 	g, err := r.own(ctx, ask, arrived)
 	if err == nil || !r.maySpill(ask, arrived, err) {
 		return g, err
@@ -96,6 +104,19 @@
 	return nil, err
 }
 
+// resume gets a grant of the backend server that holds a paused stream, which another data centre's may be.
+func (r *Router) resume(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
+	dc := r.DataCentreOf(ask.Resume)
+	if dc == r.DataCentre {
+		return r.own(ctx, ask, arrived)
+	}
+	homes := r.Homes(ask.Pool, dc)
+	if len(homes) == 0 {
+		return nil, pool.ErrRefused{Reason: pool.ReasonNoServer, RetryAfter: time.Second}
+	}
+	return r.askHome(ctx, homes[0], dc, ask)
+}
+
 // own gets a grant in this data centre.
 func (r *Router) own(ctx context.Context, ask wire.GrantAsk, arrived time.Time) (*pool.Grant, error) {
 	if !r.Serves(ask.Pool, r.DataCentre) {
@@ -199,6 +220,19 @@
 	r.held[key] = &held{grant: g, ask: ask, dataCentre: dataCentre}
 	r.mu.Unlock()
 	g.Redirect(home, r.releaser(key, home))
+	g.OnFirstToken(func(home string, f wire.GrantFirst) { r.first(key.pool, home, f) })
+}
+
+// first tells a grant's home that its first token came late.
+func (r *Router) first(name, home string, f wire.GrantFirst) {
+	f.Pool = name
+	if home == r.Instance {
+		r.Local(name).FirstToken(r.Instance, f)
+		return
+	}
+	if peer, ok := r.Peer(home); ok {
+		_ = peer.First(context.Background(), f)
+	}
 }
 
 // releaser returns what a release of the grant does while it belongs to home.
@@ -242,6 +276,18 @@
 	}
 }
 
+// Declare tells each home which grants this instance holds, so that a slot whose release was lost comes back.
+func (r *Router) Declare() {
+	r.mu.Lock()
+	homes := maps.Clone(r.homes)
+	r.mu.Unlock()
+	for key, home := range homes {
+		if home != r.Instance {
+			r.declare(key, home)
+		}
+	}
+}
+
 func (r *Router) rehome(key poolKey, home string, became, ceased func(pool string)) {
 	r.mu.Lock()
 	if r.homes == nil {
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -68,6 +68,8 @@
 	book     burn.Book
 	metrics  *metrics.Metrics
 	retries  retries
+	demands  demands
+	spending spending
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
 
@@ -159,12 +161,14 @@
 		Heard:     func(h wire.Hello) { i.members.Add(h.Instance, h.DataCentre) },
 		Ask:       i.answerAsk,
 		Release:   i.answerRelease,
+		First:     i.answerFirst,
 		Claim:     i.answerClaim,
 		Exchange:  i.answerExchange,
 		Announced: func(from string, d wire.VersionDigest) { i.versions.Hear(from, d) },
 		Usage:     i.answerUsage,
 		Fleet:     i.fleetView,
 		Streams:   func(server string) int { return i.dispatch.Running(server) },
+		Demand:    i.ownDemand,
 		Lost:      func(instance string) { i.homes.dropHolder(instance) },
 	}
 	t := i.Settings.Tls
@@ -199,16 +203,17 @@
 		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
 	}
 	i.router = &home.Router{
-		Instance:    i.Settings.Instance,
-		DataCentre:  i.Settings.DataCentre,
-		Log:         i.Log,
-		Homes:       i.members.Homes,
-		DataCentres: func() []string { return i.table.Load().DataCentres() },
-		Peer:        i.links.homePeer,
-		Local:       i.homes.get,
-		Share:       i.homes.getShare,
-		Target:      i.target,
-		Serves:      func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
+		Instance:     i.Settings.Instance,
+		DataCentre:   i.Settings.DataCentre,
+		Log:          i.Log,
+		Homes:        i.members.Homes,
+		DataCentres:  func() []string { return i.table.Load().DataCentres() },
+		Peer:         i.links.homePeer,
+		Local:        i.homes.get,
+		Share:        i.homes.getShare,
+		Target:       i.target,
+		DataCentreOf: i.dataCentreOf,
+		Serves:       func(name, dc string) bool { return len(i.table.Load().Servers(name, dc)) > 0 },
 	}
 }
 
--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -198,13 +198,23 @@
 	return len(h.recovering) > 0 && now.Before(h.recoveringUntil)
 }
 
-// Reclaim takes in the grants that an instance holds from an earlier home. They keep their numbers.
+// Reclaim takes in all grants that an instance holds. Those of an earlier home are added and keep
+// their numbers; those that the instance doesn't hold any more are taken back, since their release
+// was lost. Grants whose reply may still be on its way stay.
 func (h *Home) Reclaim(holder string, grants []wire.GrantHeld) {
 	h.lock()
 	defer h.unlock()
+	declared := make(map[int]bool, len(grants))
 	for _, d := range grants {
+		declared[d.Grant] = true
 		h.reclaim(holder, d)
 	}
+	before := time.Now().Add(-replyTime)
+	for key, g := range h.grants {
+		if key.holder == holder && !declared[key.number] && g.since.Before(before) {
+			h.end(g)
+		}
+	}
 	delete(h.recovering, holder)
 	h.schedule(time.Now())
 }
@@ -232,7 +242,8 @@
 	h.trace(Event{Kind: EventGranted, Ask: -1, Class: d.Class, Tier: tier, Workspace: d.Workspace, Server: d.Server})
 }
 
-// preemptOne asks for the slot of the lowest tier's newest grant back, where the request may use it.
+// preemptOne asks for a slot of the lowest tier back, where the request could use it: of the newest
+// grant, and of streams that were paused before only where there is no other.
 func (h *Home) preemptOne(w *waiter) {
 	var victim *held
 	ask := h.pickAsk(w, time.Now())
@@ -265,6 +276,9 @@
 	if g.tier != o.tier {
 		return g.tier > o.tier
 	}
+	if g.resumed != o.resumed {
+		return o.resumed
+	}
 	if !g.since.Equal(o.since) {
 		return g.since.After(o.since)
 	}
--- a/process/pool/home_test.go
+++ b/process/pool/home_test.go
@@ -129,3 +129,153 @@
 		assert.NilError(t, <-done)
 	})
 }
+
+func refusedFor(t *testing.T, err error, reason string) {
+	t.Helper()
+	var refused ErrRefused
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, refused.Reason, reason)
+}
+
+func TestGrantByTurnIsNotPreempted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		high, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+		assert.NilError(t, err)
+		go func() {
+			time.Sleep(15 * time.Second)
+			high.Release(wire.GrantRelease{})
+		}()
+		low, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		_, err = h.Ask(t.Context(), "i1", ask("hazard", "b"))
+		refusedFor(t, err, ReasonOverload)
+		select {
+		case <-low.Preempted():
+			t.Fatal("a grant that a turn brought was preempted")
+		default:
+		}
+	})
+}
+
+func TestShareDividesTheSlots(t *testing.T) {
+	h := &Home{Share: 3}
+	h.Configure(testClasses(), nil, []ServerSpec{testServer("s1", 8), testServer("s2", 1)})
+	_, _, slots := h.Status()
+	assert.Equal(t, slots, 4)
+}
+
+func TestRefusalsWithoutAServer(t *testing.T) {
+	cheap := testServer("cheap", 2)
+	cheap.Kind = wire.ServerKindCheap
+	draining := testServer("s1", 2)
+	draining.State = ServerDraining
+	h := testHome(cheap, draining)
+	_, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+	refusedFor(t, err, ReasonNoServer)
+	excluding := ask("question", "a")
+	excluding.Exclude = []string{"cheap"}
+	_, err = h.Ask(t.Context(), "i1", excluding)
+	refusedFor(t, err, ReasonNoServer)
+	_, err = h.Ask(t.Context(), "i1", ask("none", "a"))
+	refusedFor(t, err, ReasonNoClass)
+	late := ask("question", "a")
+	late.WaitedMs = 5000
+	_, err = h.Ask(t.Context(), "i1", late)
+	refusedFor(t, err, ReasonLate)
+	_, err = h.Ask(t.Context(), "i1", ask("question", "a"))
+	assert.NilError(t, err)
+}
+
+func TestLosingTheLastServerRefusesTheWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		_, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		start := time.Now()
+		go h.Configure(testClasses(), nil, nil)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonNoServer)
+		assert.Assert(t, time.Since(start) <= sweepEvery+time.Millisecond)
+	})
+}
+
+func TestCloseRefusesTheWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 1))
+		held, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		go h.Close()
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonMoved)
+		held.Release(wire.GrantRelease{})
+		_, running, _ := h.Status()
+		assert.Equal(t, running, 0)
+	})
+}
+
+func TestWaitingAndRateLimitTellWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 9))
+		h.Configure(testClasses(), []wire.Workspace{{Name: "a", RequestsPerSecond: 1}}, []ServerSpec{testServer("s1", 9)})
+		_, err := h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		refusedFor(t, err, ReasonRateLimit)
+		var refused ErrRefused
+		assert.Assert(t, errors.As(err, &refused))
+		time.Sleep(refused.RetryAfter)
+		_, err = h.Ask(t.Context(), "i1", ask("batch", "a"))
+		assert.NilError(t, err)
+	})
+}
+
+func TestReclaimTakesBackWhatTheHolderNoLongerHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 3))
+		_, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		kept, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		time.Sleep(replyTime + time.Second)
+		young, err := h.Ask(t.Context(), "i2", ask("batch", "a"))
+		assert.NilError(t, err)
+		h.Reclaim("i2", []wire.GrantHeld{{Grant: kept.Number(), Server: "s1", Class: "batch", Workspace: "a"}})
+		_, running, _ := h.Status()
+		assert.Equal(t, running, 2)
+		kept.Release(wire.GrantRelease{})
+		young.Release(wire.GrantRelease{})
+		_, running, _ = h.Status()
+		assert.Equal(t, running, 0)
+	})
+}
+
+func TestLateFirstTokenMarksAStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := testHome(testServer("s1", 10), testServer("s2", 10), testServer("s3", 10))
+		for range 15 {
+			g, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+			assert.NilError(t, err)
+			first := 50
+			if g.Server() == "s1" {
+				first = 2000
+			}
+			h.FirstToken("i1", wire.GrantFirst{Pool: "p", Grant: g.Number(), FirstTokenMs: first})
+			defer g.Release(wire.GrantRelease{})
+		}
+		assert.Assert(t, h.byName["s1"].Slow && !h.byName["s2"].Slow)
+		g, err := h.Ask(t.Context(), "i1", ask("hazard", "a"))
+		assert.NilError(t, err)
+		assert.Assert(t, g.Server() != "s1")
+	})
+}
+
+func TestCachedPrefixDrawsWithinTheTarget(t *testing.T) {
+	h := testHome(testServer("s1", 8), testServer("s2", 8))
+	h.CacheEvents("s2", []wire.CacheEvent{{Seq: 1, Prefix: "p1", Tokens: 512, Type: wire.CacheEventTypeStored}})
+	prefixed := ask("hazard", "a")
+	prefixed.Prefix = "p1"
+	g, err := h.Ask(t.Context(), "i1", prefixed)
+	assert.NilError(t, err)
+	assert.Equal(t, g.Server(), "s2")
+}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -125,8 +125,6 @@
 	Acquire func(ctx context.Context, ask wire.GrantAsk) (*pool.Grant, error)
 	// Address returns a backend server's IP address and port; empty is unknown.
 	Address func(server string) string
-	// Siblings returns the other backend servers of a server's pool. Optional: a paused stream then can't ask for its own server.
-	Siblings func(server string) []string
 	// Cheap tells whether a backend server is of the cheap kind. Optional.
 	Cheap func(server string) bool
 	// Retry takes one retry from a pool's budget and tells whether there was one. Optional: none is allowed.
@@ -140,7 +138,7 @@
 	// Observe takes the record of each finished request. Optional.
 	Observe func(Outcome)
 	// Stream sends an attempt to an engine; see engine.Client.
-	Stream func(ctx context.Context, a request.Attempt, onData func(data []byte, more bool) error) error
+	Stream func(ctx context.Context, a *request.Attempt, onData func(data []byte, more bool) error) error
 	// Pause asks an engine to pause a stream.
 	Pause func(ctx context.Context, address, id string) error
 	// Cancel asks an engine to end a stream.
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -244,7 +244,7 @@
 	var stderr bytes.Buffer
 	cmd := exec.CommandContext(ctx, args[0], args[1:]...)
 	cmd.Dir = s.dir
-	cmd.Env = s.env.Vars
+	cmd.Env = append(slices.Clone(s.env.Vars), s.found...)
 	cmd.Stdout = out
 	cmd.Stderr = &stderr
 	if err := cmd.Run(); err != nil {
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -105,6 +105,8 @@
 	env *testscript.Env
 	// dir is the script's directory, in which programs run.
 	dir string
+	// found are the variables by which toucanctl finds the deployment of the fixture; they are empty before deploy.
+	found []string
 
 	mu        sync.Mutex
 	processes map[string]*process
