--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,8 @@
 	$(BIN)/gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^wire/')
 
 lint: $(BIN)/golangci-lint
-	$(BIN)/golangci-lint run ./...
-	cd tools && $(BIN)/golangci-lint run --config ../.golangci.yml ./...
+	$(BIN)/golangci-lint run --allow-parallel-runners ./...
+	cd tools && $(BIN)/golangci-lint run --allow-parallel-runners --config ../.golangci.yml ./...
 
 unit:
 	go vet ./... ./tools/...
@@ -52,5 +52,9 @@
 	go run ./tools/bench policy
 	go run ./tools/bench speed
 
+# capacity measures the slopes on this machine and rewrites the tables of docs/CAPACITY.md.
+capacity:
+	go run ./tools/capacity
+
 clean:
 	rm -rf $(BIN) out
--- a/request/dispatch/completion.go
+++ b/request/dispatch/completion.go
@@ -49,9 +49,11 @@
 	chunks int
 	// resumes is the number of times that the stream was resumed.
 	resumes int
-	// left is true once the running attempt's backend server has left.
+	// left is true once the running attempt's backend server has left or stalled.
 	left bool
 	// attemptStart is the time at which the running attempt was sent.
+	// grant is the grant of the running attempt.
+	grant        *pool.Grant
 	attemptStart time.Time
 	first        time.Time
 	last         time.Time
@@ -116,6 +118,7 @@
 
 // hold streams while it holds the grant, and releases the grant when the engine's slot is free.
 func (s *stream) hold(grant *pool.Grant, a *request.Attempt) error {
+	s.grant = grant
 	begin := time.Now()
 	before := s.answer.tokens()
 	err := s.send(grant, a)
@@ -154,7 +157,7 @@
 		go s.watchPreempt(ctx, grant, a)
 	}
 	err := s.d.Stream(ctx, a, s.onData)
-	s.left = errors.Is(context.Cause(ctx), ErrServerLeft{})
+	s.left = hasLeft(ctx)
 	s.noteSent(err)
 	if err != nil && !request.IsErrPaused(err) && s.sent && s.d.Cancel != nil {
 		s.cancelAtEngine(err, a)
@@ -162,6 +165,12 @@
 	return err
 }
 
+// hasLeft tells whether an attempt ended because its backend server left or stalled.
+func hasLeft(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrServerLeft{}) || errors.Is(cause, ErrStalled{})
+}
+
 // watchPreempt pauses the engine's stream when the home wants the slot back.
 func (s *stream) watchPreempt(ctx context.Context, grant *pool.Grant, a *request.Attempt) {
 	select {
@@ -242,6 +251,9 @@
 // onData takes one event of the engine's stream.
 func (s *stream) onData(data []byte, more bool) error {
 	s.chunks++
+	// The caller may hold the stream up for long.
+	s.stall.Stop()
+	defer s.stall.Reset(s.d.stallTimeout())
 	isToken, err := s.answer.add(data, more)
 	if !isToken {
 		return err
@@ -249,6 +261,7 @@
 	now := time.Now()
 	if s.first.IsZero() {
 		s.first = now
+		s.tellLate(now)
 	} else {
 		s.betweenMax = max(s.betweenMax, now.Sub(s.last))
 	}
@@ -256,6 +269,15 @@
 	return err
 }
 
+// tellLate tells the home of a first token that took more than half of the class's target at the engine.
+func (s *stream) tellLate(now time.Time) {
+	took := now.Sub(s.attemptStart)
+	target := time.Duration(s.rights.Class.TtftMs) * time.Millisecond
+	if target > 0 && took > target/2 && s.grant != nil {
+		s.grant.FirstToken(took)
+	}
+}
+
 // observe fills the request's record and counts its usage: a whole answer by the engine's count, a stream that
 // ended early by the tokens that the caller was shown.
 func (s *stream) observe(err error) {
--- a/request/dispatch/completion_test.go
+++ b/request/dispatch/completion_test.go
@@ -35,6 +35,19 @@
 	cancels  int
 	counted  []int
 	budget   int
+	// slow is the time that each write to the caller takes.
+	slow time.Duration
+}
+
+// slowRecorder records an answer whose caller takes its time.
+type slowRecorder struct {
+	*httptest.ResponseRecorder
+	wait time.Duration
+}
+
+func (w slowRecorder) Write(data []byte) (int, error) {
+	time.Sleep(w.wait)
+	return w.ResponseRecorder.Write(data)
 }
 
 func newBench(plays ...attemptFunc) *bench {
@@ -81,12 +94,12 @@
 }
 
 // complete runs one request and returns its answer and error.
-func (b *bench) complete(t *testing.T, ctx context.Context, stream bool) (string, error) {
+func (b *bench) complete(ctx context.Context, t *testing.T, stream bool) (string, error) {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"guide","stream":%t,"messages":[{"role":"user","content":"x"}]}`, stream)
 	c, err := request.ParseCompletion(request.PathChat, []byte(body))
 	assert.NilError(t, err)
-	w := httptest.NewRecorder()
+	w := slowRecorder{ResponseRecorder: httptest.NewRecorder(), wait: b.slow}
 	err = b.Complete(ctx, w, &request.Meta{ID: "r1", Arrived: time.Now()}, c)
 	assert.Equal(t, b.Live(), 0)
 	assert.Equal(t, len(b.releases), len(b.grants), "each grant is released")
@@ -151,7 +164,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			b := newBench(tc.plays...)
 			b.rights.Idempotent, b.budget = tc.idempotent, tc.budget
-			body, err := b.complete(t, context.Background(), tc.stream)
+			body, err := b.complete(context.Background(), t, tc.stream)
 			assert.Equal(t, len(b.sent), tc.sends)
 			if tc.code != "" {
 				checkAnswer(t, err, tc.code, tc.notRun)
@@ -166,7 +179,7 @@
 
 func TestRetryGoesElsewhere(t *testing.T) {
 	b := newBench(tokens(0, errSent), tokens(1, nil))
-	_, err := b.complete(t, context.Background(), true)
+	_, err := b.complete(context.Background(), t, true)
 	assert.NilError(t, err)
 	assert.Equal(t, b.sent[0].ID, "r1.1")
 	assert.Equal(t, b.sent[1].ID, "r1.2")
@@ -178,7 +191,7 @@
 
 func TestWastedTokensAreSeen(t *testing.T) {
 	b := newBench(tokens(3, errStatus), tokens(2, nil))
-	_, err := b.complete(t, context.Background(), false)
+	_, err := b.complete(context.Background(), t, false)
 	assert.NilError(t, err)
 	assert.Equal(t, b.outcomes[0].WastedTokens, 3)
 	assert.Equal(t, b.outcomes[0].CompletionTokens, 2)
@@ -190,7 +203,7 @@
 	b.Acquire = func(context.Context, wire.GrantAsk) (*pool.Grant, error) {
 		return nil, pool.ErrRefused{Reason: "overload", RetryAfter: 250 * time.Millisecond}
 	}
-	_, err := b.complete(t, context.Background(), true)
+	_, err := b.complete(context.Background(), t, true)
 	checkAnswer(t, err, "overload", true)
 	assert.Equal(t, request.AnswerOf(err).RetryAfter, 250*time.Millisecond)
 	assert.Equal(t, b.outcomes[0].Result, ResultRefused)
@@ -219,7 +232,7 @@
 			close(paused)
 			return nil
 		}
-		body, err := b.complete(t, context.Background(), true)
+		body, err := b.complete(context.Background(), t, true)
 		assert.NilError(t, err)
 		assert.Assert(t, strings.Index(body, `"a"`) < strings.Index(body, `"b"`))
 		assert.Equal(t, b.sent[1].Resume, true)
@@ -238,14 +251,14 @@
 		cancel(ErrCallerGone{})
 		return request.ErrPaused{}
 	})
-	_, err := b.complete(t, ctx, true)
+	_, err := b.complete(ctx, t, true)
 	checkAnswer(t, err, "caller_gone", false)
 	assert.Equal(t, b.cancels, 1)
 }
 
 func TestBrokenConnectionResumesAtTheEngine(t *testing.T) {
 	b := newBench(tokens(2, errSent), tokens(1, nil))
-	_, err := b.complete(t, context.Background(), true)
+	_, err := b.complete(context.Background(), t, true)
 	assert.NilError(t, err)
 	assert.Equal(t, b.sent[1].Resume, true)
 	assert.Equal(t, b.sent[1].After, 2)
@@ -260,7 +273,7 @@
 		})
 		b.rights.Class.DeadlineMs = 1500
 		begin := time.Now()
-		_, err := b.complete(t, context.Background(), true)
+		_, err := b.complete(context.Background(), t, true)
 		checkAnswer(t, err, "deadline", false)
 		assert.Equal(t, time.Since(begin), 1500*time.Millisecond)
 		assert.Equal(t, b.cancels, 1)
@@ -278,7 +291,7 @@
 		}
 		return b.rights, nil
 	}
-	_, err := b.complete(t, context.Background(), true)
+	_, err := b.complete(context.Background(), t, true)
 	checkAnswer(t, err, "key_withdrawn", true)
 }
 
@@ -290,11 +303,64 @@
 		<-ctx.Done()
 		return request.ErrAttempt{Sent: true, Err: ctx.Err()}
 	}
-	_, err := b.complete(t, context.Background(), true)
+	_, err := b.complete(context.Background(), t, true)
 	assert.NilError(t, err)
 	assert.Equal(t, b.sent[1].Address, "s2:1")
 }
 
+// An engine that sends nothing loses the request to another one, unless its answer was shown.
+func TestStalledEngine(t *testing.T) {
+	stalled := func(n int) attemptFunc {
+		return func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			_ = tokens(n, nil)(ctx, a, onData)
+			<-ctx.Done()
+			return request.ErrAttempt{Sent: true, Err: context.Cause(ctx)}
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stalled(0), tokens(1, nil))
+		begin := time.Now()
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begin), DefaultStallTimeout)
+		assert.Equal(t, b.sent[1].Address, "s2:1")
+		assert.Equal(t, b.releases[0].Failed, true)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(stalled(2))
+		_, err := b.complete(context.Background(), t, true)
+		checkAnswer(t, err, "stream_interrupted", false)
+		assert.Equal(t, b.cancels, 1)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			for range 5 {
+				time.Sleep(DefaultStallTimeout - time.Second)
+				if ctx.Err() != nil {
+					return context.Cause(ctx)
+				}
+				_ = onData(token("slow"), false)
+			}
+			return nil
+		})
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err, "a slow engine isn't a stalled one")
+	})
+}
+
+// A caller that holds its stream up for long is no sign of a stalled engine.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(func(ctx context.Context, a *request.Attempt, onData func([]byte, bool) error) error {
+			_ = tokens(3, nil)(ctx, a, onData)
+			return context.Cause(ctx)
+		})
+		b.slow = 2 * DefaultStallTimeout
+		_, err := b.complete(context.Background(), t, true)
+		assert.NilError(t, err)
+	})
+}
+
 func TestObservations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(func(_ context.Context, _ *request.Attempt, onData func([]byte, bool) error) error {
@@ -304,7 +370,7 @@
 			}
 			return onData([]byte(`{"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":4,"prompt_tokens_details":{"cached_tokens":8}}}`), false)
 		})
-		_, err := b.complete(t, context.Background(), true)
+		_, err := b.complete(context.Background(), t, true)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, b.outcomes[0], Outcome{
 			RequestID: "r1", Workspace: "w1", Class: "guide", Route: "guide", Pool: "p1", Tier: 2, Server: "s1", Attempts: 1,
