--- a/cmd/toucanctl/stop.go
+++ b/cmd/toucanctl/stop.go
@@ -99,6 +99,9 @@
 		if stop.NotBeforeMs > 0 {
 			_, _ = fmt.Fprintf(w, "draining begins not before %s\n", timeOf(stop.NotBeforeMs))
 		}
+		if stop.NotBeforeMs > 0 && len(answer.InForce) == 0 {
+			return
+		}
 		writeInForce(w, answer.InForce)
 	})
 }
