--- a/tools/capacity/capacity_test.go
+++ b/tools/capacity/capacity_test.go
@@ -63,11 +63,11 @@
 }
 
 func TestNumbers(t *testing.T) {
-	for v, want := range map[float64]string{0: "0", 0.01234: "0.0123", 1: "1.00", 12.345: "12.3", 1234567: "1,234,567", -1234: "-1,234"} {
+	for v, want := range map[float64]string{0: "0", 0.01234: "0.0123", 1: "1", 1.5: "1.50", 12.345: "12.3", 1234567: "1,234,567", -1234: "-1,234"} {
 		assert.Equal(t, number(v), want)
 	}
-	assert.Equal(t, bytesOf(8*kilobyte), "8.00 KB")
-	assert.Equal(t, bytesOf(64*megabyte), "64.0 MB")
+	assert.Equal(t, bytesOf(8*kilobyte), "8 KB")
+	assert.Equal(t, bytesOf(64*megabyte), "64 MB")
 	assert.Equal(t, percent(0.048), "4.80%")
 }
 
@@ -91,7 +91,7 @@
 	b := Budget{CPU: 0.1, Memory: 100, Bytes: 10}
 	assert.Equal(t, Cost{CPU: 0.1, Memory: 100, Bytes: 10}.verdict(b), "within")
 	c := Cost{CPU: 0.2, Memory: 100, Bytes: 30, Fix: "do less"}
-	assert.Equal(t, c.verdict(b), "**processor 2.00 times, bytes 3.00 times**: do less")
+	assert.Equal(t, c.verdict(b), "**processor 2 times, bytes 3 times**: do less")
 }
 
 func TestFailureCosts(t *testing.T) {
@@ -111,6 +111,15 @@
 	assert.Assert(t, math.Abs(centre.Cut-335_000.0/6) < 1e-6)
 }
 
+func TestWhatWasNotMeasuredIsSaid(t *testing.T) {
+	assert.Equal(t, measured(0, percent), "n.m.")
+	assert.Equal(t, measured(0.5, percent), "50%")
+}
+
+func TestTreeOfVersions(t *testing.T) {
+	assert.Equal(t, innerPlaces(target()), 10.0)
+}
+
 func TestOutageCallsGrowWithTheDaemons(t *testing.T) {
 	one, two := sumCalls(outageCalls(1)), sumCalls(outageCalls(2))
 	assert.Equal(t, two.Reads, 2*one.Reads)
--- a/tools/capacity/failure.go
+++ b/tools/capacity/failure.go
@@ -93,5 +93,14 @@
 	return daemon, daemon * t.PerDataCentre()
 }
 
+// listLimit is the largest answer that the client of the object API reads, in bytes.
+const listLimit = 64 << 20
+
+// cutParts returns the bytes of the usage parts of a data centre that wait for the sealer after a cut.
+func cutParts(t Target, f figures, cut time.Duration) float64 {
+	lines := t.PerDataCentre() * cut.Seconds() / window.Seconds() * t.Lines(window)
+	return f.state.Part.At(lines) * kilobyte
+}
+
 // redials returns the dials per second that a daemon tries towards peers that are gone.
 func redials(gone float64) float64 { return gone / redial.Seconds() }
--- a/tools/capacity/home.go
+++ b/tools/capacity/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/wire"
@@ -25,7 +26,7 @@
 }
 
 // measureHome drives real homes in this process.
-func measureHome(t Target) homeFigures {
+func measureHome(t Target) (homeFigures, error) {
 	grants := t.Streams() / t.Homes()
 	cost := func(varied string, size float64) Series {
 		return Series{Name: "grant and release at the home, by " + varied, Unit: "µs", Varied: varied, Target: size}
@@ -43,24 +44,33 @@
 		HeapByGrants:     heap("grants out", grants),
 	}
 	for _, n := range []int{10, 45, 180, 900, 5400} {
-		cpu, bytes := homeTurn(t, n, smallWorkspaces, 0)
+		cpu, bytes, err := homeTurn(t, n, smallWorkspaces, 0)
+		if err != nil {
+			return f, err
+		}
 		f.ByServers.add(n, cpu*1e6)
 		f.HeapByServers.add(n, bytes/kilobyte)
 	}
 	for _, n := range []int{10, 120, 1200} {
-		cpu, bytes := homeTurn(t, smallServers, n, 0)
+		cpu, bytes, err := homeTurn(t, smallServers, n, 0)
+		if err != nil {
+			return f, err
+		}
 		f.ByWorkspaces.add(n, cpu*1e6)
 		f.HeapByWorkspaces.add(n, bytes/kilobyte)
 	}
 	for _, n := range []int{0, 280, 2800} {
-		cpu, bytes := homeTurn(t, 45, smallWorkspaces, n)
+		cpu, bytes, err := homeTurn(t, 45, smallWorkspaces, n)
+		if err != nil {
+			return f, err
+		}
 		f.ByGrants.add(n, cpu*1e6)
 		f.HeapByGrants.add(n, bytes/kilobyte)
 	}
 	for _, n := range []int{1, 8, 32, 128} {
 		f.ByWaiting.add(n, waitingTurn(t, n)*1e6)
 	}
-	return f
+	return f, nil
 }
 
 // waitingSeconds is the time whose arrivals wait at a home in the page's overload.
@@ -70,13 +80,22 @@
 	s.Points = append(s.Points, Point{Size: float64(size), Value: value})
 }
 
+// homeSlots is the slots of each server of a measured home: twice those in use at the size ahead, so that no request
+// waits for headroom.
+const homeSlots = 128
+
+// lookInterval is the time between two looks at a home's queue.
+const lookInterval = 50 * time.Microsecond
+
 // newHome returns a home of one pool with n servers.
 func newHome(t Target, servers, workspaces int) *pool.Home {
 	h := &pool.Home{Pool: poolName(0), Instance: instanceName(0), ExpectedTokens: 400, Preempt: func(string, wire.GrantPreempt) {}}
 	cfg := config(t, 0, workspaces)
 	specs := make([]pool.ServerSpec, 0, servers)
 	for i := range servers {
-		specs = append(specs, pool.ServerSpec{Server: server(t, i), State: pool.ServerServing})
+		s := server(t, i)
+		s.Slots = homeSlots
+		specs = append(specs, pool.ServerSpec{Server: s, State: pool.ServerServing})
 	}
 	h.Configure(cfg.Classes, cfg.Workspaces, specs)
 	return h
@@ -90,19 +109,23 @@
 	}
 }
 
-// release is a usual end of a grant.
+// release is a usual end of a grant, within the targets of its class.
 func release() wire.GrantRelease {
-	return wire.GrantRelease{Pool: poolName(0), Tokens: 394, FirstTokenMs: 300, DurationMs: 20_000, CachedTokens: 128}
+	return wire.GrantRelease{Pool: poolName(0), Tokens: 394, FirstTokenMs: 300, DurationMs: 16_000, CachedTokens: 128}
 }
 
-// homeTurn returns the processor seconds of a grant and its release at a home with grants out, and the home's heap.
-func homeTurn(t Target, servers, workspaces, out int) (cpu, heap float64) {
+// homeTurn returns the processor seconds of a grant and its release at a home with grants out, and the home's heap. A
+// refused request is an error, as it would count as a cheap grant.
+func homeTurn(t Target, servers, workspaces, out int) (cpu, heap float64, err error) {
 	ctx := context.Background()
+	var refused error
 	turn := func(h *pool.Home, i int) {
 		g, err := h.Ask(ctx, instanceName(i%32), ask(t, i, workspaces))
-		if err == nil {
-			g.Release(release())
+		if err != nil {
+			refused = err
+			return
 		}
+		g.Release(release())
 	}
 	heap, h := heapOf(func() *pool.Home {
 		h := newHome(t, servers, workspaces)
@@ -120,7 +143,7 @@
 	}
 	cpu = cpuPer(n, func(i int) { turn(h, i) })
 	h.Close()
-	return cpu, heap
+	return cpu, heap, refused
 }
 
 // waitingTurn returns the processor seconds of a release, the grant that it brings and a new ask, with that many
@@ -135,7 +158,7 @@
 		a.Class = className(0)
 		return a
 	}
-	slots := smallServers * server(t, 0).Slots
+	slots := smallServers * homeSlots
 	given := make(chan *pool.Grant, slots+waiting)
 	for i := range slots {
 		if g, err := h.Ask(ctx, instanceName(i%32), one(i)); err == nil {
@@ -154,12 +177,12 @@
 	}
 	full := func() bool { n, _, _ := h.Status(); return n == waiting }
 	for !full() {
-		yield()
+		time.Sleep(lookInterval)
 	}
 	return cpuPer(cycles/10, func(int) {
 		(<-given).Release(release())
 		for !full() {
-			yield()
+			time.Sleep(lookInterval)
 		}
 	})
 }
--- a/tools/capacity/link.go
+++ b/tools/capacity/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"runtime"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,9 +18,6 @@
 // linkWindow is the time over which heartbeats are measured.
 const linkWindow = time.Second
 
-// yield lets other goroutines run.
-func yield() { runtime.Gosched() }
-
 // linkFigures are the series of the links between instances. Bytes are those of both ways, processor time that of both
 // ends.
 type linkFigures struct {
--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -88,23 +89,26 @@
 func measure(ctx context.Context, t Target, root string) (figures, error) {
 	var f figures
 	before := loadAverage()
-	progress("home")
-	f.home = measureHome(t)
-	progress("state")
-	f.state = measureState(ctx, t)
-	progress("links")
 	var err error
+	progress := newProgress()
+	if f.home, err = measureHome(t); err != nil {
+		return f, err
+	}
+	progress("homes")
+	f.state = measureState(ctx, t)
+	progress("state")
 	if f.link, err = measureLinks(ctx, t); err != nil {
 		return f, err
 	}
-	progress("platform")
+	progress("links")
 	if f.platform, err = measurePlatform(ctx, t); err != nil {
 		return f, err
 	}
-	progress("processes")
+	progress("platform")
 	if f.process, err = measureProcesses(ctx, t, root); err != nil {
 		return f, err
 	}
+	progress("processes")
 	f.machine = [][]string{
 		{"cores", number(float64(runtime.NumCPU()))},
 		{"system and compiler", runtime.GOOS + "/" + runtime.GOARCH + ", " + runtime.Version()},
@@ -115,4 +119,11 @@
 	return f, nil
 }
 
-func progress(step string) { _, _ = fmt.Fprintln(os.Stderr, "capacity:", step) }
+// newProgress returns a function that tells how long the step that has just ended took.
+func newProgress() func(step string) {
+	last := time.Now()
+	return func(step string) {
+		_, _ = fmt.Fprintf(os.Stderr, "capacity: %s measured in %s\n", step, time.Since(last).Round(time.Second/10))
+		last = time.Now()
+	}
+}
--- a/tools/capacity/objects.go
+++ b/tools/capacity/objects.go
@@ -14,6 +14,8 @@
 	readLimit  = 2000
 	// objectLimit is the largest object, in bytes.
 	objectLimit = 1 << 20
+	// treeLevels is the number of daemons that a version passes one after the other in a data centre.
+	treeLevels = 3
 )
 
 // Delays of the daemon after failed calls.
--- a/tools/capacity/page.go
+++ b/tools/capacity/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -66,8 +67,8 @@
 // number writes a figure with three significant digits and no exponent.
 func number(v float64) string {
 	switch {
-	case v == 0:
-		return "0"
+	case v == math.Trunc(v) && math.Abs(v) < 100:
+		return fmt.Sprintf("%.0f", v)
 	case v >= 99.95 || v <= -99.95:
 		return grouped(fmt.Sprintf("%.0f", v))
 	case v >= 9.995:
--- a/tools/capacity/process.go
+++ b/tools/capacity/process.go
@@ -15,9 +15,9 @@
 
 const (
 	// processWindow is the time over which idle daemons are measured.
-	processWindow = 3 * time.Second
+	processWindow = 4 * time.Second
 	// settleTime passes between the start of a deployment and its measurement.
-	settleTime = 2 * time.Second
+	settleTime = 3 * time.Second
 	// ticksPerSecond is the unit of processor time that the kernel tells.
 	ticksPerSecond = 100
 	// questionnaireFile has three data centres.
@@ -50,7 +50,7 @@
 	if err != nil {
 		return f, err
 	}
-	for _, n := range []int{1, 2, 3} {
+	for _, n := range []int{2, 3, 4} {
 		if err := f.deployment(ctx, bin, root, n); err != nil {
 			return f, err
 		}
--- a/tools/capacity/role.go
+++ b/tools/capacity/role.go
@@ -31,7 +31,8 @@
 	Mechanism string
 	// State tells what is kept.
 	State string
-	// Messages and Bytes are sent and received per second; CPU is a share of a core; Memory is in bytes.
+	// Messages and Bytes are sent and received per second; CPU is a share of a core; Memory is in bytes. A CPU or
+	// Memory of 0 is not measured.
 	Messages, Bytes, CPU, Memory float64
 	// Extrapolated tells that a measured figure was taken beyond the measured sizes.
 	Extrapolated bool
@@ -117,8 +118,8 @@
 			Fix: "keep the hash of the keyrings until one changes",
 		},
 		{
-			Part: "changes of configuration", Mechanism: "the whole document passes once into each daemon and on average once out of it",
-			State: "document, table and keys", Messages: 4 * t.ChangesPerSecond(), Bytes: 2 * t.ChangesPerSecond() * document,
+			Part: "changes of configuration", Mechanism: "`process/versions`: the whole document passes once into each daemon",
+			State: "document, table and keys", Messages: 2 * t.ChangesPerSecond(), Bytes: t.ChangesPerSecond() * document,
 			CPU:    t.ChangesPerSecond() * apply,
 			Memory: (added(f.state.TableByServers, f.state.TableByWorkspaces) + f.state.Ring.AtTarget()) * kilobyte,
 			Fix:    "versions as differences from the one before, and one object for each workspace and pool",
@@ -203,6 +204,7 @@
 		{
 			Part: "watches", Mechanism: "`process/versions`: 2 kinds, each answered within 1 s; a new document is read once", State: "version up to which all is known",
 			Messages: 2 * watches, Bytes: watches*f.platform.LeaseBytes.AtTarget() + t.ChangesPerSecond()*document, Extrapolated: true,
+			Fix: "versions as differences from the one before",
 		},
 		children(t, f),
 	}}
@@ -220,9 +222,14 @@
 	}
 }
 
+// innerPlaces returns the daemons of a data centre, watch holders excepted, with which others compare digests.
+func innerPlaces(t Target) float64 {
+	return float64(versions.Parent(int(t.PerDataCentre())) + 1 - versions.Watchers)
+}
+
 // relayRole is an inner place of the tree of versions.
 func relayRole(t Target, f figures) Role {
-	return Role{Name: "inner place of the versions' tree", Holders: "about 12 daemons of each data centre", Costs: []Cost{children(t, f)}}
+	return Role{Name: "inner place of the versions' tree", Holders: number(innerPlaces(t)) + " daemons of each data centre", Costs: []Cost{children(t, f)}}
 }
 
 // leaseRole is what the holder of the fleet's lease does besides.
--- a/tools/capacity/table.go
+++ b/tools/capacity/table.go
@@ -19,7 +19,7 @@
 		{"objects", objectTable(t, f)},
 		{"stored", storedTable(t, f)},
 		{"failures", failureTable(t)},
-		{"cuts", cutTable(t)},
+		{"cuts", cutTable(t, f)},
 	}
 	for _, table := range tables {
 		var err error
@@ -80,8 +80,8 @@
 // sizeTable lists the size ahead and what follows from it.
 func sizeTable(t Target) string {
 	return markdown([]string{"what", "figure"}, [][]string{
-		{"daemons, of each data centre", fmt.Sprintf("%d, %s", t.Daemons, number(t.PerDataCentre()))},
-		{"backend servers, of each home", fmt.Sprintf("%d, %s", t.Servers, number(t.HomeServers()))},
+		{"daemons, of each data centre", number(float64(t.Daemons)) + ", " + number(t.PerDataCentre())},
+		{"backend servers, of each home", number(float64(t.Servers)) + ", " + number(t.HomeServers())},
 		{"homes (models times data centres)", number(t.Homes())},
 		{"requests per second, of one daemon, of one home", fmt.Sprintf("%s, %s, %s", number(t.RequestsPerSecond), number(t.DaemonRequests()), number(t.HomeRequests()))},
 		{"tokens of an answer, its time at " + t.BetweenTokens.String() + " a token", fmt.Sprintf("%s, %s s", number(t.TokensPerSecond/t.RequestsPerSecond), number(t.Answer().Seconds()))},
@@ -102,14 +102,22 @@
 	return text
 }
 
+// measured writes a figure, or "n.m." where there is none.
+func measured(v float64, write func(float64) string) string {
+	if v == 0 {
+		return "n.m."
+	}
+	return write(v)
+}
+
 // roleTable lists the parts of all roles.
 func roleTable(t Target, f figures) string {
 	var rows [][]string
 	for _, r := range roles(t, f) {
 		for _, c := range r.Costs {
 			rows = append(rows, []string{
-				r.Name, c.Part, c.State, c.Mechanism, number(c.Messages), bytesOf(c.Bytes), percent(c.CPU),
-				mark(bytesOf(c.Memory), c.Extrapolated), c.verdict(t.Budget),
+				r.Name, mark(c.Part, c.Extrapolated), c.State, c.Mechanism, number(c.Messages), bytesOf(c.Bytes), measured(c.CPU, percent),
+				measured(c.Memory, bytesOf), c.verdict(t.Budget),
 			})
 		}
 	}
@@ -160,7 +168,7 @@
 	if missed == "" {
 		missed = "within"
 	}
-	return []string{name, number(sum.Messages), bytesOf(sum.Bytes), percent(sum.CPU), mark(bytesOf(sum.Memory), sum.Extrapolated), missed}
+	return []string{mark(name, sum.Extrapolated), number(sum.Messages), bytesOf(sum.Bytes), percent(sum.CPU), bytesOf(sum.Memory), missed}
 }
 
 // objectTable lists the calls to the object API.
@@ -172,16 +180,21 @@
 	}
 	sum := sumCalls(list)
 	rows = append(rows, []string{"limit (several hundred writes, read as 300)", "", number(readLimit), number(writeLimit)},
-		[]string{"share of the limit", "", percent(sum.Reads / readLimit), percent(sum.Writes / writeLimit)})
+		[]string{"share of the limit", "", percent(sum.Reads / readLimit), percent(sum.Writes / writeLimit)},
+		[]string{"check: whole deployments of 6 to 12 idle daemons in 3 data centres, by their line", "with the daemons", number(f.process.Reads.AtTarget()) + " (e)", ""})
 	return markdown([]string{"calls", "grow", "reads/s", "writes/s"}, rows)
 }
 
 // storedTable lists what the object API keeps.
 func storedTable(t Target, f figures) string {
-	document, _ := f.document()
+	document, apply := f.document()
 	lines := f.state.Part.At(float64(t.Workspaces*t.Classes)) * kilobyte
 	return markdown([]string{"object", "figure"}, [][]string{
 		{"a configuration of all backend servers and workspaces", bytesOf(document) + ", " + percent(document/objectLimit) + " of the limit of an object"},
+		{
+			"time until a change is in force in a data centre: as measured with a small document, and " + number(treeLevels) + " times its reading; the target is 10 s",
+			mark(number(f.platform.InForce.AtTarget()/1000+treeLevels*apply)+" s", true),
+		},
 		{"configurations kept from each day, each change one document", bytesOf(document * t.ChangesPerDay)},
 		{"a seal with a line for each workspace and class", bytesOf(lines) + ", " + percent(lines/objectLimit) + " of the limit"},
 		{"claims of each day at the assumed share, none removed", number(t.RequestsPerSecond * t.UnrepeatableShare * secondsPerDay)},
@@ -204,7 +217,7 @@
 }
 
 // cutTable lists what cuts cost.
-func cutTable(t Target) string {
+func cutTable(t Target, f figures) string {
 	half := float64(t.Daemons) / float64(t.Regions)
 	daemon, collector := cutMemory(t, time.Hour)
 	rows := make([][]string, 0, 8)
@@ -218,6 +231,10 @@
 		[]string{"regions apart: calls of the region without the platform", number(sumCalls(outageCalls(half)).Reads) + " calls/s that fail"},
 		[]string{"an hour without the platform: usage kept by each daemon", bytesOf(daemon)},
 		[]string{"an hour without the platform: usage kept by the collector of a data centre", bytesOf(collector)},
+		[]string{"an hour without the platform: parts to list before a window is sealed, against the " + bytesOf(listLimit) + " that the client reads", mark(bytesOf(cutParts(t, f, time.Hour)), true)},
+		[]string{"a data centre out: dials of each other daemon towards it", number(redials(t.PerDataCentre())) + "/s"},
+		[]string{"a daemon restarted: links that it and the others make", number(2 * float64(t.Daemons-1))},
+		[]string{"a backend server lost: streams cut", number(t.Streams() / float64(t.Servers))},
 		[]string{"instances that never come back under their name: dials of each daemon after a day of losses", number(redials(t.LossesPerDay)) + "/s, and as much again each day until it restarts"},
 	)
 	return markdown([]string{"what", "figure"}, rows)
