--- a/tools/capacity/capacity_test.go
+++ b/tools/capacity/capacity_test.go
@@ -120,6 +120,12 @@
 	assert.Equal(t, innerPlaces(target()), 10.0)
 }
 
+func TestRedials(t *testing.T) {
+	silent, refused := redials(10)
+	assert.Equal(t, silent, 8.0)
+	assert.Equal(t, refused, 40.0)
+}
+
 func TestOutageCallsGrowWithTheDaemons(t *testing.T) {
 	one, two := sumCalls(outageCalls(1)), sumCalls(outageCalls(2))
 	assert.Equal(t, two.Reads, 2*one.Reads)
--- a/tools/capacity/failure.go
+++ b/tools/capacity/failure.go
@@ -15,8 +15,8 @@
 	recovery = peer.HeartbeatTimeout
 	// redial is the pause between two dials of a lost peer.
 	redial = 250 * time.Millisecond
-	// heldBytes is about one grant in a declaration to a new home.
-	heldBytes = 80
+	// dialTimeout bounds one dial of a peer.
+	dialTimeout = time.Second
 	// lineBytes is about one kept line of usage in memory.
 	lineBytes = 100
 )
@@ -65,7 +65,7 @@
 	c := FailureCost{Failure: f, Moved: share * t.Homes(), Leases: share * leaseJobs * float64(t.DataCentres)}
 	streams := share * t.Streams()
 	grants := c.Moved * t.Streams() / t.Homes()
-	c.Declared = grants * heldBytes
+	c.Declared = grants * heldBytes(t)
 	c.Delayed = c.Moved * t.HomeRequests() * (peer.HeartbeatTimeout + recovery).Seconds()
 	c.Cut = streams
 	// A start reads two lists and a document; a takeover reads and writes a lease and lists the intents and the seals.
@@ -102,5 +102,8 @@
 	return f.state.Part.At(lines) * kilobyte
 }
 
-// redials returns the dials per second that a daemon tries towards peers that are gone.
-func redials(gone float64) float64 { return gone / redial.Seconds() }
+// redials returns the dials per second that a daemon tries towards peers that are gone: where nothing answers, and where
+// each dial is refused at once.
+func redials(gone float64) (silent, refused float64) {
+	return gone / (redial + dialTimeout).Seconds(), gone / redial.Seconds()
+}
--- a/tools/capacity/fixture.go
+++ b/tools/capacity/fixture.go
@@ -76,6 +76,19 @@
 	return k
 }
 
+// heldBytes returns the bytes of one grant in a declaration to a new home.
+func heldBytes(t Target) float64 {
+	held := wire.GrantHeld{Grant: 1_000_000_000, Server: server(t, 0).Name, Class: className(0), Workspace: workspaceName(0)}
+	return float64(len(raw(held)) + 1)
+}
+
+// serverStateBytes returns the bytes of one server in an answer of the ordering interface.
+func serverStateBytes(t Target) float64 {
+	s := server(t, 0)
+	state := wire.ServerState{Server: s.Name, DataCentre: s.DataCentre, Kind: wire.ServerStateKindRegular, State: wire.ServerStateStateRunning}
+	return float64(len(raw(state)) + 1)
+}
+
 // raw returns v as JSON.
 func raw(v any) json.RawMessage {
 	data, err := json.Marshal(v)
--- a/tools/capacity/role.go
+++ b/tools/capacity/role.go
@@ -20,8 +20,6 @@
 	healthRate = 2.0
 	// rehomeRate is that of looks at the homes of all pools.
 	rehomeRate = 1.0
-	// serverStateBytes is about one line of the ordering interface's answer.
-	serverStateBytes = 90
 )
 
 // Cost is what one part of a role takes from one daemon.
@@ -235,7 +233,7 @@
 // leaseRole is what the holder of the fleet's lease does besides.
 func leaseRole(t Target, f figures) Role {
 	followers := t.PerDataCentre() - 1
-	states := float64(t.Servers) / float64(t.DataCentres) * serverStateBytes
+	states := float64(t.Servers) / float64(t.DataCentres) * serverStateBytes(t)
 	return Role{Name: "lease holder (fleet)", Holders: "1 daemon of each data centre", Costs: []Cost{
 		{
 			Part: "renewals", Mechanism: "`process/lease`: a conditional update every 2 s", State: "holder, run, fencing number",
--- a/tools/capacity/table.go
+++ b/tools/capacity/table.go
@@ -216,26 +216,32 @@
 	}, rows)
 }
 
+// dials writes the dials towards peers that are gone.
+func dials(gone float64) string {
+	silent, refused := redials(gone)
+	return fmt.Sprintf("%s/s where nothing answers, %s/s where each is refused", number(silent), number(refused))
+}
+
 // cutTable lists what cuts cost.
 func cutTable(t Target, f figures) string {
 	half := float64(t.Daemons) / float64(t.Regions)
 	daemon, collector := cutMemory(t, time.Hour)
 	rows := make([][]string, 0, 8)
 	for _, c := range outageCalls(float64(t.Daemons)) {
-		rows = append(rows, []string{"object API out for all: " + c.Part, number(c.Reads+c.Writes) + " calls/s"})
+		rows = append(rows, []string{"object API refuses all: " + c.Part, number(c.Reads+c.Writes) + " calls/s"})
 	}
 	sum := sumCalls(outageCalls(float64(t.Daemons)))
 	rows = append(rows,
-		[]string{"object API out for all: sum, against " + number(readLimit) + " reads/s when it comes back", number(sum.Reads+sum.Writes) + " calls/s, " + number((sum.Reads+sum.Writes)/readLimit) + " times"},
-		[]string{"regions apart: dials of each daemon towards the other region", number(redials(half)) + "/s"},
+		[]string{"object API refuses all: sum, against " + number(readLimit) + " reads/s when it comes back", number(sum.Reads+sum.Writes) + " calls/s, " + number((sum.Reads+sum.Writes)/readLimit) + " times"},
+		[]string{"regions apart: dials of each daemon towards the other region", dials(half)},
 		[]string{"regions apart: calls of the region without the platform", number(sumCalls(outageCalls(half)).Reads) + " calls/s that fail"},
-		[]string{"an hour without the platform: usage kept by each daemon", bytesOf(daemon)},
-		[]string{"an hour without the platform: usage kept by the collector of a data centre", bytesOf(collector)},
+		[]string{"an hour without the platform: usage kept by each daemon, " + number(lineBytes) + " B a line assumed", bytesOf(daemon)},
+		[]string{"an hour without the platform: usage kept by the collector of a data centre, likewise", bytesOf(collector)},
 		[]string{"an hour without the platform: parts to list before a window is sealed, against the " + bytesOf(listLimit) + " that the client reads", mark(bytesOf(cutParts(t, f, time.Hour)), true)},
-		[]string{"a data centre out: dials of each other daemon towards it", number(redials(t.PerDataCentre())) + "/s"},
+		[]string{"a data centre out: dials of each other daemon towards it", dials(t.PerDataCentre())},
 		[]string{"a daemon restarted: links that it and the others make", number(2 * float64(t.Daemons-1))},
 		[]string{"a backend server lost: streams cut", number(t.Streams() / float64(t.Servers))},
-		[]string{"instances that never come back under their name: dials of each daemon after a day of losses", number(redials(t.LossesPerDay)) + "/s, and as much again each day until it restarts"},
+		[]string{"instances that never come back under their name: dials of each daemon after a day of losses", dials(t.LossesPerDay) + "; as much again each day until it restarts"},
 	)
 	return markdown([]string{"what", "figure"}, rows)
 }
