--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -49,6 +49,7 @@
 		Acquire: i.acquire,
 		Address: i.address,
 		Cheap:   i.cheap,
+		Log:     i.Log,
 		Retry:   func(name string) bool { return i.retries.get(name).AllowRetry() },
 		Claim:   i.claims.claim,
 		Unclaim: i.claims.unclaim,
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -36,6 +36,7 @@
 		"run":       (*session).run,
 		"join":      (*session).join,
 		"sleep":     (*session).sleep,
+		"client":    (*session).client,
 	}
 }
 
