Print the bench against the goals; raise two bursts to twice the capacity

Change: goodput, waste and worst workspace as ratios to the better baseline with met or missed; waste is what engines made less what was of use; the question surge goes from 6 to 14 times, the swimmers' from 6 to 12.

--- a/tools/bench/cases.go
+++ b/tools/bench/cases.go
@@ -45,11 +45,11 @@
 	return []benchCase{
 		{
 			name: "diwali-burst", questionnaire: doceLuz, rate: 45,
-			surges: []string{"class=question,factor=6,from=0.2,to=0.7"},
+			surges: []string{"class=question,factor=14,from=0.2,to=0.7"},
 		},
 		{
 			name: "flood", questionnaire: waterways, rate: 30,
-			surges: []string{"class=hazard-report,factor=4,from=0.2,to=0.7", "class=swimmer-question,factor=6,from=0.2,to=0.7"},
+			surges: []string{"class=hazard-report,factor=4,from=0.2,to=0.7", "class=swimmer-question,factor=12,from=0.2,to=0.7"},
 		},
 		{
 			name: "straggler-and-crash", questionnaire: doceLuz, rate: 60,
--- a/tools/bench/policy.go
+++ b/tools/bench/policy.go
@@ -46,6 +46,8 @@
 	Report report.Report `json:"report"`
 	// EngineWasted is the number of tokens that engines made for streams that did not finish.
 	EngineWasted int `json:"engine_wasted"`
+	// Generated is the number of tokens that engines made.
+	Generated int `json:"generated"`
 	// CheapShare is the share of tokens made on cheap servers.
 	CheapShare float64 `json:"cheap_share"`
 	// Cost of the backend servers' running time.
@@ -76,6 +78,7 @@
 		}
 	}
 	printOutcomes(outcomes)
+	printComparisons(outcomes)
 	if c.JSON == "" {
 		return nil
 	}
@@ -165,6 +168,7 @@
 			cheap += stats.TokensGenerated
 		}
 	}
+	o.Generated = tokens
 	o.CheapShare = ratio(float64(cheap), float64(tokens))
 	return o.addCost(ctx, d)
 }
