Open a breaker for a server that fails; three candidates for each lease

Change: the home tells of each ended attempt, three failures in a row open the server's breaker, and after its time work goes there again; only the first three instances in rendezvous order try to take a job.

--- a/process/instance/health.go
+++ b/process/instance/health.go
@@ -10,6 +10,7 @@
 
 	"github.com/toucanroute/toucanroute/connection/engine"
 	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/wire"
 )
 
@@ -24,7 +25,9 @@
 )
 
 // health reads the load reports and cache events of the backend servers of this instance's homes. A backend server
-// that does not answer is suspect and gets no new work.
+// that does not answer, or whose breaker is open, is suspect and gets no new work.
+//
+// Lock order: health.mu, then the lock of a breaker.
 type health struct {
 	log     *zap.Logger
 	reports engine.Reports
@@ -42,6 +45,8 @@
 	mu sync.Mutex
 	// failed has the number of failed checks in a row of each backend server.
 	failed map[string]int
+	// breakers has the breaker of each backend server at which an attempt failed.
+	breakers map[string]*attempt.Breaker
 	// seq has the number of the newest cache event of each engine.
 	seq map[string]int
 }
@@ -56,6 +61,7 @@
 			return
 		case <-tick.C:
 		}
+		h.probe()
 		var g errgroup.Group
 		g.SetLimit(healthWorkers)
 		for _, s := range h.servers() {
@@ -128,5 +134,52 @@
 func (h *health) suspect(server string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.failed[server] >= suspectAfter
+	if h.failed[server] >= suspectAfter {
+		return true
+	}
+	b := h.breakers[server]
+	return b != nil && b.State() == attempt.BreakerOpen
+}
+
+// ended takes in that an attempt at a backend server ended.
+func (h *health) ended(server string, failed bool) {
+	h.mu.Lock()
+	b := h.breakers[server]
+	if b == nil && failed {
+		if h.breakers == nil {
+			h.breakers = map[string]*attempt.Breaker{}
+		}
+		b = &attempt.Breaker{}
+		h.breakers[server] = b
+	}
+	h.mu.Unlock()
+	if b == nil {
+		return
+	}
+	before := b.State()
+	if failed {
+		b.Failure()
+	} else {
+		b.Success()
+	}
+	if b.State() == before {
+		return
+	}
+	h.log.Info("breaker_changed", zap.String("server", server), zap.Bool("open", b.State() == attempt.BreakerOpen))
+	h.changed()
+}
+
+// probe lets work go to backend servers again whose breakers have been open for long enough.
+func (h *health) probe() {
+	changed := false
+	h.mu.Lock()
+	for _, b := range h.breakers {
+		if b.State() == attempt.BreakerOpen && b.Allow() {
+			changed = true
+		}
+	}
+	h.mu.Unlock()
+	if changed {
+		h.changed()
+	}
 }
--- a/process/instance/homes.go
+++ b/process/instance/homes.go
@@ -25,6 +25,8 @@
 	declarers func() []string
 	// preempt asks another instance to pause the stream of a grant.
 	preempt func(holder string, p wire.GrantPreempt)
+	// ended hears of each attempt that ended at a backend server, and whether the server failed.
+	ended func(server string, failed bool)
 
 	mu sync.Mutex
 	// local has the home of each pool for which this instance was asked.
@@ -85,6 +87,7 @@
 		Share:          share,
 		ExpectedTokens: spec.ExpectedTokens,
 		Preempt:        h.preempt,
+		Ended:          h.ended,
 	}
 	h.configureOne(hm)
 	return hm
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -198,6 +198,7 @@
 		live:       func() int { return i.members.Live(i.Settings.DataCentre) },
 		declarers:  i.declarers,
 		preempt:    i.preempt,
+		ended:      i.health.ended,
 	}
 	if i.Baseline.Choose != nil {
 		i.baseline = &home.Baseline{Instance: i.Settings.Instance, Policy: i.Baseline, Servers: i.localServers}
--- a/process/instance/instance_test.go
+++ b/process/instance/instance_test.go
@@ -94,3 +94,19 @@
 	assert.Equal(t, quiet.Protected, 1.0)
 	assert.Equal(t, quiet.SlotSeconds, unknownHold.Seconds())
 }
+
+func TestFailedAttemptsOpenTheBreaker(t *testing.T) {
+	i := newInstance(t)
+	assert.NilError(t, i.setTable(testConfig()))
+	for n := range 3 {
+		g, err := i.homes.get("chat").Ask(context.Background(), "a", wire.GrantAsk{
+			RequestID: "r", Pool: "chat", Class: "question", Workspace: "shop",
+		})
+		assert.NilError(t, err, "attempt %d", n)
+		g.Release(wire.GrantRelease{Pool: "chat", Failed: true})
+	}
+	assert.Equal(t, i.serverState("s1"), pool.ServerSuspect)
+	time.Sleep(600 * time.Millisecond)
+	i.health.probe()
+	assert.Equal(t, i.serverState("s1"), pool.ServerServing)
+}
--- a/process/instance/jobs.go
+++ b/process/instance/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -27,6 +28,9 @@
 // collectorKey is the name by which the data centre's collector of usage is chosen.
 const collectorKey = "usage-collector"
 
+// leaseCandidates is the number of instances of a data centre that try to take a job.
+const leaseCandidates = 3
+
 // forgetAfter is the silence after which an instance counts as gone, with all its streams.
 const forgetAfter = 2 * time.Minute
 
@@ -129,10 +133,17 @@
 		MaxInFlight: lease.DefaultMaxInFlight,
 		Objects:     i.objects.Store(),
 		Log:         i.Log,
-		Candidate:   func() bool { return !i.members.Leaving() },
+		Candidate:   func() bool { return i.isCandidate(job) },
 	}
 }
 
+// isCandidate tells whether this instance is among those that try to take a job, so that the reads of leases do not
+// grow with the fleet.
+func (i *Instance) isCandidate(job string) bool {
+	names := i.members.Homes("lease-"+job, i.Settings.DataCentre)
+	return slices.Contains(names[:min(len(names), leaseCandidates)], i.Settings.Instance)
+}
+
 // client returns the client of one of the platform's interfaces.
 func (i *Instance) client(addr string) platform.Client {
 	return platform.Client{BaseURL: "http://" + addr, Instance: i.Settings.Instance}
--- a/process/pool/grants.go
+++ b/process/pool/grants.go
@@ -114,9 +114,17 @@
 	now := time.Now()
 	h.observe(g, r, now)
 	h.end(g)
+	h.tellEnded(g.server.Name, r.Failed)
 	h.schedule(now)
 }
 
+// tellEnded calls Ended once the lock is given up.
+func (h *Home) tellEnded(server string, failed bool) {
+	if h.Ended != nil {
+		h.calls = append(h.calls, func() { h.Ended(server, failed) })
+	}
+}
+
 // charge returns what the attempt counts against its workspace, in tokens. An answer without tokens, such
 // as a plain service's, counts as estimated, and a failure without an answer as nothing.
 func (g *held) charge(r wire.GrantRelease) float64 {
--- a/process/pool/home.go
+++ b/process/pool/home.go
@@ -80,6 +80,8 @@
 	ExpectedTokens int
 	// Preempt asks another instance to pause the stream of a grant. It must not block.
 	Preempt func(holder string, p wire.GrantPreempt)
+	// Ended hears of each attempt at a backend server that ended, and whether the server failed; it may be nil.
+	Ended func(server string, failed bool)
 	// Trace gets each decision in order, under the home's lock; it must not call the home.
 	Trace func(Event)
 
