Back off from lost peers and forget gone ones; count leases by their candidates

Change: exponential backoff up to 2 s with jitter; an instance that is silent for 2 minutes and that neither the list nor the settings name is dropped; the capacity program and its text follow the code.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
@@ -46,22 +47,27 @@
 	conn *jsonrpc2.Conn
 }
 
-// Run keeps the link up until ctx ends.
+// Run keeps the link up until ctx ends. A peer that does not answer is dialled less and less often.
 func (l *Link) Run(ctx context.Context) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = redialDelay
+	retry.MaxInterval = maxRedialDelay
 	for ctx.Err() == nil {
-		l.session(ctx)
+		if l.session(ctx) {
+			retry.Reset()
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialDelay):
+		case <-time.After(retry.NextBackOff()):
 		}
 	}
 }
 
-// session dials and sends heartbeats until one fails.
-func (l *Link) session(ctx context.Context) {
+// session dials and sends heartbeats until one fails; it tells whether the link was up.
+func (l *Link) session(ctx context.Context) bool {
 	raw, err := l.dial(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	stream := jsonrpc2.NewPlainObjectStream(deadlineConn{raw})
 	handler := jsonrpc2.HandlerWithError(l.handle).SuppressErrClosed()
@@ -69,7 +75,7 @@
 	defer func() { _ = conn.Close() }()
 	if err := l.heartbeat(ctx, conn); err != nil {
 		l.Log.Warn("peer_hello_failed", zap.String("peer", l.Peer), zap.Error(err))
-		return
+		return false
 	}
 	l.set(conn)
 	l.Log.Info("peer_up", zap.String("peer", l.Peer))
@@ -77,6 +83,7 @@
 	l.set(nil)
 	l.Log.Info("peer_down", zap.String("peer", l.Peer), zap.Error(err))
 	l.Down()
+	return true
 }
 
 // dial connects and, where TLS is set, authenticates the peer.
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -30,8 +30,10 @@
 	writeTimeout = time.Second
 	// dialTimeout bounds one dial.
 	dialTimeout = time.Second
-	// redialDelay is the pause between two dials.
+	// redialDelay is the pause before the first repeated dial.
 	redialDelay = 250 * time.Millisecond
+	// maxRedialDelay is about the longest pause between two dials.
+	maxRedialDelay = 2 * time.Second
 )
 
 // Methods of the protocol.
--- a/process/instance/links.go
+++ b/process/instance/links.go
@@ -64,6 +64,16 @@
 	go link.Run(ctx)
 }
 
+// drop ends the link to an instance.
+func (l *links) drop(instance string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old := l.byName[instance]; old != nil {
+		old.stop()
+		delete(l.byName, instance)
+	}
+}
+
 // get returns the live link to an instance.
 func (l *links) get(instance string) (*peer.Link, bool) {
 	l.mu.Lock()
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// readList takes the platform's instance list in; it lags, so that it only ever adds links.
+// readList takes the platform's instance list in; it lags, so that an instance is dropped only after a long silence.
 func (i *Instance) readList(ctx context.Context) {
 	if i.Settings.Platform.Instances == "" {
 		return
@@ -118,6 +118,26 @@
 		i.members.Add(info.Name, info.DataCentre)
 		i.links.ensure(info.Name, info.PeerAddress)
 	}
+	i.forgetGone(list)
+}
+
+// forgetGone drops the instances that have been silent for long and that neither the list nor the settings name.
+func (i *Instance) forgetGone(list wire.InstanceList) {
+	named := map[string]bool{}
+	for _, info := range list.Instances {
+		named[info.Name] = true
+	}
+	for _, p := range i.Settings.Peers {
+		named[p.Instance] = true
+	}
+	for _, m := range i.members.All() {
+		if named[m.Instance()] || m.State() != members.StateSuspect || m.Silence() < forgetAfter {
+			continue
+		}
+		i.links.drop(m.Instance())
+		i.members.Forget(m.Instance())
+		i.Log.Info("member_forgotten", zap.String("peer", m.Instance()))
+	}
 }
 
 // others returns the other live instances of this data centre, sorted.
--- a/process/members/members.go
+++ b/process/members/members.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// Forget drops an instance that is gone for good.
+func (t *Table) Forget(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.members, instance)
+}
+
 // Leave marks this instance as shutting down, so that it is home to no pool.
 func (t *Table) Leave() {
 	t.mu.Lock()
--- a/tools/capacity/failure.go
+++ b/tools/capacity/failure.go
@@ -13,8 +13,8 @@
 	drain = 60 * time.Second
 	// recovery is the longest time for which a new home gives no grants while the others declare theirs.
 	recovery = peer.HeartbeatTimeout
-	// redial is the pause between two dials of a lost peer.
-	redial = 250 * time.Millisecond
+	// redial is about the pause between two dials of a peer that has been lost for long.
+	redial = 2 * time.Second
 	// dialTimeout bounds one dial of a peer.
 	dialTimeout = time.Second
 	// lineBytes is about one kept line of usage in memory.
--- a/tools/capacity/objects.go
+++ b/tools/capacity/objects.go
@@ -26,6 +26,9 @@
 
 func ceil(v float64) float64 { return math.Ceil(v) }
 
+// leaseCandidates is the number of daemons of a data centre that try to take a job.
+const leaseCandidates = 3
+
 // Calls are calls to the object API per second over the deployment.
 type Calls struct {
 	Part          string
@@ -41,7 +44,7 @@
 	parts := centres * partWrites(t)
 	return []Calls{
 		{
-			Part: "leases polled by candidates", Grows: "with the daemons",
+			Part: "leases polled by candidates", Grows: "with the data centres",
 			Reads: centres * leaseJobs * f.platform.LeaseReads.AtTarget(), Extrapolated: true,
 		},
 		{Part: "leases renewed", Grows: "with the data centres", Writes: centres * leaseJobs * f.platform.LeaseWrites.AtTarget(), Extrapolated: true},
@@ -60,9 +63,9 @@
 }
 
 // outageCalls works out the calls per second that daemons cut from the object API try.
-func outageCalls(daemons float64) []Calls {
+func outageCalls(daemons, centres float64) []Calls {
 	return []Calls{
-		{Part: "leases: each candidate of 2 leases again after 200 ms", Grows: "with the daemons", Reads: daemons * leaseJobs / leaseRetry.Seconds()},
+		{Part: "leases: each candidate of 2 leases again after 200 ms", Grows: "with the data centres", Reads: centres * leaseCandidates * leaseJobs / leaseRetry.Seconds()},
 		{Part: "versions: 2 kinds, each again after 500 ms on average", Grows: "with the daemons", Reads: daemons * 2 / versionsRetry.Seconds()},
 		{Part: "backend servers' states: each second", Grows: "with the daemons", Reads: daemons * fleetRate},
 		{Part: "usage: the collector of each data centre, each 2 s", Grows: "with the data centres", Writes: 1 / usage.WriteInterval.Seconds()},
--- a/tools/capacity/platform.go
+++ b/tools/capacity/platform.go
@@ -94,7 +94,7 @@
 func measurePlatform(ctx context.Context, t Target) (platformFigures, error) {
 	perCentre := t.PerDataCentre()
 	f := platformFigures{
-		LeaseReads:   Series{Name: "reads of one lease", Unit: "/s", Varied: "candidates", Target: perCentre},
+		LeaseReads:   Series{Name: "reads of one lease", Unit: "/s", Varied: "candidates", Target: leaseCandidates},
 		LeaseWrites:  Series{Name: "writes of one lease", Unit: "/s", Varied: "candidates", Target: perCentre, Flat: true},
 		LeaseBytes:   Series{Name: "bytes per call of a lease, both ways", Unit: "B", Varied: "candidates", Target: perCentre, Flat: true},
 		InForce:      Series{Name: "change in force at all", Unit: "ms", Varied: "stores of one data centre", Target: perCentre},
--- a/tools/capacity/role.go
+++ b/tools/capacity/role.go
@@ -128,9 +128,8 @@
 			Fix: "read by the watch holders alone and passed on as changes",
 		},
 		{
-			Part: "leases polled", Mechanism: "`process/lease`: each candidate reads each of 2 leases every second", State: "2 records",
+			Part: "leases polled", Mechanism: "`process/lease`: each of 3 candidates of a data centre reads each of 2 leases every second", State: "2 records",
 			Messages: 2 * polls, Bytes: polls * f.platform.LeaseBytes.AtTarget(), Extrapolated: true,
-			Fix: "only the first few daemons in rendezvous order are candidates",
 		},
 		{
 			Part: "backend servers' view", Mechanism: "`process/fleet`: pulled from the lease's holder every second", State: "servers that don't serve, 1 in 100 here",
--- a/tools/capacity/table.go
+++ b/tools/capacity/table.go
@@ -195,12 +195,15 @@
 			"time until a change is in force in a data centre: as measured with a small document, and " + number(treeLevels) + " times its reading; the target is 10 s",
 			mark(number(f.platform.InForce.AtTarget()/1000+treeLevels*apply)+" s", true),
 		},
-		{"configurations kept from each day, each change one document", bytesOf(document * t.ChangesPerDay)},
+		{"configurations kept, the newest and the 10 before it", bytesOf(document * keptConfigurations)},
 		{"a seal with a line for each workspace and class", bytesOf(lines) + ", " + percent(lines/objectLimit) + " of the limit"},
-		{"claims of each day at the assumed share, none removed", number(t.RequestsPerSecond * t.UnrepeatableShare * secondsPerDay)},
+		{"claims kept, each for a day, at the assumed share", number(t.RequestsPerSecond * t.UnrepeatableShare * secondsPerDay)},
 	})
 }
 
+// keptConfigurations is the number of documents that `toucanctl apply` leaves.
+const keptConfigurations = 11
+
 // failureTable lists the costs of failures.
 func failureTable(t Target) string {
 	var rows [][]string
@@ -227,14 +230,14 @@
 	half := float64(t.Daemons) / float64(t.Regions)
 	daemon, collector := cutMemory(t, time.Hour)
 	rows := make([][]string, 0, 8)
-	for _, c := range outageCalls(float64(t.Daemons)) {
+	for _, c := range outageCalls(float64(t.Daemons), float64(t.DataCentres)) {
 		rows = append(rows, []string{"object API refuses all: " + c.Part, number(c.Reads+c.Writes) + " calls/s"})
 	}
-	sum := sumCalls(outageCalls(float64(t.Daemons)))
+	sum := sumCalls(outageCalls(float64(t.Daemons), float64(t.DataCentres)))
 	rows = append(rows,
 		[]string{"object API refuses all: sum, against " + number(readLimit) + " reads/s when it comes back", number(sum.Reads+sum.Writes) + " calls/s, " + number((sum.Reads+sum.Writes)/readLimit) + " times"},
 		[]string{"regions apart: dials of each daemon towards the other region", dials(half)},
-		[]string{"regions apart: calls of the region without the platform", number(sumCalls(outageCalls(half)).Reads) + " calls/s that fail"},
+		[]string{"regions apart: calls of the region without the platform", number(sumCalls(outageCalls(half, float64(t.DataCentres)/float64(t.Regions))).Reads) + " calls/s that fail"},
 		[]string{"an hour without the platform: usage kept by each daemon, " + number(lineBytes) + " B a line assumed", bytesOf(daemon)},
 		[]string{"an hour without the platform: usage kept by the collector of a data centre, likewise", bytesOf(collector)},
 		[]string{"an hour without the platform: parts to list before a window is sealed, against the " + bytesOf(listLimit) + " that the client reads", mark(bytesOf(cutParts(t, f, time.Hour)), true)},
