--- /dev/null
+++ b/connection/mutual/mutual_test.go
@@ -0,0 +1,139 @@
+package mutual
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{cert: cert, key: key}
+}
+
+// files writes a certificate for name, signed by the authority, to dir; trusted signs the other end's.
+func (a *authority) files(t *testing.T, dir, name string, trusted *authority) *Files {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	assert.NilError(t, err)
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	f := &Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	write(t, f.Cert, "CERTIFICATE", der)
+	write(t, f.Key, "PRIVATE KEY", pkcs8)
+	write(t, f.CA, "CERTIFICATE", trusted.cert.Raw)
+	return f
+}
+
+func write(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+}
+
+// meet lets both ends shake hands and returns what each end says.
+func meet(t *testing.T, server, client *Files, name string) (serverErr, clientErr error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		raw, err := ln.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		conn := tls.Server(raw, server.Server())
+		defer func() { _ = conn.Close() }()
+		if err := conn.Handshake(); err != nil {
+			done <- err
+			return
+		}
+		_, err = conn.Write([]byte("hello"))
+		done <- err
+	}()
+	conn, err := tls.Dial("tcp", ln.Addr().String(), client.Client(name))
+	if err != nil {
+		return <-done, err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.ReadFull(conn, make([]byte, len("hello")))
+	return <-done, err
+}
+
+func TestBothEndsAreAuthenticated(t *testing.T) {
+	own, foreign := newAuthority(t), newAuthority(t)
+	server := own.files(t, t.TempDir(), "a-1", own)
+	for name, tt := range map[string]struct {
+		client   *Files
+		dial     string
+		accepted bool
+	}{
+		"known":                      {own.files(t, t.TempDir(), "b-1", own), "a-1", true},
+		"client of another signer":   {foreign.files(t, t.TempDir(), "b-1", own), "a-1", false},
+		"server of another signer":   {own.files(t, t.TempDir(), "b-1", foreign), "a-1", false},
+		"server under another name":  {own.files(t, t.TempDir(), "b-1", own), "a-2", false},
+		"client without certificate": {&Files{Cert: "none", Key: "none", CA: "none"}, "a-1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serverErr, clientErr := meet(t, server, tt.client, tt.dial)
+			assert.Equal(t, serverErr == nil && clientErr == nil, tt.accepted, "%v, %v", serverErr, clientErr)
+		})
+	}
+}
+
+func TestFilesAreReadAgain(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	server := first.files(t, dir, "a-1", first)
+	_, err := meet(t, server, first.files(t, t.TempDir(), "b-1", first), "a-1")
+	assert.NilError(t, err)
+
+	second.files(t, dir, "a-1", second)
+	later := time.Now().Add(2 * checkInterval)
+	assert.NilError(t, os.Chtimes(server.Cert, later, later))
+	time.Sleep(checkInterval)
+	serverErr, clientErr := meet(t, server, second.files(t, t.TempDir(), "b-1", second), "a-1")
+	assert.NilError(t, serverErr)
+	assert.NilError(t, clientErr)
+
+	assert.NilError(t, os.WriteFile(server.Cert, []byte("not a certificate"), 0o600))
+	time.Sleep(checkInterval)
+	_, err = meet(t, server, second.files(t, t.TempDir(), "b-1", second), "a-1")
+	assert.NilError(t, err, "the former certificate stays in force while the new one can't be read")
+}
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -37,6 +37,7 @@
 		"join":      (*session).join,
 		"sleep":     (*session).sleep,
 		"client":    (*session).client,
+		"certify":   (*session).certify,
 	}
 }
 
