--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -15,9 +15,6 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
-// unreachableAfter is the age of the versions from which the platform counts as out of reach.
-const unreachableAfter = 10 * time.Second
-
 // retries holds the retry budget of each pool.
 type retries struct {
 	mu    sync.Mutex
