Let the stand-ins echo the request's id, so that connections are reused

Cause: in make bench a fresh connection was dialled for each request: the router reuses a connection only where the server echoes the request's id, and the stand-ins did not. Change: the engine's and the service's stand-in echo X-Request-Id; a failed accept of a peer pauses before the next.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -30,6 +30,8 @@
 	writeTimeout = time.Second
 	// dialTimeout bounds one dial.
 	dialTimeout = time.Second
+	// acceptPause is the pause after a failed accept, such as for want of file descriptors.
+	acceptPause = 50 * time.Millisecond
 	// redialDelay is the pause before the first repeated dial.
 	redialDelay = 250 * time.Millisecond
 	// maxRedialDelay is about the longest pause between two dials.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -91,6 +91,7 @@
 		}
 		if err != nil {
 			s.Log.Warn("peer_accept_failed", zap.Error(err))
+			time.Sleep(acceptPause)
 			continue
 		}
 		go s.serve(ctx, raw)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -162,6 +162,7 @@
 		if s.isDead() || !s.thaw(r.Context()) {
 			web.Drop()
 		}
+		web.EchoRequestID(w, r)
 		next(w, r)
 	}
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		web.Drop()
 	}
+	web.EchoRequestID(w, r)
 	s.enter(web.HasKey(r) || web.HasTrailerKey(r))
 	defer s.leave()
 	s.thaw(r.Context())
