--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -17,12 +17,16 @@
 type statusCommand struct {
 	Instances []string `long:"instance" env:"TOUCAN_INSTANCES" env-delim:"," value-name:"ADDR" description:"operators' address of an instance; repeat for each, or separate by commas" required:"true"`
 	JSON      bool     `long:"json" description:"print as JSON"`
+
+	objectOptions
 }
 
 // statusAnswer is the JSON form of the command's answer.
 type statusAnswer struct {
 	Instances []wire.Status `json:"instances"`
 	Missing   []string      `json:"missing,omitempty"`
+	// Stops are the planned stops, where the object API's address was given and it answers.
+	Stops []wire.StopRecord `json:"stops,omitempty"`
 }
 
 func addStatus(parser *flags.Parser) {
@@ -36,9 +40,44 @@
 func (c *statusCommand) Execute(_ []string) error {
 	answers, missing := fetchAll[wire.Status](split(c.Instances), "/status")
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(statusAnswer{Instances: answers, Missing: missing})
+		return json.NewEncoder(os.Stdout).Encode(statusAnswer{Instances: answers, Missing: missing, Stops: c.stops()})
+	}
+	if err := writeStatus(os.Stdout, answers, missing); err != nil {
+		return err
+	}
+	return writeStops(os.Stdout, c.stops())
+}
+
+// stops returns the planned stops; none where the object API's address was not given or it does not answer, since the
+// instances' view must show during an outage too.
+func (c *statusCommand) stops() []wire.StopRecord {
+	options := c.objectOptions
+	options.Timeout = min(options.Timeout, fetchTimeout)
+	w, ctx, cancel, err := options.writer()
+	if err != nil {
+		return nil
+	}
+	defer cancel()
+	stops, err := w.Stops(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "planned stops are not known:", err)
+		return nil
+	}
+	return stops
+}
+
+// writeStops writes the planned stops as text.
+func writeStops(out io.Writer, stops []wire.StopRecord) error {
+	if len(stops) == 0 {
+		return nil
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row(w)
+	row(w, "PLANNED STOP", "STATE", "BY")
+	for _, s := range stops {
+		row(w, s.Server, s.State, s.Operator)
 	}
-	return writeStatus(os.Stdout, answers, missing)
+	return w.Flush()
 }
 
 // writeStatus writes the answers as text.
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -94,26 +94,21 @@
 	i.build(run)
 	i.metrics.Register()
 	defer i.metrics.Unregister()
-	g.Go(func() error { return i.peers.Run(run) })
-	g.Go(func() error { return i.operators().Run(run) })
-	g.Go(func() error { i.versions.Run(run); return nil })
-	g.Go(func() error { i.health.run(run); return nil })
-	g.Go(func() error { i.claims.claims.Run(run); return nil })
-	g.Go(func() error { i.discover(run); return nil })
 	jobsCtx, stopJobs := context.WithCancel(run)
 	defer stopJobs()
 	jobsDone := make(chan struct{})
+	i.start(run, g)
 	g.Go(func() error { i.runJobs(jobsCtx); close(jobsDone); return nil })
-	g.Go(func() error { return i.serveCallers(run) })
 	g.Go(func() error {
 		select {
-		case <-ctx.Done():
-			i.leave(run)
-			stopJobs()
-			<-jobsDone
-			stop()
 		case <-run.Done():
+			return nil
+		case <-ctx.Done():
 		}
+		i.leave(run)
+		stopJobs()
+		<-jobsDone
+		stop()
 		return nil
 	})
 	err := g.Wait()
@@ -121,6 +116,16 @@
 	return err
 }
 
+// start runs the parts that live as long as the instance; the first that fails ends all.
+func (i *Instance) start(run context.Context, g *errgroup.Group) {
+	for _, part := range []func(context.Context) error{i.peers.Run, i.operators().Run, i.serveCallers} {
+		g.Go(func() error { return part(run) })
+	}
+	for _, part := range []func(context.Context){i.versions.Run, i.health.run, i.claims.claims.Run, i.discover} {
+		g.Go(func() error { part(run); return nil })
+	}
+}
+
 // build makes all parts; run ends the links.
 func (i *Instance) build(run context.Context) {
 	i.ring.Store(keyring.NewRing())
--- a/wire/questionnaire.go
+++ b/wire/questionnaire.go
@@ -176,7 +176,7 @@
 	Servers []ServerAnswer `json:"servers"`
 }
 
-// WorkspaceAnswer says what a customer may use.
+// WorkspaceAnswer says what a workspace may use.
 type WorkspaceAnswer struct {
 	// Classes that the workspace may use.
 	Classes []string `json:"classes"`
