Keep one client of the ordering interface and of the instance list

Cause: found on reading the whole change: each read made a new client with a transport of its own, once a second and every 5 s, so that a daemon kept up to a minute's idle connections to the platform (about 60 and 12, worked out from the idle timeout, not measured) and dialled for each read. Change: the instance builds both clients once; behaviour is the same.

--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -55,21 +55,24 @@
 	Build string
 
 	objects  *platform.Objects
-	versions *versions.Store
-	members  *members.Table
-	links    *links
-	peers    *peer.Server
-	homes    *homes
-	router   *home.Router
-	health   *health
-	claims   claims
-	dispatch *dispatch.Dispatcher
-	callers  *caller.Server
-	book     burn.Book
-	metrics  *metrics.Metrics
-	retries  retries
-	demands  demands
-	spending spending
+	ordering *platform.Ordering
+	// instances reads the platform's instance list.
+	instances *platform.Instances
+	versions  *versions.Store
+	members   *members.Table
+	links     *links
+	peers     *peer.Server
+	homes     *homes
+	router    *home.Router
+	health    *health
+	claims    claims
+	dispatch  *dispatch.Dispatcher
+	callers   *caller.Server
+	book      burn.Book
+	metrics   *metrics.Metrics
+	retries   retries
+	demands   demands
+	spending  spending
 	// baseline is nil but in experiments.
 	baseline *home.Baseline
 
@@ -132,6 +135,8 @@
 	i.withdrawn = map[string]map[string]bool{}
 	i.metrics = metrics.New(i.gauges)
 	i.objects = &platform.Objects{Client: i.client(i.Settings.Platform.Objects)}
+	i.ordering = &platform.Ordering{Client: i.client(i.Settings.Platform.Ordering)}
+	i.instances = &platform.Instances{Client: i.client(i.Settings.Platform.Instances)}
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(run)
 	i.buildVersions()
--- a/process/instance/jobs.go
+++ b/process/instance/jobs.go
@@ -58,7 +58,6 @@
 	j := &jobs{runID: i.Settings.Instance + "-" + ulid.Make().String()}
 	j.fleetLease = i.lease(jobFleet, j.runID)
 	j.usageLease = i.lease(jobUsage, j.runID)
-	ordering := &platform.Ordering{Client: i.client(i.Settings.Platform.Ordering)}
 	intake := &platform.Usage{Client: i.client(i.Settings.Platform.Usage)}
 	j.orders = &orders.Orders{
 		DataCentre: i.Settings.DataCentre,
@@ -67,7 +66,7 @@
 		Lease:      j.fleetLease,
 		Objects:    i.objects.Store(),
 		Log:        i.Log,
-		SendServer: ordering.Send,
+		SendServer: i.ordering.Send,
 	}
 	j.fleet = &fleet.Fleet{
 		DataCentre: i.Settings.DataCentre,
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -10,7 +10,6 @@
 
 	"github.com/toucanroute/toucanroute/connection/peer"
 	"github.com/toucanroute/toucanroute/process/members"
-	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
 	"github.com/toucanroute/toucanroute/process/versions"
 	"github.com/toucanroute/toucanroute/wire"
@@ -105,8 +104,7 @@
 	if i.Settings.Platform.Instances == "" {
 		return
 	}
-	client := &platform.Instances{Client: i.client(i.Settings.Platform.Instances)}
-	list, err := client.List(ctx)
+	list, err := i.instances.List(ctx)
 	if err != nil {
 		i.Log.Warn("instance_list_failed", zap.Error(err))
 		return
--- a/process/instance/spending.go
+++ b/process/instance/spending.go
@@ -82,8 +82,7 @@
 	if i.Settings.Platform.Ordering == "" {
 		return wire.ServerStates{}, nil
 	}
-	ordering := &platform.Ordering{Client: i.client(i.Settings.Platform.Ordering)}
-	states, err := ordering.Servers(ctx, dataCentre)
+	states, err := i.ordering.Servers(ctx, dataCentre)
 	if err == nil {
 		i.spending.note(states)
 	}
