--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,8 @@
 		$(BIN)/go-jsonschema --struct-name-from-title --only-models --tags json -p wire \
 			-o wire/$$n.go wire/schema/$$n.schema.json || exit 1; \
 	done
+	$(BIN)/go-jsonschema --struct-name-from-title --only-models --tags json -p message \
+		-o platform/message/message.go platform/schema/message.schema.json
 
 fmt: $(BIN)/gofumpt
 	$(BIN)/gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^wire/')
--- a/cmd/toucanrouted/main.go
+++ b/cmd/toucanrouted/main.go
@@ -25,7 +25,7 @@
 
 // options are the daemon's flags.
 type options struct {
-	Settings string `long:"settings" description:"settings file, JSON with comments" required:"true"`
+	Settings string `long:"settings" env:"TOUCANROUTE_SETTINGS" description:"settings file, JSON with comments" required:"true"`
 	Check    bool   `long:"check" description:"check the settings file and end"`
 	LogLevel string `long:"log-level" description:"override log.level of the settings" choice:"debug" choice:"info" choice:"warn" choice:"error"`
 	Baseline string `long:"baseline" description:"for experiments: give each request a backend server at once, without the project's scheduling" choice:"round-robin" choice:"least-reported"`
@@ -75,8 +75,11 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	i := &instance.Instance{Settings: set, Log: log, Baseline: baseline(opts.Baseline), Build: build()}
-	if err := i.Run(ctx); err != nil {
+	daemon := (&instance.Instance{Settings: set, Log: log, Baseline: baseline(opts.Baseline), Build: build()}).Run
+	if set.Forwarding != nil {
+		daemon = newGateway(set, log).Run
+	}
+	if err := daemon(ctx); err != nil {
 		log.Error("instance_failed", zap.Error(err))
 		return exitFailed
 	}
--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -25,6 +25,10 @@
 	r       *bufio.Reader
 	reused  bool
 	idleAt  time.Time
+	// keepFor is the time for which the server keeps the idle connection; 0 is not told.
+	keepFor time.Duration
+	// sending holds the result of a write that goes on beside the answer; nil is none.
+	sending chan error
 }
 
 func newConn(c net.Conn, address string) *conn {
@@ -89,7 +93,7 @@
 		return nil
 	}
 	b.closed = true
-	if !b.stop() || !b.ended || !b.reusable {
+	if !b.stop() || !b.ended || !b.reusable || !b.conn.sent() {
 		return b.conn.Close()
 	}
 	b.transport.putIdle(b.conn)
--- /dev/null
+++ b/connection/upstream/dial.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/toucanroute/toucanroute/process/platform"
+)
+
+const (
+	// inlineBytes is the longest request that is written before its answer is read. A server may answer a longer one
+	// before it has read it.
+	inlineBytes = 16 << 10
+	// keepShare is the part of the server's keep-alive time for which a connection is reused.
+	keepShare = 0.8
+	// probeInterval is that of the probes on a silent connection: the system's smallest.
+	probeInterval = time.Second
+)
+
+// dialer returns the dialer of new connections. A peer that has lost its power or its path answers nothing, so that
+// probes and a bound on unacknowledged bytes end the connection.
+func (t *Transport) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if t.DialTimeout > 0 {
+		d.Timeout = t.DialTimeout
+	}
+	if t.SilenceTimeout > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 1}
+		d.Control = func(_, _ string, c syscall.RawConn) error { return platform.SetUserTimeout(c, t.SilenceTimeout) }
+	}
+	return d
+}
+
+// send writes a request. A long one goes on being written while the answer is read; its error then shows there.
+func (c *conn) send(buf *bytes.Buffer) (int, error) {
+	c.sending = nil
+	if buf.Len() <= inlineBytes {
+		defer buffers.Put(buf)
+		return c.Write(buf.Bytes())
+	}
+	done := make(chan error, 1)
+	c.sending = done
+	go func() {
+		_, err := c.Write(buf.Bytes())
+		buffers.Put(buf)
+		done <- err
+	}()
+	return buf.Len(), nil
+}
+
+// sent tells whether the whole request was written.
+func (c *conn) sent() bool {
+	if c.sending == nil {
+		return true
+	}
+	select {
+	case err := <-c.sending:
+		c.sending = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// outdated tells whether the server may be about to close the idle connection.
+func (c *conn) outdated() bool {
+	return c.keepFor > 0 && time.Since(c.idleAt) > c.keepFor
+}
+
+// keepAlive returns the time for which a connection may be reused by its Keep-Alive header; 0 is not told.
+func keepAlive(h http.Header) time.Duration {
+	for _, value := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(value, ",") {
+			name, seconds, _ := strings.Cut(strings.TrimSpace(field), "=")
+			n, err := strconv.Atoi(seconds)
+			if strings.EqualFold(name, "timeout") && err == nil && n > 0 {
+				return time.Duration(keepShare * float64(n) * float64(time.Second))
+			}
+		}
+	}
+	return 0
+}
--- a/connection/upstream/transport.go
+++ b/connection/upstream/transport.go
@@ -13,7 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +26,10 @@
 	idleTimeout     = 60 * time.Second
 	idlePerServer   = 512
 	headerRequestID = "X-Request-Id"
+	// maxSkipped bounds the answers of earlier requests that are passed over before a request's own.
+	maxSkipped = 2
+	// skippedBytes bounds the body of an answer that is passed over.
+	skippedBytes = 1 << 20
 )
 
 // ErrCrossed tells that an answer can't be shown to belong to its request.
@@ -46,8 +50,19 @@
 	return errors.As(err, &crossed)
 }
 
-// Transport sends requests to backend servers. Its zero value is ready.
+// Transport sends requests to backend servers. Its zero value is ready; the exported fields are set before the first Send.
 type Transport struct {
+	// IDHeader is the header that carries a request's id; empty is X-Request-Id.
+	IDHeader string
+	// SkipOthers passes over answers that bear the id of another request, instead of failing.
+	SkipOthers bool
+	// DialTimeout bounds the time to a new connection; 0 is a second.
+	DialTimeout time.Duration
+	// SilenceTimeout is the time after which a connection whose peer acknowledges nothing fails; 0 is the system's.
+	SilenceTimeout time.Duration
+	// Dialed is called for each new connection; it may be nil.
+	Dialed func(address string, err error)
+
 	mu sync.Mutex
 	// idle holds the free connections by address, the one used last at the end.
 	idle map[string][]*conn
@@ -73,7 +88,7 @@
 // that has just gone stale can't leave its outcome in doubt.
 func (t *Transport) Send(req *http.Request, id string, fresh bool) (*http.Response, error) {
 	ctx := req.Context()
-	req.Header.Set(headerRequestID, id)
+	req.Header.Set(t.idHeader(), id)
 	c, err := t.connect(ctx, req.URL.Host, fresh)
 	if err != nil {
 		return nil, request.ErrAttempt{Err: causeOf(ctx, err)}
@@ -87,32 +102,54 @@
 	}
 	res.Body = &body{
 		ctx: ctx, inner: res.Body, transport: t, conn: c, stop: stop,
-		reusable: !res.Close && res.Header.Get(headerRequestID) == id,
+		reusable: !res.Close && res.Header.Get(t.idHeader()) == id,
 	}
+	c.keepFor = keepAlive(res.Header)
 	return res, nil
 }
 
+func (t *Transport) idHeader() string {
+	if t.IDHeader == "" {
+		return headerRequestID
+	}
+	return t.IDHeader
+}
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // exchange writes the request and reads the answer's headers.
 func (t *Transport) exchange(c *conn, req *http.Request, id string) (*http.Response, error) {
 	buf := buffers.Get().(*bytes.Buffer)
-	defer buffers.Put(buf)
 	buf.Reset()
 	if err := req.Write(buf); err != nil {
+		buffers.Put(buf)
 		return nil, request.ErrAttempt{Err: err}
 	}
-	if n, err := c.Write(buf.Bytes()); err != nil {
+	if n, err := c.send(buf); err != nil {
 		return nil, request.ErrAttempt{Sent: n > 0, Err: causeOf(req.Context(), err)}
 	}
-	res, err := c.readAnswer(req)
-	if err != nil {
-		return nil, request.ErrAttempt{Sent: true, Err: causeOf(req.Context(), err)}
+	for skipped := 0; ; skipped++ {
+		res, err := c.readAnswer(req)
+		if err != nil {
+			return nil, request.ErrAttempt{Sent: true, Err: causeOf(req.Context(), err)}
+		}
+		err = t.check(c, id, res.Header.Get(t.idHeader()))
+		if err == nil {
+			return res, nil
+		}
+		if !t.SkipOthers || skipped >= maxSkipped || !c.reused || !skip(res) {
+			return nil, request.ErrAttempt{Sent: true, Err: err}
+		}
 	}
-	if err := t.check(c, id, res.Header.Get(headerRequestID)); err != nil {
-		return nil, request.ErrAttempt{Sent: true, Err: err}
+}
+
+// skip reads over an answer that belongs to another request and tells whether the next may follow.
+func skip(res *http.Response) bool {
+	if res.Close || res.Header.Get("Content-Length") == "" && len(res.TransferEncoding) == 0 {
+		return false
 	}
-	return res, nil
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, skippedBytes))
+	return err == nil && n < skippedBytes
 }
 
 // check tells whether an answer belongs to the request and notes whether the server echoes ids.
@@ -140,14 +177,16 @@
 		if c == nil {
 			break
 		}
-		if c.checkIdle() == nil {
+		if !c.outdated() && c.checkIdle() == nil {
 			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := t.dialer().DialContext(ctx, "tcp", address)
+	if t.Dialed != nil {
+		t.Dialed(address, err)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -178,6 +217,7 @@
 		t.idle = make(map[string][]*conn)
 	}
 	c.idleAt = time.Now()
+	c.reused = false
 	t.idle[c.address] = append(t.idle[c.address], c)
 	if t.sweeper == nil {
 		t.sweeper = time.AfterFunc(idleTimeout, t.sweep)
--- /dev/null
+++ b/process/gateway/beliefs.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/feed"
+	"github.com/toucanroute/toucanroute/process/roster"
+	"github.com/toucanroute/toucanroute/version/hostroute"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+func (g *Gateway) configFeed() *feed.Feed {
+	return &feed.Feed{
+		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, Wait: watchWait, Log: g.Log,
+		Reset: func(items []wire.Object, _ bool) {
+			for _, o := range items {
+				g.configure(o)
+			}
+		},
+		Event: func(e wire.ObjectEvent) {
+			if e.Type == wire.ObjectEventTypePut {
+				g.configure(e.Object)
+			}
+		},
+	}
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (g *Gateway) configure(o wire.Object) {
+	if o.Name != g.Platform.ConfigName {
+		return
+	}
+	cfg, err := g.Platform.Config(o)
+	if err != nil {
+		g.Log.Warn("config_rejected", zap.Int("revision", o.Version), zap.Error(err))
+		return
+	}
+	current := g.table.Load()
+	if current != nil && cfg.Version <= current.Version() {
+		return
+	}
+	table, err := hostroute.NewTable(cfg)
+	if err != nil {
+		g.Log.Warn("config_rejected", zap.Int("version", cfg.Version), zap.Error(err))
+		return
+	}
+	g.table.Store(table)
+	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), zap.Int("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
+	if current == nil {
+		close(g.configured)
+	}
+}
+
+func (g *Gateway) serverFeed() *feed.Feed {
+	return &feed.Feed{
+		Kind: g.Platform.ServerKind, Store: g.Platform.Store, Wait: watchWait, Log: g.Log,
+		Reset: func(items []wire.Object, afterOutage bool) {
+			entries := make([]roster.Entry, 0, len(items))
+			for _, o := range items {
+				if e, ok := g.entry(o); ok {
+					entries = append(entries, e)
+				}
+			}
+			g.roster.Reset(entries, afterOutage)
+		},
+		Event: func(e wire.ObjectEvent) {
+			if e.Type == wire.ObjectEventTypeDelete {
+				g.roster.Remove(e.Object.Name)
+				return
+			}
+			if entry, ok := g.entry(e.Object); ok {
+				g.roster.Put(entry)
+			}
+		},
+	}
+}
+
+// entry reads the entry of a backend server. One that can't be used leaves what is known of its server as it is.
+func (g *Gateway) entry(o wire.Object) (roster.Entry, bool) {
+	e, err := g.Platform.Server(o)
+	if err != nil {
+		g.Log.Info("server_entry_rejected", zap.String("server", o.Name), zap.Int("version", o.Version), zap.Error(err))
+		return e, false
+	}
+	return e, true
+}
--- /dev/null
+++ b/process/gateway/gateway.go
@@ -0,0 +1,228 @@
+// Package gateway wires the parts of a daemon that forwards requests by host and path, with configuration, backend servers
+// and what must last in the platform's store.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/toucanroute/toucanroute/connection/entry"
+	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/process/roster"
+	"github.com/toucanroute/toucanroute/process/tally"
+	"github.com/toucanroute/toucanroute/request/attempt"
+	"github.com/toucanroute/toucanroute/request/forward"
+	"github.com/toucanroute/toucanroute/version/hostroute"
+	"github.com/toucanroute/toucanroute/version/settings"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// Platform is what the gateway needs of a deployment's platform. All fields are set.
+type Platform struct {
+	Store platform.Store
+	// ConfigKind and ConfigName name the object with the newest configuration.
+	ConfigKind string
+	ConfigName string
+	// ServerKind is the kind of the backend servers' entries.
+	ServerKind string
+	Config     func(wire.Object) (hostroute.Config, error)
+	Server     func(wire.Object) (roster.Entry, error)
+	Headers    forward.Headers
+	// ReportUsage and OrderServers call guard right before each write to the socket.
+	ReportUsage  func(ctx context.Context, fence int, start time.Time, window time.Duration, counts map[string]int, guard func() error) error
+	OrderServers func(ctx context.Context, fence int, pool, dataCentre string, cheap bool, n int, guard func() error) error
+}
+
+// Gateway is one daemon. Set the fields before Run.
+type Gateway struct {
+	Settings *settings.Settings
+	Log      *zap.Logger
+	Platform Platform
+
+	// run names the process.
+	run       string
+	table     atomic.Pointer[hostroute.Table]
+	roster    *roster.Roster
+	transport *upstream.Transport
+	forwarder *forward.Forwarder
+	callers   *entry.Server
+	counter   *tally.Counter
+	reporter  *tally.Reporter
+	lease     *lease.Lease
+	leaving   atomic.Bool
+	// configured is closed once a configuration is in force.
+	configured chan struct{}
+
+	mu sync.Mutex
+	// budgets holds the budgets of further attempts by pool.
+	budgets map[string]*attempt.Window
+}
+
+const (
+	// dialTimeout bounds the time to a new connection to a backend server: hundreds of usual round trips, and a fraction of
+	// the shortest targets' multiples after which callers leave.
+	dialTimeout = 300 * time.Millisecond
+	// silenceTimeout is the time without any acknowledgement after which a connection to a backend server is dead: three
+	// retransmissions of the system's shortest interval.
+	silenceTimeout = 1200 * time.Millisecond
+	// watchWait is the longest wait of one watch, so that a dead connection is noticed in the time within which a
+	// configuration must be in force.
+	watchWait = 2 * time.Second
+)
+
+// Run serves until ctx ends, then lets the running requests finish.
+func (g *Gateway) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	eg, run := errgroup.WithContext(base)
+	g.build()
+	g.Log.Info("instance_started", zap.String("instance", g.Settings.Instance), zap.String("run", g.run), zap.String("data_centre", g.Settings.DataCentre))
+	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers} {
+		eg.Go(func() error { return part(run) })
+	}
+	for _, part := range []func(context.Context){g.configFeed().Run, g.serverFeed().Run, g.counter.Execute, g.lease.Run, g.reporter.Execute} {
+		eg.Go(func() error { part(run); return nil })
+	}
+	eg.Go(func() error {
+		select {
+		case <-run.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		g.leave(run)
+		stop()
+		return nil
+	})
+	err := eg.Wait()
+	g.transport.Close()
+	g.Log.Info("instance_stopped", zap.String("instance", g.Settings.Instance), zap.Error(err))
+	return err
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (g *Gateway) build() {
+	set := g.Settings.Forwarding
+	g.run = g.Settings.Instance + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
+	g.configured = make(chan struct{})
+	g.budgets = map[string]*attempt.Window{}
+	g.roster = &roster.Roster{Log: g.Log}
+	g.transport = &upstream.Transport{
+		IDHeader: g.Platform.Headers.ID, SkipOthers: true, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
+	}
+	g.counter = &tally.Counter{Run: g.run, Window: ms(set.UsageWindowMs), Store: g.Platform.Store, Log: g.Log}
+	g.lease = g.newLease()
+	g.reporter = &tally.Reporter{
+		Window: ms(set.UsageWindowMs), Delay: ms(set.UsageDelayMs), Store: g.Platform.Store, Log: g.Log,
+		Held:   g.held,
+		Report: g.reportUsage,
+	}
+	g.forwarder = &forward.Forwarder{
+		Headers:    g.Platform.Headers,
+		Send:       g.transport.Send,
+		Roster:     g.roster,
+		Log:        g.Log,
+		Table:      g.table.Load,
+		Budget:     g.budget,
+		Began:      g.counter.Began,
+		DataCentre: g.Settings.DataCentre,
+	}
+}
+
+func (g *Gateway) readiness() *entry.Readiness {
+	return &entry.Readiness{Listen: g.Settings.Listen.Readiness, Ready: g.ready}
+}
+
+// ready tells whether the instance can serve: it knows a configuration and the backend servers, and isn't leaving.
+func (g *Gateway) ready() bool {
+	return g.table.Load() != nil && g.roster.Known() && !g.leaving.Load()
+}
+
+// idleSlack is the part by which an idle connection outlives the configured time, so that a caller that reuses it at the
+// last moment finds it open.
+const idleSlack = 0.1
+
+// serveCallers opens the callers' listener once a configuration tells its limits.
+func (g *Gateway) serveCallers(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-g.configured:
+	}
+	limits := g.table.Load().Limits()
+	g.callers = &entry.Server{
+		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
+		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout: limits.IdleTimeout + time.Duration(idleSlack*float64(limits.IdleTimeout)),
+	}
+	return g.callers.Run(ctx)
+}
+
+// budget returns the budget of further attempts of a pool.
+func (g *Gateway) budget(pool string) *attempt.Window {
+	set := g.Settings.Forwarding
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[pool]
+	if b == nil {
+		b = &attempt.Window{Length: ms(set.RetryWindowMs), Ratio: set.RetryRatio * ratioShare, Extra: g.extraShare}
+		g.budgets[pool] = b
+	}
+	return b
+}
+
+const (
+	// ratioShare is the part of the permitted ratio that is used: requests that arrive late in a window count elsewhere.
+	ratioShare = 0.8
+	// instancesMost is the number of instances by which the fixed part of the budget is divided while the number isn't
+	// known.
+	instancesMost = 16
+)
+
+// extraShare returns this instance's part of the fixed number of further attempts.
+func (g *Gateway) extraShare() float64 {
+	return float64(g.Settings.Forwarding.RetryExtra) / instancesMost
+}
+
+const (
+	// leaveCheck is the time in which the balancer notices that the instance leaves: it asks once a second and takes two
+	// misses.
+	leaveCheck = 2500 * time.Millisecond
+	// leaveMargin is kept before the process is killed.
+	leaveMargin = 500 * time.Millisecond
+)
+
+// leave stops taking requests and waits for those that run.
+func (g *Gateway) leave(ctx context.Context) {
+	g.leaving.Store(true)
+	started := time.Now()
+	g.Log.Info("instance_leaving", zap.String("instance", g.Settings.Instance))
+	ctx, cancel := context.WithDeadline(ctx, started.Add(ms(g.Settings.Forwarding.ShutdownMs)-leaveMargin))
+	defer cancel()
+	if g.callers == nil {
+		return
+	}
+	g.callers.BeginDrain()
+	sleep(ctx, leaveCheck)
+	err := g.callers.Drain(ctx)
+	g.Log.Info("instance_drained", zap.Duration("took", time.Since(started)), zap.Int64("running", g.callers.Running()), zap.Error(err))
+	_ = g.counter.Write(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -31,7 +31,7 @@
 type Client struct {
 	// BaseURL has no trailing slash.
 	BaseURL string
-	// Instance is sent as X-Instance with each call.
+	// Instance is sent as X-Instance with each call; empty sends none.
 	Instance string
 	// Timeout of a call; 0 is DefaultTimeout.
 	Timeout time.Duration
@@ -142,7 +142,9 @@
 	for name, values := range k.header {
 		req.Header[name] = values
 	}
-	req.Header.Set("X-Instance", c.Instance)
+	if c.Instance != "" {
+		req.Header.Set("X-Instance", c.Instance)
+	}
 	if k.body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/process/platform/orders.go
+++ b/process/platform/orders.go
@@ -77,7 +77,7 @@
 // socket and lets the kernel drop unacknowledged bytes after the timeout.
 func GuardedTransport(timeout time.Duration, guard func() error) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout, Control: func(_, _ string, c syscall.RawConn) error {
-		return setUserTimeout(c, timeout)
+		return SetUserTimeout(c, timeout)
 	}}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -89,7 +89,8 @@
 	return &http.Transport{DialContext: dial, DisableKeepAlives: true}
 }
 
-func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+// SetUserTimeout lets the kernel end a connection whose peer acknowledges nothing for that long.
+func SetUserTimeout(c syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
--- /dev/null
+++ b/process/roster/member.go
@@ -0,0 +1,221 @@
+package roster
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// loadAge is how long a reported load is believed: about the time in which a slot's request ends.
+	loadAge = time.Second
+	// suspectMin and suspectMax bound the time for which a server that can't be reached gets no requests. The first is
+	// a tenth of the time in which an entry without heartbeats goes.
+	suspectMin = 400 * time.Millisecond
+	suspectMax = 3200 * time.Millisecond
+	// weightOfOutcome is the weight of the newest outcome in the share of failures.
+	weightOfOutcome = 0.15
+	// weightOfPace is the weight of the newest observation in the pace.
+	weightOfPace = 0.1
+	// failingAge is the time in which a share of failures that isn't renewed loses half of its weight, so that a server
+	// that was avoided is tried again.
+	failingAge = 3 * time.Second
+)
+
+// Member is one backend server.
+type Member struct {
+	mu    sync.Mutex
+	entry Entry
+	// gone is set when the entry is away.
+	gone bool
+	// lapsed is when the entry was missed after an outage of the store; zero is not missed.
+	lapsed time.Time
+
+	// running and unread count this instance's requests at the server and the prompt tokens still to be read for them.
+	running int
+	unread  int
+	// reported is the load that the server told last, less this instance's own requests then.
+	reported int
+	// slots is the number of slots that the server told last.
+	slots      int
+	reportedAt time.Time
+
+	// failing is the mean of the last outcomes, 1 for a failure, as of failedAt.
+	failing  float64
+	failedAt time.Time
+	// pace is the mean time of the server's steps in milliseconds; 0 is unknown.
+	pace float64
+
+	// suspectUntil is the time until which the server gets no requests; suspectFor is the last such span.
+	suspectUntil time.Time
+	suspectFor   time.Duration
+	// proving is true while one request shows whether a suspected server is back.
+	proving bool
+	// cut ends when the server is believed to be unreachable; requests that may move then leave it.
+	cut chan struct{}
+}
+
+func newMember(e Entry) *Member { return &Member{entry: e, cut: make(chan struct{})} }
+
+// Entry returns what the server says of itself.
+func (m *Member) Entry() Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry
+}
+
+// Cut is closed when the server can't be reached any more.
+func (m *Member) Cut() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut
+}
+
+// Outcome tells how a visit ended.
+type Outcome int
+
+const (
+	// Answered is a whole answer.
+	Answered Outcome = iota
+	// Failed is a failure of the server's own, or an answer that was spoiled.
+	Failed
+	// Refused is that the server didn't run the request.
+	Refused
+	// Unreached is that the server couldn't be reached or fell silent.
+	Unreached
+	// Left is that the caller left, which says nothing of the server.
+	Left
+)
+
+// Visit is one request at a server.
+type Visit struct {
+	m      *Member
+	unread int
+	ended  bool
+}
+
+// Begin counts a request with that many prompt tokens to be read.
+func (m *Member) Begin(unread int) *Visit {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running++
+	m.unread += unread
+	if time.Now().Before(m.suspectUntil) || m.suspectFor > 0 {
+		m.proving = true
+	}
+	return &Visit{m: m, unread: unread}
+}
+
+// Member returns the server.
+func (v *Visit) Member() *Member { return v.m }
+
+// Read tells that the prompt was read.
+func (v *Visit) Read() {
+	v.m.mu.Lock()
+	defer v.m.mu.Unlock()
+	v.m.unread -= v.unread
+	v.unread = 0
+}
+
+// Told notes the load that the server told in the answer to the visit.
+func (v *Visit) Told(l Load) {
+	v.m.mu.Lock()
+	defer v.m.mu.Unlock()
+	v.m.reported = max(l.Running+l.Waiting-v.m.running, 0)
+	v.m.slots = l.Slots
+	v.m.reportedAt = time.Now()
+}
+
+// Paced notes the time of a step of the server's work.
+func (v *Visit) Paced(d time.Duration) {
+	v.m.mu.Lock()
+	defer v.m.mu.Unlock()
+	ms := float64(d) / float64(time.Millisecond)
+	if v.m.pace == 0 {
+		v.m.pace = ms
+		return
+	}
+	v.m.pace += weightOfPace * (ms - v.m.pace)
+}
+
+// End counts the visit out; only the first call does something.
+func (v *Visit) End(o Outcome) {
+	v.m.mu.Lock()
+	defer v.m.mu.Unlock()
+	if v.ended {
+		return
+	}
+	v.ended = true
+	v.m.running--
+	v.m.unread -= v.unread
+	v.m.proving = false
+	now := time.Now()
+	switch o {
+	case Answered, Refused:
+		v.m.suspectUntil, v.m.suspectFor = time.Time{}, 0
+		v.m.outcome(0, now)
+	case Failed:
+		v.m.outcome(1, now)
+	case Unreached:
+		v.m.outcome(1, now)
+		v.m.suspect(now)
+	case Left:
+	}
+}
+
+func (m *Member) outcome(failed float64, now time.Time) {
+	m.failing = m.failingAt(now)
+	m.failing += weightOfOutcome * (failed - m.failing)
+	m.failedAt = now
+}
+
+// failingAt returns the share of failures, faded since the last outcome.
+func (m *Member) failingAt(now time.Time) float64 {
+	if m.failedAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(m.failedAt)
+	return m.failing / (1 + float64(age)/float64(failingAge))
+}
+
+// suspect keeps requests away for a time that doubles while the server stays unreachable.
+func (m *Member) suspect(now time.Time) {
+	if now.Before(m.suspectUntil) {
+		return
+	}
+	m.suspectFor = min(max(2*m.suspectFor, suspectMin), suspectMax)
+	m.suspectUntil = now.Add(m.suspectFor)
+	close(m.cut)
+	m.cut = make(chan struct{})
+}
+
+// suspected tells whether requests should go elsewhere.
+func (m *Member) suspected(now time.Time) bool {
+	return now.Before(m.suspectUntil) || m.suspectFor > 0 && m.proving
+}
+
+// State is what is known of a server at one moment.
+type State struct {
+	// Running is the number of requests that the server runs or holds in line, as far as known.
+	Running int
+	// Own is the number of this instance's requests among them.
+	Own     int
+	Slots   int
+	Unread  int
+	Failing float64
+	// Pace is the mean time of a step in milliseconds; 0 is unknown.
+	Pace float64
+}
+
+// State returns what is known of the server now.
+func (m *Member) State(now time.Time) State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Failing: m.failingAt(now), Pace: m.pace}
+	if now.Sub(m.reportedAt) < loadAge {
+		s.Running += m.reported
+	}
+	if m.slots > 0 {
+		s.Slots = m.slots
+	}
+	return s
+}
--- /dev/null
+++ b/request/forward/forwarder.go
@@ -0,0 +1,261 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/roster"
+	"github.com/toucanroute/toucanroute/request"
+	"github.com/toucanroute/toucanroute/request/attempt"
+	"github.com/toucanroute/toucanroute/request/place"
+	"github.com/toucanroute/toucanroute/version/hostroute"
+)
+
+// Forwarder runs forwarded requests. Its fields are set before the first one.
+type Forwarder struct {
+	Headers Headers
+	// Send sends a request of the id to its URL's host and returns the answer once its headers are there.
+	Send   func(req *http.Request, id string, fresh bool) (*http.Response, error)
+	Roster *roster.Roster
+	Log    *zap.Logger
+	// Table returns the configuration in force; nil is none yet.
+	Table func() *hostroute.Table
+	// Budget returns the budget of further attempts of a pool.
+	Budget func(pool string) *attempt.Window
+	// Began is called once for each request that a backend server began to run.
+	Began func(workspace string, at time.Time)
+	// Admit decides whether a request may go to a server of the pool now; nil lets all.
+	Admit func(a Arrival) error
+	// DataCentre is the instance's own.
+	DataCentre string
+	// Observe takes the end of each request for metrics; it may be nil.
+	Observe func(Summary)
+}
+
+// Arrival is a request that asks for a backend server.
+type Arrival struct {
+	Pool   *hostroute.Pool
+	Route  *hostroute.Route
+	Tier   int
+	Prompt *place.Prompt
+	// Cost is the expected time until the prompt is read, in tokens of reading.
+	Cost float64
+	// Candidates are the servers that it could go to.
+	Candidates []place.Candidate
+	// Left is the time until the request's target, from its arrival on.
+	Left time.Duration
+	// Attempt counts the servers that it went to before.
+	Attempt int
+}
+
+// Summary is the end of one request.
+type Summary struct {
+	Route   string
+	Status  int
+	Own     bool
+	Sends   int
+	First   time.Duration
+	Total   time.Duration
+	Outcome string
+}
+
+// call is one request on its way.
+type call struct {
+	f     *Forwarder
+	w     http.ResponseWriter
+	r     *http.Request
+	table *hostroute.Table
+	route *hostroute.Route
+	pool  *hostroute.Pool
+	ask   Ask
+	// workspace is empty where the route needs no key.
+	workspace string
+	tier      int
+	body      []byte
+	arrived   time.Time
+	// timer ends the request at its route's timeout, until its answer has begun.
+	timer *time.Timer
+	// ctx ends when the caller leaves or the request's time is over.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	// tried holds the servers that the request went to.
+	tried map[string]bool
+	// sends counts the requests that were sent to backend servers; ran counts those that may have run.
+	sends, ran int
+	// counted is set once the request was counted as begun.
+	counted bool
+	// firstAt is when the answer's first byte went to the caller.
+	firstAt time.Time
+	server  string
+	status  int
+	// own tells that the answer is the instance's own.
+	own     bool
+	outcome string
+}
+
+var (
+	errTimeout = errors.New("the route's time is over")
+	errCut     = errors.New("the backend server can't be reached any more")
+)
+
+// ServeHTTP runs one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{f: f, w: w, r: r, arrived: time.Now()}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	c.ctx, c.cancel = ctx, cancel
+	err := c.prepare()
+	if err == nil {
+		err = c.run()
+	}
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	if err != nil {
+		c.fail(err)
+	}
+	c.log()
+	if c.outcome == outcomeBroken {
+		// The caller must not take what it has for a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Outcomes of a request in logs and metrics.
+const (
+	outcomeServed = "served"
+	outcomePassed = "failure_passed"
+	outcomeOwn    = "own_answer"
+	outcomeBroken = "broken_off"
+	outcomeLeft   = "caller_left"
+)
+
+// prepare finds the route and the rights of the request and reads its body.
+func (c *call) prepare() error {
+	c.table = c.f.Table()
+	if c.table == nil || !c.f.Roster.Known() {
+		return notReady()
+	}
+	ask, err := c.f.Headers.Read(c.r.Header)
+	if err != nil {
+		return badRequest(err)
+	}
+	c.ask = ask
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	route, ok := c.table.Route(c.r.Host, path)
+	if !ok {
+		return request.Refuse(http.StatusNotFound, request.CodeNotFound, "no route leads there")
+	}
+	c.route = route
+	var owner *hostroute.Workspace
+	if c.table.NeedsKey(route) {
+		if owner, ok = c.table.Owner(ask.Key); !ok {
+			return request.Refuse(http.StatusUnauthorized, request.CodeBadKey, "the key is not valid")
+		}
+		c.workspace = owner.Name
+	}
+	c.tier = hostroute.TierOf(route, owner)
+	c.pool = c.choosePool()
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	c.startTimer()
+	return nil
+}
+
+func (c *call) choosePool() *hostroute.Pool {
+	names := make([]string, len(c.route.Shares))
+	weights := make([]float64, len(c.route.Shares))
+	for i, s := range c.route.Shares {
+		names[i], weights[i] = s.Pool, s.Weight
+	}
+	pool, _ := c.table.Pool(place.Pool(c.ask.ID, names, weights))
+	return pool
+}
+
+func (c *call) readBody() error {
+	limit := int64(c.table.Limits().BodyBytes)
+	if limit > 0 && c.r.ContentLength > limit {
+		return request.Refuse(http.StatusRequestEntityTooLarge, request.CodeBodyTooLarge, "the request's body is too large")
+	}
+	if c.r.Body == nil || c.r.ContentLength == 0 {
+		return nil
+	}
+	reader := io.Reader(c.r.Body)
+	if limit > 0 {
+		reader = io.LimitReader(c.r.Body, limit+1)
+	}
+	var body []byte
+	var err error
+	if c.r.ContentLength > 0 {
+		body = make([]byte, c.r.ContentLength)
+		_, err = io.ReadFull(reader, body)
+	} else {
+		body, err = io.ReadAll(reader)
+	}
+	if err != nil {
+		return request.ErrAnswer{Status: http.StatusBadRequest, Code: request.CodeBadRequest, Message: "the request's body didn't arrive whole", NotRun: true, Cause: err}
+	}
+	if limit > 0 && int64(len(body)) > limit {
+		return request.Refuse(http.StatusRequestEntityTooLarge, request.CodeBodyTooLarge, "the request's body is too large")
+	}
+	c.body = body
+	return nil
+}
+
+// startTimer bounds the time until the answer begins by the route's timeout and the caller's patience.
+func (c *call) startTimer() {
+	limit := c.route.Timeout
+	if c.ask.Patience > 0 && (limit == 0 || c.ask.Patience < limit) {
+		limit = c.ask.Patience
+	}
+	if limit > 0 {
+		c.timer = time.AfterFunc(time.Until(c.arrived.Add(limit)), func() { c.cancel(errTimeout) })
+	}
+}
+
+// remaining returns the time that the caller still waits; 0 is not known.
+func (c *call) remaining() time.Duration {
+	if c.ask.Patience == 0 {
+		return 0
+	}
+	return max(time.Until(c.arrived.Add(c.ask.Patience)), time.Millisecond)
+}
+
+// log writes the request's line.
+func (c *call) log() {
+	s := Summary{Status: c.status, Own: c.own, Sends: c.sends, Total: time.Since(c.arrived), Outcome: c.outcome}
+	fields := make([]zap.Field, 0, 16)
+	fields = append(fields,
+		zap.String("request_id", c.ask.ID),
+		zap.String("outcome", c.outcome),
+		zap.Int("status", c.status),
+		zap.Duration("total", s.Total),
+	)
+	if c.route != nil {
+		s.Route = c.route.Name
+		fields = append(fields,
+			zap.String("route", c.route.Name),
+			zap.String("workspace", c.workspace),
+			zap.Int("tier", c.tier),
+			zap.Int("config", c.table.Version()),
+			zap.Int("sends", c.sends),
+			zap.String("server", c.server),
+		)
+	}
+	if !c.firstAt.IsZero() {
+		s.First = c.firstAt.Sub(c.arrived)
+		fields = append(fields, zap.Duration("first", s.First))
+	}
+	c.f.Log.Info("request", fields...)
+	if c.f.Observe != nil {
+		c.f.Observe(s)
+	}
+}
--- /dev/null
+++ b/request/forward/run.go
@@ -0,0 +1,253 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/roster"
+	"github.com/toucanroute/toucanroute/request"
+	"github.com/toucanroute/toucanroute/request/place"
+)
+
+// maxUnsent bounds the servers that a request is offered to without a byte leaving: connecting to them fails.
+const maxUnsent = 4
+
+// errRefused tells that a server didn't run the request.
+var errRefused = errors.New("the backend server refused the request")
+
+// errSpoiled tells that a server's answer can't be passed on.
+var errSpoiled = errors.New("the backend server's answer is spoiled")
+
+// run sends the request until it is answered. A nil error means that the caller has its answer.
+func (c *call) run() error {
+	c.tried = map[string]bool{}
+	c.f.Budget(c.pool.Name).Request()
+	var last error
+	for unsent := 0; ; {
+		p, err := c.place()
+		if err != nil {
+			return c.refusal(err, last)
+		}
+		sent, err := c.visit(p)
+		if err == nil || c.outcome == outcomeBroken {
+			return err
+		}
+		last = err
+		if context.Cause(c.ctx) != nil {
+			return c.giveUp(err)
+		}
+		if !sent {
+			if unsent++; unsent >= maxUnsent {
+				return c.giveUp(err)
+			}
+			continue
+		}
+		if !c.mayGoOn(err) {
+			return c.giveUp(err)
+		}
+	}
+}
+
+// refusal returns the answer where no further server can be asked. A failure of a server before goes first.
+func (c *call) refusal(err, last error) error {
+	if !c.firstAt.IsZero() {
+		return c.giveUp(last)
+	}
+	if last == nil || c.ran == 0 {
+		return err
+	}
+	return c.giveUp(last)
+}
+
+// mayGoOn tells whether another server may be asked after a failed visit.
+func (c *call) mayGoOn(err error) bool {
+	if !errors.Is(err, errRefused) && !c.route.MayRepeat() {
+		return false
+	}
+	if c.ran >= c.route.MaxAttempts {
+		return false
+	}
+	if !c.f.Budget(c.pool.Name).Take() {
+		c.f.Log.Info("retry_refused", zap.String("request_id", c.ask.ID), zap.String("pool", c.pool.Name))
+		return false
+	}
+	return true
+}
+
+// placed is a request's place at a backend server.
+type placed struct {
+	visit *roster.Visit
+	// fetchFrom is the address of the engine that keeps the prompt's shared parts; empty is none.
+	fetchFrom string
+}
+
+// place chooses a server for the request.
+func (c *call) place() (placed, error) {
+	members := c.f.Roster.Usable(c.pool.Name, c.tried)
+	if len(members) == 0 {
+		return placed{}, c.giveUp(errors.New("no backend server is left"))
+	}
+	candidates := c.f.candidates(members)
+	var choice place.Choice
+	unread := 0
+	if c.pool.Engine != nil && c.ask.Prompt != nil {
+		choice = place.Engine(c.ask.Prompt, candidates)
+		unread = c.ask.Prompt.Tokens - c.ask.Prompt.Shared()
+	} else {
+		choice = place.Service(c.ask.ID, candidates)
+	}
+	if c.f.Admit != nil {
+		a := Arrival{
+			Pool: c.pool, Route: c.route, Tier: c.tier, Prompt: c.ask.Prompt, Cost: choice.Cost, Candidates: candidates,
+			Left: c.route.Target - time.Since(c.arrived), Attempt: c.sends,
+		}
+		if err := c.f.Admit(a); err != nil {
+			return placed{}, err
+		}
+	}
+	p := placed{visit: members[choice.Index].Begin(unread)}
+	if choice.Owner >= 0 {
+		p.fetchFrom = members[choice.Owner].Entry().Address
+	}
+	c.logPlaced(members, choice)
+	return p, nil
+}
+
+func (c *call) logPlaced(members []*roster.Member, choice place.Choice) {
+	if ce := c.f.Log.Check(zap.DebugLevel, "request_placed"); ce != nil {
+		ce.Write(
+			zap.String("request_id", c.ask.ID),
+			zap.String("server", members[choice.Index].Entry().ID),
+			zap.Float64("cost_tokens", choice.Cost),
+			zap.Bool("at_owner", choice.Owner < 0),
+			zap.Int("candidates", len(members)),
+		)
+	}
+}
+
+// candidates returns what is known of the members, where failures and pace count against those of all.
+func (f *Forwarder) candidates(members []*roster.Member) []place.Candidate {
+	now := time.Now()
+	list := make([]place.Candidate, len(members))
+	paces := make([]float64, 0, len(members))
+	leastFailing := 1.0
+	for i, m := range members {
+		s, e := m.State(now), m.Entry()
+		list[i] = place.Candidate{
+			Name: e.ID, Running: s.Running, Slots: s.Slots, Unread: s.Unread, Failing: s.Failing, Slow: s.Pace,
+			Near: e.DataCentre == f.DataCentre,
+		}
+		leastFailing = min(leastFailing, s.Failing)
+		if s.Pace > 0 {
+			paces = append(paces, s.Pace)
+		}
+	}
+	usual := place.Median(paces)
+	for i := range list {
+		list[i].Failing -= leastFailing
+		if usual > 0 {
+			list[i].Slow /= usual
+		}
+	}
+	return list
+}
+
+// visit sends the request to one server and passes its answer on. It tells whether a byte may have left for the server.
+func (c *call) visit(p placed) (sent bool, err error) {
+	v := p.visit
+	member := v.Member()
+	entry := member.Entry()
+	c.tried[entry.ID] = true
+	c.server = entry.ID
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	if c.route.MayRepeat() {
+		go cancelAtCut(ctx, cancel, member.Cut())
+	}
+	res, err := c.send(ctx, entry, p.fetchFrom)
+	if err != nil {
+		sent = c.lost(ctx, v, err)
+		return sent, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	c.sends++
+	return true, c.take(ctx, v, res)
+}
+
+// cancelAtCut ends an attempt whose server can't be reached any more.
+func cancelAtCut(ctx context.Context, cancel context.CancelCauseFunc, cut <-chan struct{}) {
+	select {
+	case <-cut:
+		cancel(errCut)
+	case <-ctx.Done():
+	}
+}
+
+// lost notes a visit without an answer.
+func (c *call) lost(ctx context.Context, v *roster.Visit, err error) (sent bool) {
+	var attempt request.ErrAttempt
+	sent = !errors.As(err, &attempt) || attempt.Sent
+	if sent {
+		c.sends++
+		c.ran++
+		c.began()
+	}
+	switch {
+	case context.Cause(c.ctx) != nil && !errors.Is(context.Cause(c.ctx), errTimeout):
+		v.End(roster.Left)
+	case isUnreached(err) || errors.Is(context.Cause(ctx), errCut):
+		v.End(roster.Unreached)
+	default:
+		v.End(roster.Failed)
+	}
+	c.f.Log.Info("attempt_failed",
+		zap.String("request_id", c.ask.ID),
+		zap.String("server", c.server),
+		zap.Bool("sent", sent),
+		zap.Error(err),
+	)
+	return sent
+}
+
+// send sends the request to the server and waits for the headers of its answer.
+func (c *call) send(ctx context.Context, entry roster.Entry, fetchFrom string) (*http.Response, error) {
+	h := c.r.Header.Clone()
+	request.StripHopHeaders(h)
+	s := Sending{
+		Server: entry.ID, Workspace: c.workspace, Remaining: c.remaining(), Tier: -1, FetchFrom: fetchFrom, LastEvent: c.ask.LastEvent,
+	}
+	if c.pool.Engine != nil {
+		s.Tier = c.tier
+	}
+	c.f.Headers.Prepare(h, s)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""}
+	}
+	req := (&http.Request{
+		Method: c.r.Method,
+		URL:    &url.URL{Scheme: "http", Host: entry.Address, Opaque: c.r.RequestURI},
+		Host:   c.r.Host,
+		Header: h,
+	}).WithContext(ctx)
+	if c.r.ContentLength != 0 || len(c.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(c.body))
+		req.ContentLength = int64(len(c.body))
+	}
+	return c.f.Send(req, c.ask.ID, false)
+}
+
+// began counts the request as begun, once.
+func (c *call) began() {
+	if c.counted || c.workspace == "" {
+		return
+	}
+	c.counted = true
+	c.f.Began(c.workspace, time.Now())
+}
--- /dev/null
+++ b/request/place/place.go
@@ -0,0 +1,193 @@
+// Package place chooses the backend server of one request. The choices are plain functions of what is known; they do no
+// input or output and hold no state.
+package place
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	// ID names the part's text; requests with the same part have the same id.
+	ID string
+	// Tokens is the part's length.
+	Tokens int
+}
+
+// Prompt is what a request says of the tokens that it needs.
+type Prompt struct {
+	// Parts are in the prompt's order; the last belongs to the request or its session alone.
+	Parts []Part
+	// Tokens is the length of the whole prompt.
+	Tokens int
+	// MaxOutput bounds the length of the answer in tokens.
+	MaxOutput int
+}
+
+// Subject returns the id of the last part that other requests share, by which the prompt is kept together with its like.
+func (p *Prompt) Subject() string {
+	switch n := len(p.Parts); n {
+	case 0:
+		return ""
+	case 1:
+		return p.Parts[0].ID
+	default:
+		return p.Parts[n-2].ID
+	}
+}
+
+// Shared returns the length of the parts that other requests may share.
+func (p *Prompt) Shared() int {
+	shared := 0
+	for i := 0; i < len(p.Parts)-1; i++ {
+		shared += p.Parts[i].Tokens
+	}
+	return min(shared, p.Tokens)
+}
+
+// Candidate is what is known of one backend server at the moment of the choice.
+type Candidate struct {
+	// Name identifies the server among all.
+	Name string
+	// Running is the number of requests that the server runs or holds in line.
+	Running int
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// Unread is the number of prompt tokens that the server has yet to read for requests of this instance.
+	Unread int
+	// Failing is the share of the last requests that the server failed, 0 to 1.
+	Failing float64
+	// Slow is the server's recent time to answer against that of its pool; 1 is usual, 0 unknown.
+	Slow float64
+	// Leaving is the time until the server is gone; 0 is unknown or not leaving.
+	Leaving time.Duration
+	// Near tells that the server is in the instance's own data centre.
+	Near bool
+}
+
+// Choice is the result of a choice.
+type Choice struct {
+	// Index is the chosen candidate's; -1 is none.
+	Index int
+	// Owner is the index of the server that keeps the prompt's shared parts; -1 is none or the chosen one.
+	Owner int
+	// Cost is the expected time until the prompt is read, in tokens of reading.
+	Cost float64
+}
+
+const (
+	// tokensPerRunning is what one running request adds to a prompt's wait, in tokens of reading: a batch grows its
+	// step by about 2% of the empty step with each request, and a step reads up to 2,048 tokens.
+	tokensPerRunning = 40
+	// overfull is the wait for a slot of a full server, in tokens of reading, for each request in line.
+	overfull = 2048
+	// rereadShare is the part of the shared tokens' cost that moving away from their owner costs, since the parts are
+	// fetched from the owner and needn't be read.
+	rereadShare = 0.25
+	// failingCost multiplies a server's cost by up to 1 + failingCost.
+	failingCost = 8
+)
+
+// Engine chooses an engine for a prompt. Requests with the same shared parts go to the same server (rendezvous hashing), so
+// that they are read once, as long as that server is about as free as the others. It answers the load of many subjects
+// with long shared prompts, and of one subject that gets much of the traffic.
+func Engine(p *Prompt, candidates []Candidate) Choice {
+	owner := Owner(p.Subject(), candidates)
+	best := Choice{Index: -1, Owner: -1}
+	for i := range candidates {
+		cost := waitOf(&candidates[i]) + float64(p.Tokens-p.Shared())
+		if i != owner {
+			cost += rereadShare * float64(p.Shared())
+		}
+		cost *= 1 + failingCost*candidates[i].Failing
+		if best.Index < 0 || cost < best.Cost {
+			best = Choice{Index: i, Owner: owner, Cost: cost}
+		}
+	}
+	if best.Owner == best.Index {
+		best.Owner = -1
+	}
+	return best
+}
+
+// waitOf returns the work that stands before a new prompt, in tokens of reading.
+func waitOf(c *Candidate) float64 {
+	wait := float64(c.Unread) + tokensPerRunning*float64(c.Running)
+	if c.Slots > 0 && c.Running >= c.Slots {
+		wait += overfull * float64(c.Running-c.Slots+1)
+	}
+	if c.Slow > 1 {
+		wait *= c.Slow
+	}
+	return wait
+}
+
+// Owner returns the index of the server that keeps a subject: the highest hash of both names. It is -1 without candidates.
+func Owner(subject string, candidates []Candidate) int {
+	owner, highest := -1, uint64(0)
+	base := xxhash.Sum64String(subject)
+	for i := range candidates {
+		if h := mix(base, candidates[i].Name); owner < 0 || h > highest {
+			owner, highest = i, h
+		}
+	}
+	return owner
+}
+
+// mix returns the hash of a subject's hash together with a server's name.
+func mix(subject uint64, server string) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], subject)
+	binary.LittleEndian.PutUint64(buf[8:], xxhash.Sum64String(server))
+	return xxhash.Sum64(buf[:])
+}
+
+// Service chooses a server of a plain service: the least loaded for its slots, where failures and slowness count as load.
+// Equal ones are taken in the order of a hash of the request's id, so that instances don't all choose the same.
+func Service(id string, candidates []Candidate) Choice {
+	best, chosen := math.Inf(1), -1
+	base := xxhash.Sum64String(id)
+	order := uint64(0)
+	for i := range candidates {
+		c := &candidates[i]
+		load := float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.Slow, 1) * (1 + failingCost*c.Failing)
+		if h := mix(base, c.Name); load < best || load == best && h > order {
+			best, chosen, order = load, i, h
+		}
+	}
+	return Choice{Index: chosen, Owner: -1, Cost: best}
+}
+
+// Pool returns the name of the pool that a request of the id goes to, by the weights of the pools.
+func Pool(id string, names []string, weights []float64) string {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	if len(names) == 1 || sum <= 0 {
+		return names[0]
+	}
+	at := float64(xxhash.Sum64String(id)>>11) / (1 << 53) * sum
+	for i, w := range weights {
+		at -= w
+		if at < 0 {
+			return names[i]
+		}
+	}
+	return names[slices.Index(weights, slices.MaxFunc(weights, cmp.Compare))]
+}
+
+// Median returns the median of the values, 0 without any; it sorts them.
+func Median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
--- a/version/settings/settings.go
+++ b/version/settings/settings.go
@@ -73,10 +73,10 @@
 // check returns the faults that a schema can't express.
 func check(d *document.Document, s *Settings) error {
 	var faults []ErrSettings
-	if s.Tls.Peers == nil && !isLoopback(s.Listen.Peers) {
+	if !s.Listen.PrivateNetwork && s.Tls.Peers == nil && !isLoopback(s.Listen.Peers) {
 		faults = append(faults, loopbackFault(d, "peers"))
 	}
-	if s.Tls.Operators == nil && !isLoopback(s.Listen.Operators) {
+	if !s.Listen.PrivateNetwork && s.Tls.Operators == nil && !isLoopback(s.Listen.Operators) {
 		faults = append(faults, loopbackFault(d, "operators"))
 	}
 	faults = append(faults, checkListen(d, s)...)
@@ -101,6 +101,7 @@
 		{"callers", s.Listen.Callers},
 		{"peers", s.Listen.Peers},
 		{"operators", s.Listen.Operators},
+		{"readiness", s.Listen.Readiness},
 	} {
 		ap, err := netip.ParseAddrPort(l.address)
 		if err != nil || ap.Port() == 0 {
--- a/wire/records.go
+++ b/wire/records.go
@@ -71,6 +71,27 @@
 	Through int `json:"through"`
 }
 
+// CountsRecord is the requests that one run of an instance saw begin.
+type CountsRecord struct {
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []CountsWindow `json:"windows"`
+
+	// Unix time in milliseconds at which the counts were written.
+	WrittenMs int `json:"written_ms"`
+}
+
+// CountsWindow is the requests that began in one window.
+type CountsWindow struct {
+	// Requests by workspace.
+	Counts CountsWindowCounts `json:"counts"`
+
+	// Unix time in milliseconds.
+	StartMs int `json:"start_ms"`
+}
+
+// Requests by workspace.
+type CountsWindowCounts map[string]int
+
 // FleetServer is the state of one backend server. Servers that aren't listed are
 // serving.
 type FleetServer struct {
@@ -205,6 +226,9 @@
 	// ConfigHead corresponds to the JSON schema field "config_head".
 	ConfigHead *ConfigHead `json:"config_head,omitempty,omitzero"`
 
+	// CountsRecord corresponds to the JSON schema field "counts_record".
+	CountsRecord *CountsRecord `json:"counts_record,omitempty,omitzero"`
+
 	// FleetView corresponds to the JSON schema field "fleet_view".
 	FleetView *FleetView `json:"fleet_view,omitempty,omitzero"`
 
@@ -217,6 +241,9 @@
 	// StopRecord corresponds to the JSON schema field "stop_record".
 	StopRecord *StopRecord `json:"stop_record,omitempty,omitzero"`
 
+	// SumsRecord corresponds to the JSON schema field "sums_record".
+	SumsRecord *SumsRecord `json:"sums_record,omitempty,omitzero"`
+
 	// UsageHandOver corresponds to the JSON schema field "usage_hand_over".
 	UsageHandOver *UsageHandOver `json:"usage_hand_over,omitempty,omitzero"`
 
@@ -259,6 +286,12 @@
 const StopRecordStatePlanned StopRecordState = "planned"
 const StopRecordStateStopped StopRecordState = "stopped"
 
+// SumsRecord fixes the figures of the newest windows' only reports.
+type SumsRecord struct {
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []CountsWindow `json:"windows"`
+}
+
 // UsageCount is what one run of an instance counted; run and sequence number name
 // it once.
 type UsageCount struct {
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -7,6 +7,9 @@
 	// Data centre in which this instance runs.
 	DataCentre string `json:"data_centre"`
 
+	// Forwarding corresponds to the JSON schema field "forwarding".
+	Forwarding *SettingsForwarding `json:"forwarding,omitempty,omitzero"`
+
 	// Name of this instance, unique in the deployment.
 	Instance string `json:"instance"`
 
@@ -35,6 +38,53 @@
 	Key string `json:"key"`
 }
 
+// SettingsForwarding makes the daemon forward requests by host and path, with
+// configuration and backend servers read from the platform's store.
+type SettingsForwarding struct {
+	// Milliseconds within which a configuration must be in force.
+	ApplyMs int `json:"apply_ms"`
+
+	// Milliseconds after its last use for which a cached part of a prompt is worth
+	// keeping.
+	CacheMs float64 `json:"cache_ms"`
+
+	// Names of all data centres of the deployment.
+	DataCentres []string `json:"data_centres"`
+
+	// Milliseconds for which a backend server still takes requests after it has
+	// announced that it leaves.
+	DrainMs int `json:"drain_ms"`
+
+	// Interval in milliseconds at which backend servers renew their entries.
+	HeartbeatMs int `json:"heartbeat_ms"`
+
+	// Milliseconds for which the holder of the duties keeps them after its last
+	// renewal.
+	LeaseMs int `json:"lease_ms"`
+
+	// Memory in megabytes that the process may use.
+	MemoryMb int `json:"memory_mb"`
+
+	// Further attempts of all instances together in a window beside the share.
+	RetryExtra int `json:"retry_extra"`
+
+	// Further attempts of all instances together, as a share of the requests in a
+	// window.
+	RetryRatio float64 `json:"retry_ratio"`
+
+	// Length in milliseconds of the window of the retry budget.
+	RetryWindowMs int `json:"retry_window_ms"`
+
+	// Milliseconds from SIGTERM to SIGKILL.
+	ShutdownMs int `json:"shutdown_ms"`
+
+	// Milliseconds after the end of a window within which its report is due.
+	UsageDelayMs int `json:"usage_delay_ms"`
+
+	// Length in milliseconds of a window of usage.
+	UsageWindowMs int `json:"usage_window_ms"`
+}
+
 // SettingsListen gives the addresses on which the daemon listens. Without TLS,
 // peers and operators must be on loopback.
 type SettingsListen struct {
@@ -46,6 +96,13 @@
 
 	// Address for the other instances.
 	Peers string `json:"peers"`
+
+	// The network between the machines is private: peers and operators may listen
+	// beyond loopback without certificates.
+	PrivateNetwork bool `json:"private_network,omitempty,omitzero"`
+
+	// Further address at which a balancer asks for readiness; empty is none.
+	Readiness string `json:"readiness,omitempty,omitzero"`
 }
 
 // SettingsLog says what is logged.
