Order mostly cheap backend servers; fetch shared parts from the owner before

The holder of the duties orders one regular and eight cheap ones for each six that were set up, regular ones where the cheap kind can't be had. Servers that have just started fetch what they now own.

--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -24,7 +24,7 @@
 	duration := ms(g.Settings.Forwarding.LeaseMs)
 	return &lease.Lease{
 		DataCentre: everywhere, Job: dutiesJob, Holder: g.Settings.Instance, RunID: g.run,
-		Duration: duration, Margin: time.Duration(marginShare * float64(duration)), MaxInFlight: callTimeout,
+		Duration: duration, Margin: time.Duration(marginShare * float64(duration)), MaxInFlight: callTimeout, Poll: duration,
 		Objects: g.Platform.Store, Log: g.Log,
 		Candidate: func() bool { return g.table.Load() != nil && !g.leaving.Load() },
 		OnChange: func(fence int, held bool) {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -89,7 +89,7 @@
 	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers} {
 		eg.Go(func() error { return part(run) })
 	}
-	for _, part := range []func(context.Context){g.configFeed().Run, g.serverFeed().Run, g.counter.Execute, g.lease.Run, g.reporter.Execute} {
+	for _, part := range []func(context.Context){g.configFeed().Run, g.serverFeed().Run, g.counter.Execute, g.lease.Run, g.reporter.Execute, (&fleet{g: g}).run} {
 		eg.Go(func() error { part(run); return nil })
 	}
 	eg.Go(func() error {
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -75,6 +75,8 @@
 	Log         *zap.Logger
 	// Candidate tells whether the instance should take the lease when it is free; nil is always.
 	Candidate func() bool
+	// Poll is how often a candidate reads a lease that another holds; 0 is pollInterval.
+	Poll time.Duration
 	// Now is a monotonic clock that counts suspension; nil is CLOCK_BOOTTIME.
 	Now func() time.Duration
 	// OnChange is called from Run after the lease was taken or lost; it may be nil.
@@ -254,12 +256,16 @@
 	if !l.Candidate() {
 		return pollInterval
 	}
+	poll := l.Poll
+	if poll == 0 {
+		poll = pollInterval
+	}
 	if err := l.observe(ctx); err != nil {
 		l.Log.Warn("lease_unreadable", l.fields(zap.Error(err))...)
 		return retryDelay
 	}
 	if wait := max(l.waitToTake(), l.untilArrival()); wait > 0 {
-		return min(wait, pollInterval)
+		return min(wait, poll)
 	}
 	return l.take(ctx)
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -187,6 +187,22 @@
 	return usable
 }
 
+// Sources returns the members of a pool that are believed to be reachable, also those that are leaving.
+func (r *Roster) Sources(pool string) []*Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	list := make([]*Member, 0, len(r.pools[pool]))
+	for _, m := range r.members {
+		m.mu.Lock()
+		if m.entry.Pool == pool && !m.suspected(now) {
+			list = append(list, m)
+		}
+		m.mu.Unlock()
+	}
+	return list
+}
+
 // Members returns all members.
 func (r *Roster) Members() []*Member {
 	r.mu.Lock()
--- /dev/null
+++ b/process/sizing/sizing.go
@@ -0,0 +1,111 @@
+// Package sizing decides how many backend servers of which kind a pool has in each data centre. Its decisions are plain
+// functions of what is known.
+package sizing
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Site is a pool in one data centre.
+type Site struct {
+	DataCentre string
+	// Base is the number of servers that the operator had set up.
+	Base int
+	// Regular and Cheap are the serving servers of each kind.
+	Regular int
+	Cheap   int
+	// Price is that of a regular server's second.
+	Price float64
+	// CheapMissing tells that the cheap kind was reclaimed or refused there a short time ago.
+	CheapMissing bool
+}
+
+// Bounds hold for each data centre.
+type Bounds struct {
+	// Min and Max bound the servers of both kinds together.
+	Min int
+	Max int
+}
+
+// Count is the number of servers that a data centre should have.
+type Count struct {
+	Regular int
+	Cheap   int
+}
+
+const (
+	// regularShare is the part of the base that stays of the regular kind, which is never reclaimed.
+	regularShare = 0.2
+	// totalShare is the number of servers for each one of the base: a reclaim takes the cheap ones of a data centre
+	// at once, and what is left must do the work of the base until others have started.
+	totalShare = 1.4
+	// settled is the part of the ordered cheap servers that must serve before regular ones are given up.
+	settled = 0.75
+)
+
+// Counts returns the number of servers of each kind for each site, in their order. It answers a steady load, a data
+// centre that loses its cheap servers at once, and cheap servers that can't be had.
+func Counts(sites []Site, b Bounds) []Count {
+	counts := make([]Count, len(sites))
+	missing := 0
+	for i, s := range sites {
+		counts[i] = usual(s, b)
+		missing += s.Base - counts[i].Regular - s.Cheap
+	}
+	for i, s := range sites {
+		if !s.CheapMissing && s.Cheap < int(math.Ceil(settled*float64(counts[i].Cheap))) && s.Regular > counts[i].Regular {
+			// The cheap ones are still starting.
+			counts[i].Regular = min(max(s.Regular, counts[i].Regular), b.Max-counts[i].Cheap)
+		}
+	}
+	fill(sites, counts, b, missing)
+	return counts
+}
+
+// usual returns the number of servers in a site where nothing is missing.
+func usual(s Site, b Bounds) Count {
+	total := clamp(int(math.Ceil(totalShare*float64(s.Base))), b.Min, b.Max)
+	regular := clamp(int(math.Round(regularShare*float64(s.Base))), 1, total)
+	return Count{Regular: regular, Cheap: total - regular}
+}
+
+// fill orders regular servers for those that are missing against the base, the cheapest data centres first, where the cheap
+// kind can't be had.
+func fill(sites []Site, counts []Count, b Bounds, missing int) {
+	if missing <= 0 || !slices.ContainsFunc(sites, func(s Site) bool { return s.CheapMissing }) {
+		return
+	}
+	order := make([]int, len(sites))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		switch {
+		case sites[x].Price < sites[y].Price:
+			return -1
+		case sites[x].Price > sites[y].Price:
+			return 1
+		}
+		return 0
+	})
+	for _, i := range order {
+		s := sites[i]
+		cheap := counts[i].Cheap
+		if s.CheapMissing {
+			cheap = s.Cheap
+		}
+		room := min(b.Max-cheap-counts[i].Regular, missing)
+		if room <= 0 {
+			continue
+		}
+		counts[i].Regular += room
+		missing -= room
+	}
+}
+
+func clamp(n, low, high int) int { return max(min(n, high), low) }
+
+// Resend returns when an order that isn't fulfilled is sent again: after the time in which its servers should serve.
+func Resend(boot time.Duration) time.Duration { return 3 * boot / 2 }
--- a/process/tally/reporter.go
+++ b/process/tally/reporter.go
@@ -17,7 +17,7 @@
 	// sumAfter and sumAtLast are the parts of the delay after which a window is summed: as soon as all runs have written,
 	// and at last without those that haven't.
 	sumAfter  = 0.15
-	sumAtLast = 0.6
+	sumAtLast = 0.85
 	// deadAfter is the number of windows without a write after which a run's object is removed.
 	deadAfter = 20
 	// pollInterval is how often the holder looks for something to do.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -113,20 +113,39 @@
 		}
 	}
 	p := placed{visit: members[choice.Index].Begin(unread)}
-	if choice.Owner >= 0 {
-		p.fetchFrom = members[choice.Owner].Entry().Address
+	if c.pool.Engine != nil && c.ask.Prompt != nil {
+		p.fetchFrom = c.source(members[choice.Index])
 	}
 	c.logPlaced(members, choice)
 	return p, nil
 }
 
+// youngFor is the age up to which an engine counts as new: parts of prompts are in use again within about this time.
+const youngFor = 10 * time.Second
+
+// source returns the address of the engine from which the chosen one fetches the prompt's shared parts; empty is none.
+func (c *call) source(chosen *roster.Member) string {
+	members := c.f.Roster.Sources(c.pool.Name)
+	sources := make([]place.Candidate, len(members))
+	oldest := time.Now().Add(-youngFor).UnixMilli()
+	for i, m := range members {
+		e := m.Entry()
+		sources[i] = place.Candidate{Name: e.ID, Young: e.Started > oldest}
+	}
+	i, ok := place.Source(c.ask.Prompt.Subject(), sources)
+	if !ok || members[i] == chosen {
+		return ""
+	}
+	return members[i].Entry().Address
+}
+
 func (c *call) logPlaced(members []*roster.Member, choice place.Choice) {
 	if ce := c.f.Log.Check(zap.DebugLevel, "request_placed"); ce != nil {
 		ce.Write(
 			zap.String("request_id", c.ask.ID),
 			zap.String("server", members[choice.Index].Entry().ID),
 			zap.Float64("cost_tokens", choice.Cost),
-			zap.Bool("at_owner", choice.Owner < 0),
+			zap.Bool("at_owner", choice.Owner == choice.Index),
 			zap.Int("candidates", len(members)),
 		)
 	}
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -69,13 +69,15 @@
 	Leaving time.Duration
 	// Near tells that the server is in the instance's own data centre.
 	Near bool
+	// Young tells that the server started a short time ago, so that what it now owns was read elsewhere.
+	Young bool
 }
 
 // Choice is the result of a choice.
 type Choice struct {
 	// Index is the chosen candidate's; -1 is none.
 	Index int
-	// Owner is the index of the server that keeps the prompt's shared parts; -1 is none or the chosen one.
+	// Owner is the index of the server that owns the prompt's shared parts.
 	Owner int
 	// Cost is the expected time until the prompt is read, in tokens of reading.
 	Cost float64
@@ -110,12 +112,28 @@
 			best = Choice{Index: i, Owner: owner, Cost: cost}
 		}
 	}
-	if best.Owner == best.Index {
-		best.Owner = -1
-	}
 	return best
 }
 
+// Source returns the name of the server that most likely keeps a subject's shared parts: the owner among all that can
+// still be asked, also those that are leaving, where a server that has just started owns nothing yet. It answers servers
+// that come and go in numbers: what they take over is fetched and not read again.
+func Source(subject string, sources []Candidate) (int, bool) {
+	old := make([]Candidate, 0, len(sources))
+	index := make([]int, 0, len(sources))
+	for i, s := range sources {
+		if !s.Young {
+			old = append(old, s)
+			index = append(index, i)
+		}
+	}
+	owner := Owner(subject, old)
+	if owner < 0 {
+		return 0, false
+	}
+	return index[owner], true
+}
+
 // waitOf returns the work that stands before a new prompt, in tokens of reading.
 func waitOf(c *Candidate) float64 {
 	wait := float64(c.Unread) + tokensPerRunning*float64(c.Running)
--- a/wire/records.go
+++ b/wire/records.go
@@ -238,6 +238,9 @@
 	// LeaseRecord corresponds to the JSON schema field "lease_record".
 	LeaseRecord *LeaseRecord `json:"lease_record,omitempty,omitzero"`
 
+	// SizeRecord corresponds to the JSON schema field "size_record".
+	SizeRecord *SizeRecord `json:"size_record,omitempty,omitzero"`
+
 	// StopRecord corresponds to the JSON schema field "stop_record".
 	StopRecord *StopRecord `json:"stop_record,omitempty,omitzero"`
 
@@ -261,6 +264,24 @@
 	VersionOffer *VersionOffer `json:"version_offer,omitempty,omitzero"`
 }
 
+// SizeRecord is what was ordered of a pool's backend servers.
+type SizeRecord struct {
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Sites corresponds to the JSON schema field "sites".
+	Sites []SizeSite `json:"sites"`
+}
+
+// SizeSite is what was ordered in one data centre.
+type SizeSite struct {
+	// Servers that the operator had set up.
+	Base int `json:"base"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+}
+
 // StopRecord is a planned stop of a backend server.
 type StopRecord struct {
 	// Unix time in milliseconds at which the state was set.
