Rank requests by their workspace's tier, then by their route's

Cause: all workspaces carry a tier, so that a workspace's tier in place of the route's made urgent and other requests equal at the engines.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -33,7 +33,9 @@
 	Cheap      bool
 }
 
-func (e ErrNoneThere) Error() string { return "no server of " + e.Pool + " to be had in " + e.DataCentre }
+func (e ErrNoneThere) Error() string {
+	return "no server of " + e.Pool + " to be had in " + e.DataCentre
+}
 
 // order is the last order of one kind in one data centre.
 type order struct {
--- a/request/forward/ask.go
+++ b/request/forward/ask.go
@@ -35,8 +35,8 @@
 	Workspace string
 	// Remaining is the time until the caller leaves; 0 is not known.
 	Remaining time.Duration
-	// Tier is the request's rank at an engine; negative is none.
-	Tier int
+	// Rank is the request's urgency at an engine; negative is none.
+	Rank int
 	// FetchFrom is the address of an engine that keeps the prompt's shared parts; empty is none.
 	FetchFrom string
 	// LastEvent is the id of the event after which a stream goes on; empty is from the start.
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -42,7 +42,7 @@
 type Arrival struct {
 	Pool   *hostroute.Pool
 	Route  *hostroute.Route
-	Tier   int
+	Rank   int
 	Prompt *place.Prompt
 	// Cost is the expected time until the prompt is read, in tokens of reading.
 	Cost float64
@@ -76,9 +76,10 @@
 	ask   Ask
 	// workspace is empty where the route needs no key.
 	workspace string
-	tier      int
-	body      []byte
-	arrived   time.Time
+	// rank is the request's urgency; 0 is the most urgent.
+	rank    int
+	body    []byte
+	arrived time.Time
 	// timer ends the request at its route's timeout, until its answer has begun.
 	timer *time.Timer
 	// ctx ends when the caller leaves or the request's time is over.
@@ -161,7 +162,7 @@
 		}
 		c.workspace = owner.Name
 	}
-	c.tier = hostroute.TierOf(route, owner)
+	c.rank = c.table.Rank(route, owner)
 	c.pool = c.choosePool()
 	if err := c.readBody(); err != nil {
 		return err
@@ -244,7 +245,7 @@
 		fields = append(fields,
 			zap.String("route", c.route.Name),
 			zap.String("workspace", c.workspace),
-			zap.Int("tier", c.tier),
+			zap.Int("rank", c.rank),
 			zap.Int("config", c.table.Version()),
 			zap.Int("sends", c.sends),
 			zap.String("server", c.server),
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -105,7 +105,7 @@
 	}
 	if c.f.Admit != nil {
 		a := Arrival{
-			Pool: c.pool, Route: c.route, Tier: c.tier, Prompt: c.ask.Prompt, Cost: choice.Cost, Candidates: candidates,
+			Pool: c.pool, Route: c.route, Rank: c.rank, Prompt: c.ask.Prompt, Cost: choice.Cost, Candidates: candidates,
 			Left: c.route.Target - time.Since(c.arrived), Attempt: c.sends,
 		}
 		if err := c.f.Admit(a); err != nil {
@@ -240,10 +240,10 @@
 	h := c.r.Header.Clone()
 	request.StripHopHeaders(h)
 	s := Sending{
-		Server: entry.ID, Workspace: c.workspace, Remaining: c.remaining(), Tier: -1, FetchFrom: fetchFrom, LastEvent: c.ask.LastEvent,
+		Server: entry.ID, Workspace: c.workspace, Remaining: c.remaining(), Rank: -1, FetchFrom: fetchFrom, LastEvent: c.ask.LastEvent,
 	}
 	if c.pool.Engine != nil {
-		s.Tier = c.tier
+		s.Rank = c.rank
 	}
 	c.f.Headers.Prepare(h, s)
 	if _, ok := h["User-Agent"]; !ok {
--- a/version/hostroute/table.go
+++ b/version/hostroute/table.go
@@ -1,6 +1,7 @@
 package hostroute
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"slices"
@@ -25,6 +26,8 @@
 	// routes holds the routes by host and prefix.
 	routes map[string]map[string]*Route
 	pools  map[string]*Pool
+	// ranks holds the rank of each level.
+	ranks map[level]int
 	// keys holds the owners of the keys by the keys' hashes.
 	keys map[[sha256.Size]byte]*Workspace
 }
@@ -51,6 +54,7 @@
 			t.keys[sha256.Sum256([]byte(key))] = w
 		}
 	}
+	t.rankLevels()
 	return t, nil
 }
 
@@ -127,10 +131,44 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
 }
 
-// TierOf returns the rank of a request of the workspace on the route; the workspace may be nil.
-func TierOf(r *Route, w *Workspace) int {
+// level is the urgency of a request: that of its workspace first, then that of its route.
+type level struct {
+	workspace, route int
+}
+
+func levelOf(r *Route, w *Workspace) level {
 	if w != nil && w.Tier != nil {
-		return *w.Tier
+		return level{*w.Tier, r.Tier}
+	}
+	return level{r.Tier, r.Tier}
+}
+
+// rankLevels numbers the levels that the configuration's routes and workspaces make.
+func (t *Table) rankLevels() {
+	var levels []level
+	for i := range t.cfg.Routes {
+		r := &t.cfg.Routes[i]
+		levels = append(levels, levelOf(r, nil))
+		for j := range t.cfg.Workspaces {
+			levels = append(levels, levelOf(r, &t.cfg.Workspaces[j]))
+		}
+	}
+	slices.SortFunc(levels, func(a, b level) int {
+		return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
+	})
+	levels = slices.Compact(levels)
+	t.ranks = make(map[level]int, len(levels))
+	for i, l := range levels {
+		t.ranks[l] = i
+		if len(levels) > Ranks {
+			t.ranks[l] = i * Ranks / len(levels)
+		}
 	}
-	return r.Tier
 }
+
+// Ranks is the number of ranks that engines tell apart.
+const Ranks = 10
+
+// Rank returns the rank of a request of the workspace on the route, from 0 for the most urgent to Ranks - 1; the workspace
+// may be nil. A workspace's tier goes before the routes' tiers, which order the requests of equal workspaces.
+func (t *Table) Rank(r *Route, w *Workspace) int { return t.ranks[levelOf(r, w)] }
