Let instances tell each other loads, versions, servers and counts

Change: datagrams among instances with loads, versions and copies of counts; watches renewed about four times a second among all; a peer's objects while the store is out of reach; sources drain for at most 1 s; shared parts weigh fully.

--- a/cmd/toucanrouted/gateway.go
+++ b/cmd/toucanrouted/gateway.go
@@ -14,13 +14,15 @@
 const (
 	// storeTimeout bounds a call of the platform's store: 250 usual answers.
 	storeTimeout = time.Second
+	// storeSilence is the time without acknowledgements after which a connection to the store is dead: two probes.
+	storeSilence = 2 * time.Second
 	// dutyTimeout bounds a call of a duty.
 	dutyTimeout = time.Second
 )
 
 // newGateway returns a daemon that forwards requests on the users' platform.
 func newGateway(set *settings.Settings, log *zap.Logger) *gateway.Gateway {
-	store := &platform.Store{Client: &client.Client{BaseURL: "http://" + set.Platform.Objects, Timeout: storeTimeout}}
+	store := &platform.Store{Client: &client.Client{BaseURL: "http://" + set.Platform.Objects, Timeout: storeTimeout, Transport: client.ProbedTransport(storeTimeout, storeSilence)}}
 	duties := &platform.Duties{
 		Client:   &client.Client{BaseURL: "http://" + set.Platform.Usage, Timeout: dutyTimeout},
 		Instance: set.Instance,
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -27,8 +29,8 @@
 type Feed struct {
 	Kind  string
 	Store platform.Store
-	// Wait is how long a watch may stay without an answer. It bounds how long a dead connection goes unnoticed.
-	Wait time.Duration
+	// Wait returns how long the next watch may stay without an answer, since a watch that is silent proves nothing.
+	Wait func() time.Duration
 	Log  *zap.Logger
 	// Reset takes the whole list. After an outage of the store, objects that expire may be missing for a while.
 	Reset func(items []wire.Object, afterOutage bool)
@@ -36,41 +38,137 @@
 	Event func(wire.ObjectEvent)
 	// Wake, if not nil, makes the feed list anew.
 	Wake <-chan struct{}
+	// Pause is the time between an answer with changes and the next watch, so that changes in a row come together.
+	Pause time.Duration
+	// Fallback, if not nil, returns the objects as another instance knows them, for the time in which the store is out of
+	// reach.
+	Fallback func(ctx context.Context) (wire.ObjectList, error)
 
+	mu sync.Mutex
+	// objects and version are the kind as it was last known.
+	objects map[string]wire.Object
+	version int
+	// changed is the version at the last change.
+	changed int
+	// waiting is the wait of the last watch.
+	waiting time.Duration
+	// answered is when the store last answered.
 	answered time.Time
-	out      bool
+	// out is true while the store is out of reach.
+	out bool
+}
+
+// freshSlack is the time that a watch's answer may take beyond its wait for the feed to count as fresh.
+const freshSlack = time.Second
+
+// Objects returns the kind as it was last known, and whether the store answers.
+func (f *Feed) Objects() (list wire.ObjectList, fresh bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list.Version = f.version
+	list.Items = make([]wire.Object, 0, len(f.objects))
+	for _, o := range f.objects {
+		list.Items = append(list.Items, o)
+	}
+	return list, !f.out && !f.answered.IsZero() && time.Since(f.answered) < f.waiting+freshSlack
+}
+
+// Changed returns the store's version at the newest change that is known; 0 is none yet.
+func (f *Feed) Changed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Out tells whether the store is out of reach.
+func (f *Feed) Out() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.out
 }
 
 // Run follows the kind until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	delays := &backoff.ExponentialBackOff{InitialInterval: retryFirst, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: retryMost}
-	f.answered = time.Now()
 	for ctx.Err() == nil {
 		list, err := f.Store.List(ctx, f.Kind, "")
 		if err != nil {
 			f.failed(err)
+			f.fallBack(ctx)
 			sleep(ctx, delays.NextBackOff())
 			continue
 		}
 		delays.Reset()
-		f.Reset(list.Items, f.good("list", list.Version))
+		afterOutage := f.good(list.Version)
+		f.reset(list, afterOutage)
 		f.watch(ctx, list.Version)
 	}
 }
 
+// reset takes in the whole list.
+func (f *Feed) reset(list wire.ObjectList, afterOutage bool) {
+	f.mu.Lock()
+	f.objects = make(map[string]wire.Object, len(list.Items))
+	for _, o := range list.Items {
+		f.objects[o.Name] = o
+	}
+	f.version, f.changed = list.Version, list.Version
+	f.mu.Unlock()
+	f.Reset(list.Items, afterOutage)
+}
+
+// fallBack takes in what another instance knows, unless that is older.
+func (f *Feed) fallBack(ctx context.Context) {
+	if f.Fallback == nil {
+		return
+	}
+	list, err := f.Fallback(ctx)
+	if err != nil {
+		f.Log.Debug("peer_has_no_objects", zap.String("kind", f.Kind), zap.Error(err))
+		return
+	}
+	f.mu.Lock()
+	older := list.Version <= f.version
+	f.mu.Unlock()
+	if older {
+		return
+	}
+	f.Log.Info("objects_from_peer", zap.String("kind", f.Kind), zap.Int("version", list.Version), zap.Int("objects", len(list.Items)))
+	f.reset(list, false)
+}
+
 // watch takes in changes until the history is gone or a call fails.
 func (f *Feed) watch(ctx context.Context, from int) {
 	for ctx.Err() == nil {
 		events, err := f.call(ctx, from)
+		if errors.As(err, &errWoken{}) {
+			return
+		}
 		if err != nil {
 			f.failed(err)
 			return
 		}
+		f.mu.Lock()
 		f.answered = time.Now()
 		for _, e := range events.Events {
-			f.Event(e)
+			if e.Type == wire.ObjectEventTypeDelete {
+				delete(f.objects, e.Object.Name)
+			} else {
+				f.objects[e.Object.Name] = e.Object
+			}
 		}
 		from = max(from, events.Version)
+		f.version = from
+		if len(events.Events) > 0 {
+			f.changed = from
+		}
+		f.mu.Unlock()
+		for _, e := range events.Events {
+			f.Event(e)
+		}
+		if len(events.Events) > 0 {
+			sleep(ctx, f.Pause)
+		}
 	}
 }
 
@@ -81,8 +179,12 @@
 
 // call is one watch, which Wake cuts short.
 func (f *Feed) call(ctx context.Context, from int) (wire.ObjectEvents, error) {
+	wait := f.Wait()
+	f.mu.Lock()
+	f.waiting = wait
+	f.mu.Unlock()
 	if f.Wake == nil {
-		return f.Store.Watch(ctx, f.Kind, from, f.Wait)
+		return f.Store.Watch(ctx, f.Kind, from, wait)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -93,7 +195,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	events, err := f.Store.Watch(ctx, f.Kind, from, f.Wait)
+	events, err := f.Store.Watch(ctx, f.Kind, from, wait)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		return events, cause
 	}
@@ -101,22 +203,29 @@
 }
 
 // good notes an answer of the store and tells whether an outage has ended.
-func (f *Feed) good(what string, version int) (afterOutage bool) {
+func (f *Feed) good(version int) (afterOutage bool) {
+	f.mu.Lock()
 	away := time.Since(f.answered)
+	if f.answered.IsZero() {
+		away = 0
+	}
+	was := f.out
 	f.answered = time.Now()
-	afterOutage = f.out && away > outageAfter
 	f.out = false
-	f.Log.Info("store_reached", zap.String("kind", f.Kind), zap.String("call", what), zap.Int("version", version),
-		zap.Duration("away", away), zap.Bool("after_outage", afterOutage))
+	f.mu.Unlock()
+	afterOutage = was && away > outageAfter
+	f.Log.Info("store_reached", zap.String("kind", f.Kind), zap.Int("version", version), zap.Duration("away", away), zap.Bool("after_outage", afterOutage))
 	return afterOutage
 }
 
 func (f *Feed) failed(err error) {
-	if f.out {
-		return
-	}
+	f.mu.Lock()
+	was := f.out
 	f.out = true
-	f.Log.Info("store_lost", zap.String("kind", f.Kind), zap.Error(err))
+	f.mu.Unlock()
+	if !was {
+		f.Log.Info("store_lost", zap.String("kind", f.Kind), zap.Error(err))
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/process/gateway/beliefs.go
+++ b/process/gateway/beliefs.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/feed"
@@ -9,9 +12,14 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
+// watchPause is the time between two watches of the servers, so that servers that come or leave together cost one call: a
+// tenth of the time within which a leaving server must get no more requests.
+const watchPause = 200 * time.Millisecond
+
 func (g *Gateway) configFeed() *feed.Feed {
 	return &feed.Feed{
-		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, Wait: watchWait, Log: g.Log,
+		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, Wait: g.watchWait, Log: g.Log, Wake: g.newerConfig,
+		Fallback: func(ctx context.Context) (wire.ObjectList, error) { return g.fromPeer(ctx, g.Platform.ConfigKind) },
 		Reset: func(items []wire.Object, _ bool) {
 			for _, o := range items {
 				g.configure(o)
@@ -53,7 +61,8 @@
 
 func (g *Gateway) serverFeed() *feed.Feed {
 	return &feed.Feed{
-		Kind: g.Platform.ServerKind, Store: g.Platform.Store, Wait: watchWait, Log: g.Log,
+		Kind: g.Platform.ServerKind, Store: g.Platform.Store, Wait: g.watchWait, Log: g.Log, Pause: watchPause, Wake: g.newerServers,
+		Fallback: func(ctx context.Context) (wire.ObjectList, error) { return g.fromPeer(ctx, g.Platform.ServerKind) },
 		Reset: func(items []wire.Object, afterOutage bool) {
 			entries := make([]roster.Entry, 0, len(items))
 			for _, o := range items {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -14,8 +14,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
+	"github.com/toucanroute/toucanroute/connection/news"
 	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/roster"
 	"github.com/toucanroute/toucanroute/process/tally"
@@ -56,9 +59,20 @@
 	forwarder *forward.Forwarder
 	callers   *entry.Server
 	counter   *tally.Counter
+	keeper    *tally.Keeper
 	reporter  *tally.Reporter
-	lease     *lease.Lease
-	leaving   atomic.Bool
+	configs   *feed.Feed
+	servers   *feed.Feed
+	mesh      *mesh.Mesh
+	socket    *news.Socket
+	objects   *news.Server
+	// newerConfig and newerServers get a token when another instance knows newer ones.
+	newerConfig  chan struct{}
+	newerServers chan struct{}
+	// behind is since when another instance knows newer servers; it belongs to the goroutine that takes news.
+	behind  time.Time
+	lease   *lease.Lease
+	leaving atomic.Bool
 	// configured is closed once a configuration is in force.
 	configured chan struct{}
 
@@ -74,9 +88,6 @@
 	// silenceTimeout is the time without any acknowledgement after which a connection to a backend server is dead: three
 	// retransmissions of the system's shortest interval.
 	silenceTimeout = 1200 * time.Millisecond
-	// watchWait is the longest wait of one watch, so that a dead connection is noticed in the time within which a
-	// configuration must be in force.
-	watchWait = 2 * time.Second
 )
 
 // Run serves until ctx ends, then lets the running requests finish.
@@ -86,10 +97,12 @@
 	eg, run := errgroup.WithContext(base)
 	g.build()
 	g.Log.Info("instance_started", zap.String("instance", g.Settings.Instance), zap.String("run", g.run), zap.String("data_centre", g.Settings.DataCentre))
-	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers} {
+	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers, g.socket.Run, g.objects.Run} {
 		eg.Go(func() error { return part(run) })
 	}
-	for _, part := range []func(context.Context){g.configFeed().Run, g.serverFeed().Run, g.counter.Execute, g.lease.Run, g.reporter.Execute, (&fleet{g: g}).run} {
+	for _, part := range []func(context.Context){
+		g.configs.Run, g.servers.Run, g.mesh.Execute, g.counter.Execute, g.keeper.Execute, g.lease.Run, g.reporter.Execute, (&fleet{g: g}).run,
+	} {
 		eg.Go(func() error { part(run); return nil })
 	}
 	eg.Go(func() error {
@@ -116,14 +129,18 @@
 	g.configured = make(chan struct{})
 	g.budgets = map[string]*attempt.Window{}
 	g.roster = &roster.Roster{Log: g.Log}
+	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
+	g.configs, g.servers = g.configFeed(), g.serverFeed()
 	g.transport = &upstream.Transport{
 		IDHeader: g.Platform.Headers.ID, SkipOthers: true, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
 	}
 	g.counter = &tally.Counter{Run: g.run, Window: ms(set.UsageWindowMs), Store: g.Platform.Store, Log: g.Log}
+	g.buildMesh()
 	g.lease = g.newLease()
 	g.reporter = &tally.Reporter{
 		Window: ms(set.UsageWindowMs), Delay: ms(set.UsageDelayMs), Store: g.Platform.Store, Log: g.Log,
 		Held:   g.held,
+		Writes: func(run string) bool { return run == g.run || g.mesh.Writes(run) },
 		Report: g.reportUsage,
 	}
 	g.forwarder = &forward.Forwarder{
@@ -135,6 +152,7 @@
 		Budget:     g.budget,
 		Began:      g.counter.Began,
 		DataCentre: g.Settings.DataCentre,
+		Placed:     g.mesh.Changed,
 	}
 }
 
@@ -183,14 +201,14 @@
 const (
 	// ratioShare is the part of the permitted ratio that is used: requests that arrive late in a window count elsewhere.
 	ratioShare = 0.8
-	// instancesMost is the number of instances by which the fixed part of the budget is divided while the number isn't
-	// known.
-	instancesMost = 16
+	// instancesLeast is the least number of instances by which the fixed part of the budget is divided, since an instance
+	// that has just started doesn't know the others.
+	instancesLeast = 8
 )
 
 // extraShare returns this instance's part of the fixed number of further attempts.
 func (g *Gateway) extraShare() float64 {
-	return float64(g.Settings.Forwarding.RetryExtra) / instancesMost
+	return float64(g.Settings.Forwarding.RetryExtra) / float64(max(g.mesh.Instances(), instancesLeast))
 }
 
 const (
--- /dev/null
+++ b/process/gateway/peers.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/connection/news"
+	"github.com/toucanroute/toucanroute/process/mesh"
+	"github.com/toucanroute/toucanroute/process/tally"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// buildMesh makes what the instance tells others and hears of them.
+func (g *Gateway) buildMesh() {
+	g.socket = &news.Socket{Listen: g.Settings.Listen.Peers, Log: g.Log, Take: func(data []byte) { g.mesh.Take(data) }}
+	g.objects = &news.Server{Listen: g.Settings.Listen.Peers, Log: g.Log, Objects: g.knownObjects}
+	g.mesh = &mesh.Mesh{
+		Instance: g.Settings.Instance, Run: g.run, DataCentre: g.Settings.DataCentre, Address: g.Settings.Listen.Peers,
+		Store: g.Platform.Store, Log: g.Log,
+		Send:   g.socket.Send,
+		About:  g.about,
+		Loads:  g.roster.Loads,
+		Counts: g.counter.Newest,
+		Heard:  g.roster.Heard,
+		Learn:  g.learn,
+		Keep:   func(run string, windows []wire.NewsWindow) { g.keeper.Keep(run, windows) },
+		Doubt:  g.roster.Doubt,
+		Trust:  g.roster.Trust,
+	}
+	g.keeper = &tally.Keeper{Window: ms(g.Settings.Forwarding.UsageWindowMs), Store: g.Platform.Store, Log: g.Log, Writes: g.mesh.Writes}
+}
+
+// version returns the version of the configuration in force; 0 is none.
+func (g *Gateway) version() int {
+	if t := g.table.Load(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// about fills in what this instance tells the others of itself.
+func (g *Gateway) about(n *wire.News) {
+	n.Version = g.version()
+	n.Servers = g.servers.Changed()
+	n.Leaving = g.leaving.Load()
+	n.StoreOut = g.configs.Out() || g.servers.Out()
+}
+
+// behindFor is how long another instance may know a newer change of the backend servers before they are read anew; an
+// answer of the own watch is usually there before.
+const behindFor = 300 * time.Millisecond
+
+// learn lets the configuration and the backend servers be read anew where another instance knows newer ones.
+func (g *Gateway) learn(n wire.News) {
+	if own := g.version(); n.Version > own && own > 0 && notify(g.newerConfig) {
+		g.Log.Info("config_newer_elsewhere", zap.String("peer", n.From), zap.Int("version", n.Version), zap.Int("own", own))
+	}
+	own := g.servers.Changed()
+	if n.Servers <= own || own == 0 {
+		g.behind = time.Time{}
+		return
+	}
+	if g.behind.IsZero() {
+		g.behind = time.Now()
+	}
+	if time.Since(g.behind) > behindFor && notify(g.newerServers) {
+		g.behind = time.Time{}
+		g.Log.Info("servers_newer_elsewhere", zap.String("peer", n.From), zap.Int("version", n.Servers), zap.Int("own", own))
+	}
+}
+
+// notify puts a token into the channel unless one is there.
+func notify(ch chan struct{}) bool {
+	select {
+	case ch <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+const (
+	// waitLeast and waitMost bound the wait of one watch. An instance that hears no other relies on its own watches alone:
+	// the least is half of the usual time within which a configuration must be in force.
+	waitLeast = time.Second
+	waitMost  = 10 * time.Second
+	// renewalsPerSecond is how often all instances together renew a watch, so that one of them soon sees a change that
+	// waiting watches don't tell.
+	renewalsPerSecond = 4
+)
+
+// watchWait returns the wait of the next watch.
+func (g *Gateway) watchWait() time.Duration {
+	return min(max(time.Duration(len(g.mesh.HeardPeers()))*time.Second/renewalsPerSecond, waitLeast), waitMost)
+}
+
+// knownObjects returns the objects of a kind that this instance can vouch for.
+func (g *Gateway) knownObjects(kind string) (wire.ObjectList, bool) {
+	switch kind {
+	case g.Platform.ConfigKind:
+		return g.configs.Objects()
+	case g.Platform.ServerKind:
+		return g.servers.Objects()
+	}
+	return wire.ObjectList{}, false
+}
+
+// peersAsked is the number of instances that are asked in turn: about a third may be cut off from the store together.
+const peersAsked = 4
+
+// errNoPeer tells that no instance could be asked.
+var errNoPeer = errors.New("no other instance is heard")
+
+// fromPeer returns the objects of a kind as another instance knows them.
+func (g *Gateway) fromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
+	peers := g.mesh.HeardPeers()
+	err := errNoPeer
+	for i := range min(len(peers), peersAsked) {
+		// Each instance begins elsewhere, so that they don't all ask the same.
+		at := (int(xxhash.Sum64String(g.run)%uint64(len(peers))) + i) % len(peers)
+		var list wire.ObjectList
+		if list, err = news.Fetch(ctx, peers[at], kind); err == nil {
+			return list, nil
+		}
+	}
+	return wire.ObjectList{}, err
+}
--- a/process/platform/exchange.go
+++ b/process/platform/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -55,3 +57,17 @@
 func (r Reply) Decode(v any) error {
 	return decode(r.call, answer{status: r.Status, body: r.Body}, v)
 }
+
+// probeInterval is that of the probes on a silent connection: the system's smallest.
+const probeInterval = time.Second
+
+// ProbedTransport returns a transport whose connections end when their peer acknowledges nothing for the time of silence,
+// also while an answer is awaited.
+func ProbedTransport(dial, silence time.Duration) *http.Transport {
+	d := &net.Dialer{
+		Timeout:         dial,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 1},
+		Control:         func(_, _ string, c syscall.RawConn) error { return SetUserTimeout(c, silence) },
+	}
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute}
+}
--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -27,6 +27,8 @@
 	entry Entry
 	// gone is set when the entry is away.
 	gone bool
+	// drainingSince is when the server was first seen to drain; zero is not draining.
+	drainingSince time.Time
 	// lapsed is when the entry was missed after an outage of the store; zero is not missed.
 	lapsed time.Time
 
@@ -39,6 +41,13 @@
 	slots      int
 	reportedAt time.Time
 
+	// remote holds the loads that other instances told of.
+	remote map[string]remoteLoad
+	// changed tells that running or unread changed since the load was told to other instances.
+	changed bool
+	// heardAt is when the server last sent anything.
+	heardAt time.Time
+
 	// failing is the mean of the last outcomes, 1 for a failure, as of failedAt.
 	failing  float64
 	failedAt time.Time
@@ -56,6 +65,15 @@
 
 func newMember(e Entry) *Member { return &Member{entry: e, cut: make(chan struct{})} }
 
+// remoteLoad is the load that another instance has put on the server.
+type remoteLoad struct {
+	running, unread int
+	at              time.Time
+}
+
+// remoteAge is how long a told load is believed: twice the interval at which all loads are told.
+const remoteAge = 2 * time.Second
+
 // Entry returns what the server says of itself.
 func (m *Member) Entry() Entry {
 	m.mu.Lock()
@@ -99,6 +117,7 @@
 	defer m.mu.Unlock()
 	m.running++
 	m.unread += unread
+	m.changed = true
 	if time.Now().Before(m.suspectUntil) || m.suspectFor > 0 {
 		m.proving = true
 	}
@@ -114,6 +133,8 @@
 	defer v.m.mu.Unlock()
 	v.m.unread -= v.unread
 	v.unread = 0
+	v.m.changed = true
+	v.m.heardAt = time.Now()
 }
 
 // Told notes the load that the server told in the answer to the visit.
@@ -123,12 +144,14 @@
 	v.m.reported = max(l.Running+l.Waiting-v.m.running, 0)
 	v.m.slots = l.Slots
 	v.m.reportedAt = time.Now()
+	v.m.heardAt = v.m.reportedAt
 }
 
 // Paced notes the time of a step of the server's work.
 func (v *Visit) Paced(d time.Duration) {
 	v.m.mu.Lock()
 	defer v.m.mu.Unlock()
+	v.m.heardAt = time.Now()
 	ms := float64(d) / float64(time.Millisecond)
 	if v.m.pace == 0 {
 		v.m.pace = ms
@@ -148,9 +171,11 @@
 	v.m.running--
 	v.m.unread -= v.unread
 	v.m.proving = false
+	v.m.changed = true
 	now := time.Now()
 	switch o {
 	case Answered, Refused:
+		v.m.heardAt = now
 		v.m.suspectUntil, v.m.suspectFor = time.Time{}, 0
 		v.m.outcome(0, now)
 	case Failed:
@@ -211,9 +236,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Failing: m.failingAt(now), Pace: m.pace}
+	others := 0
+	for _, l := range m.remote {
+		if now.Sub(l.at) < remoteAge {
+			others += l.running
+			s.Unread += l.unread
+		}
+	}
 	if now.Sub(m.reportedAt) < loadAge {
-		s.Running += m.reported
+		others = max(others, m.reported)
 	}
+	s.Running += others
 	if m.slots > 0 {
 		s.Slots = m.slots
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -10,6 +10,10 @@
 // lapseGrace is the time after the store's return within which a live server's entry is back, as the platform states.
 const lapseGrace = 2 * time.Second
 
+// sourceFor is how long after it began to drain a server still hands out what it keeps: half of the shortest notice of a
+// reclaim, since asking one that is gone holds a request up.
+const sourceFor = time.Second
+
 // Roster holds the backend servers. The exported fields are set before use.
 type Roster struct {
 	Log *zap.Logger
@@ -21,6 +25,8 @@
 	members map[string]*Member
 	// pools holds the serving members of each pool; it is made anew at each change.
 	pools map[string][]*Member
+	// byKey holds the members by the short name that instances use among themselves.
+	byKey map[int]*Member
 	// lapse is running while entries are missed after an outage.
 	lapse *time.Timer
 	// known is set once a list was read.
@@ -48,7 +54,11 @@
 	}
 	m := r.members[e.ID]
 	if m == nil || m.replacedBy(e) {
-		r.members[e.ID] = newMember(e)
+		m = newMember(e)
+		if e.Draining {
+			m.drainingSince = time.Now()
+		}
+		r.members[e.ID] = m
 		r.Log.Info("server_in", fields(e)...)
 		return
 	}
@@ -63,6 +73,12 @@
 	}
 	m.entry = e
 	m.lapsed = time.Time{}
+	switch {
+	case !e.Draining:
+		m.drainingSince = time.Time{}
+	case m.drainingSince.IsZero():
+		m.drainingSince = time.Now()
+	}
 }
 
 // replacedBy tells whether the entry is of a later run under the same id.
@@ -143,7 +159,9 @@
 // index makes the lists of serving members anew.
 func (r *Roster) index() {
 	pools := make(map[string][]*Member, len(r.pools))
-	for _, m := range r.members {
+	r.byKey = make(map[int]*Member, len(r.members))
+	for id, m := range r.members {
+		r.byKey[keyOf(id)] = m
 		e := m.Entry()
 		if !e.Draining {
 			pools[e.Pool] = append(pools[e.Pool], m)
@@ -195,7 +213,8 @@
 	list := make([]*Member, 0, len(r.pools[pool]))
 	for _, m := range r.members {
 		m.mu.Lock()
-		if m.entry.Pool == pool && !m.suspected(now) {
+		leaving := !m.drainingSince.IsZero() && now.Sub(m.drainingSince) > sourceFor
+		if m.entry.Pool == pool && !leaving && !m.suspected(now) {
 			list = append(list, m)
 		}
 		m.mu.Unlock()
--- a/process/tally/reporter.go
+++ b/process/tally/reporter.go
@@ -18,6 +18,8 @@
 	// and at last without those that haven't.
 	sumAfter  = 0.15
 	sumAtLast = 0.85
+	// adoptedBy is how long after a window's end the counts of dead runs are there.
+	adoptedBy = adoptAfter + time.Second
 	// deadAfter is the number of windows without a write after which a run's object is removed.
 	deadAfter = 20
 	// pollInterval is how often the holder looks for something to do.
@@ -33,6 +35,9 @@
 	Log   *zap.Logger
 	// Held returns the fencing number under which the instance holds the duty.
 	Held func() (fence int, ok bool)
+	// Writes tells whether a run is alive and can write its counts; the counts of others are written by those that keep
+	// copies of them.
+	Writes func(run string) bool
 	// Report sends a report; a repeat carries the same counts.
 	Report func(ctx context.Context, fence int, start time.Time, counts map[string]int) error
 
@@ -114,7 +119,7 @@
 	sums := r.sums
 	sums.Windows = slices.Clone(sums.Windows)
 	for _, start := range due {
-		counts, waiting := r.sum(list.Items, start)
+		counts, waiting := r.sum(list.Items, start, now)
 		if waiting && now.Before(start.Add(r.Window+r.lateBy(sumAtLast))) {
 			continue
 		}
@@ -135,7 +140,7 @@
 }
 
 // sum adds up the counts of a window; waiting tells that a run that still writes hasn't written since the window's end.
-func (r *Reporter) sum(runs []wire.Object, start time.Time) (counts wire.CountsWindowCounts, waiting bool) {
+func (r *Reporter) sum(runs []wire.Object, start, now time.Time) (counts wire.CountsWindowCounts, waiting bool) {
 	counts = wire.CountsWindowCounts{}
 	end := start.Add(r.Window)
 	for _, o := range runs {
@@ -145,7 +150,7 @@
 			continue
 		}
 		written := time.UnixMilli(int64(record.WrittenMs))
-		if written.Before(end) && written.After(end.Add(-2*r.Window)) {
+		if written.Before(end) && written.After(end.Add(-2*r.Window)) && (r.Writes(o.Name) || now.Before(end.Add(adoptedBy))) {
 			waiting = true
 		}
 		for _, w := range record.Windows {
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -64,6 +65,26 @@
 	c.windows[start][workspace]++
 }
 
+// copiedWindows is the number of windows that other instances keep copies of: the running one and the last.
+const copiedWindows = 2
+
+// Newest returns the counts of the newest windows.
+func (c *Counter) Newest() []wire.NewsWindow {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []wire.NewsWindow
+	for i := range copiedWindows {
+		start := Start(now, c.Window).Add(-time.Duration(i) * c.Window).UnixMilli()
+		counts := c.windows[start]
+		if len(counts) == 0 {
+			continue
+		}
+		list = append(list, wire.NewsWindow{StartMs: int(start), Counts: maps.Clone(wire.NewsWindowCounts(counts))})
+	}
+	return list
+}
+
 // Start returns the start of the window that holds the time.
 func Start(at time.Time, window time.Duration) time.Time {
 	ms := at.UnixMilli()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -34,6 +34,8 @@
 	Admit func(a Arrival) error
 	// DataCentre is the instance's own.
 	DataCentre string
+	// Placed is called when this instance's load on a server has changed; it may be nil.
+	Placed func()
 	// Observe takes the end of each request for metrics; it may be nil.
 	Observe func(Summary)
 }
@@ -95,7 +97,10 @@
 	// firstAt is when the answer's first byte went to the caller.
 	firstAt time.Time
 	server  string
-	status  int
+	// placement and fetched tell of the last choice of a server.
+	placement placement
+	fetched   string
+	status    int
 	// own tells that the answer is the instance's own.
 	own     bool
 	outcome string
@@ -233,7 +238,7 @@
 // log writes the request's line.
 func (c *call) log() {
 	s := Summary{Status: c.status, Own: c.own, Sends: c.sends, Total: time.Since(c.arrived), Outcome: c.outcome}
-	fields := make([]zap.Field, 0, 16)
+	fields := make([]zap.Field, 0, 24)
 	fields = append(fields,
 		zap.String("request_id", c.ask.ID),
 		zap.String("outcome", c.outcome),
@@ -250,6 +255,19 @@
 			zap.Int("sends", c.sends),
 			zap.String("server", c.server),
 		)
+		if c.placement.of > 0 {
+			fields = append(fields,
+				zap.Int("servers", c.placement.of),
+				zap.Int("cost", int(c.placement.cost)),
+				zap.Int("running", c.placement.at.Running),
+				zap.Int("unread", c.placement.at.Unread),
+				zap.Bool("owner", c.placement.owner),
+				zap.String("fetched", c.fetched),
+			)
+		}
+		if p := c.ask.Prompt; p != nil {
+			fields = append(fields, zap.Int("prompt", p.Tokens), zap.Int("shared", p.Shared()))
+		}
 	}
 	if !c.firstAt.IsZero() {
 		s.First = c.firstAt.Sub(c.arrived)
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -81,6 +81,14 @@
 	return true
 }
 
+// placement is what decided the last choice of a server.
+type placement struct {
+	cost  float64
+	at    place.Candidate
+	owner bool
+	of    int
+}
+
 // placed is a request's place at a backend server.
 type placed struct {
 	visit *roster.Visit
@@ -112,11 +120,16 @@
 			return placed{}, err
 		}
 	}
+	c.fetched = ""
 	p := placed{visit: members[choice.Index].Begin(unread)}
 	if c.pool.Engine != nil && c.ask.Prompt != nil {
 		p.fetchFrom = c.source(members[choice.Index])
+		c.fetched = p.fetchFrom
+	}
+	if c.f.Placed != nil {
+		c.f.Placed()
 	}
-	c.logPlaced(members, choice)
+	c.placement = placement{cost: choice.Cost, at: candidates[choice.Index], owner: choice.Owner == choice.Index, of: len(members)}
 	return p, nil
 }
 
@@ -139,18 +152,6 @@
 	return members[i].Entry().Address
 }
 
-func (c *call) logPlaced(members []*roster.Member, choice place.Choice) {
-	if ce := c.f.Log.Check(zap.DebugLevel, "request_placed"); ce != nil {
-		ce.Write(
-			zap.String("request_id", c.ask.ID),
-			zap.String("server", members[choice.Index].Entry().ID),
-			zap.Float64("cost_tokens", choice.Cost),
-			zap.Bool("at_owner", choice.Owner == choice.Index),
-			zap.Int("candidates", len(members)),
-		)
-	}
-}
-
 // candidates returns what is known of the members, where failures and pace count against those of all.
 func (f *Forwarder) candidates(members []*roster.Member) []place.Candidate {
 	now := time.Now()
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -56,6 +56,9 @@
 	if n == 0 {
 		v.Read()
 		c.began()
+		if c.f.Placed != nil {
+			c.f.Placed()
+		}
 	}
 	if c.firstAt.IsZero() {
 		c.begin(res)
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -89,9 +89,8 @@
 	tokensPerRunning = 40
 	// overfull is the wait for a slot of a full server, in tokens of reading, for each request in line.
 	overfull = 2048
-	// rereadShare is the part of the shared tokens' cost that moving away from their owner costs, since the parts are
-	// fetched from the owner and needn't be read.
-	rereadShare = 0.25
+	// rereadShare is the part of the shared tokens' cost that moving away from their owner costs.
+	rereadShare = 1
 	// failingCost multiplies a server's cost by up to 1 + failingCost.
 	failingCost = 8
 )
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -146,6 +146,63 @@
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 }
 
+// News is what one forwarding instance tells the others in one datagram.
+type News struct {
+	// Address at which it takes news.
+	Address string `json:"address,omitempty,omitzero"`
+
+	// Requests that began in the newest windows, for the case that the process dies.
+	Counts []NewsWindow `json:"counts,omitempty,omitzero"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+
+	// Instance that tells.
+	From string `json:"from"`
+
+	// The instance is about to end.
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// Loads that changed since the last news.
+	Loads []NewsLoad `json:"loads,omitempty,omitzero"`
+
+	// Process that tells; a restarted instance has another.
+	Run string `json:"run"`
+
+	// Version of the store at the newest change of the backend servers that is known
+	// there.
+	Servers int `json:"servers,omitempty,omitzero"`
+
+	// The instance can't reach the store.
+	StoreOut bool `json:"store_out,omitempty,omitzero"`
+
+	// Version of the configuration in force there; 0 is none.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// NewsLoad is the load that one instance has put on one backend server.
+type NewsLoad struct {
+	// Requests that run there.
+	R int `json:"r"`
+
+	// Hash of the server's id.
+	S int `json:"s"`
+
+	// Prompt tokens still to be read there.
+	U int `json:"u"`
+}
+
+// NewsWindow is the requests that began in one window.
+type NewsWindow struct {
+	// Counts corresponds to the JSON schema field "counts".
+	Counts NewsWindowCounts `json:"counts"`
+
+	// Unix time in milliseconds.
+	StartMs int `json:"start_ms"`
+}
+
+type NewsWindowCounts map[string]int
+
 // Messages between instances over JSON-RPC 2.0. Field names are short since each
 // request costs one exchange.
 type PeerAPI struct {
@@ -167,6 +224,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
+	// News corresponds to the JSON schema field "news".
+	News *News `json:"news,omitempty,omitzero"`
+
 	// Preempt corresponds to the JSON schema field "preempt".
 	Preempt *GrantPreempt `json:"preempt,omitempty,omitzero"`
 
--- a/wire/records.go
+++ b/wire/records.go
@@ -122,6 +122,18 @@
 	Servers []FleetServer `json:"servers"`
 }
 
+// InstanceRecord tells where a forwarding instance takes news.
+type InstanceRecord struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// DataCentre corresponds to the JSON schema field "data_centre".
+	DataCentre string `json:"data_centre"`
+
+	// Run corresponds to the JSON schema field "run".
+	Run string `json:"run"`
+}
+
 // IntentRecord is an order that is written before it is sent.
 type IntentRecord struct {
 	// Action of the ServerOrder or the EngineOrder.
@@ -232,6 +244,9 @@
 	// FleetView corresponds to the JSON schema field "fleet_view".
 	FleetView *FleetView `json:"fleet_view,omitempty,omitzero"`
 
+	// InstanceRecord corresponds to the JSON schema field "instance_record".
+	InstanceRecord *InstanceRecord `json:"instance_record,omitempty,omitzero"`
+
 	// IntentRecord corresponds to the JSON schema field "intent_record".
 	IntentRecord *IntentRecord `json:"intent_record,omitempty,omitzero"`
 
