Try suspected servers by connecting; keep small prompts near; order cheap servers at once

Cause: while a data centre was cut off each of nine instances sent one request in 0.4 s to each of its servers to see whether it was back, and each was late or lost; short prompts crossed to other data centres without need; 18 regular servers ran for 8 s until all entries had settled.

--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -24,15 +24,20 @@
 	duration := ms(g.Settings.Forwarding.LeaseMs)
 	return &lease.Lease{
 		DataCentre: everywhere, Job: dutiesJob, Holder: g.Settings.Instance, RunID: g.run,
-		Duration: duration, Margin: time.Duration(marginShare * float64(duration)), MaxInFlight: callTimeout, Poll: duration,
+		Duration: duration, Margin: time.Duration(marginShare * float64(duration)), MaxInFlight: callTimeout,
 		Objects: g.Platform.Store, Log: g.Log,
-		Candidate: func() bool { return g.table.Load() != nil && !g.leaving.Load() },
+		Candidate: g.isCandidate,
 		OnChange: func(fence int, held bool) {
 			g.Log.Info("duties", zap.Int("fence", fence), zap.Bool("held", held))
 		},
 	}
 }
 
+// isCandidate tells whether this instance should take the duties if they are free: not while their holder is heard.
+func (g *Gateway) isCandidate() bool {
+	return g.table.Load() != nil && !g.leaving.Load() && !g.mesh.Writes(g.lease.HolderRun())
+}
+
 func (g *Gateway) held() (fence int, ok bool) {
 	fence, _, ok = g.lease.Held()
 	return fence, ok
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -41,6 +41,8 @@
 type order struct {
 	n  int
 	at time.Time
+	// refused tells that none was to be had.
+	refused bool
 }
 
 // orderKey names a kind of servers of a pool in a data centre.
@@ -62,7 +64,8 @@
 	// seen and seenAt are the number of servers last seen and since when.
 	seen   map[string]int
 	seenAt map[string]time.Time
-	cheap  map[orderKey]int
+	// first tells that nothing was recorded of the pool yet: its servers are still coming in.
+	first map[string]bool
 }
 
 // run decides and orders until ctx ends.
@@ -87,11 +90,11 @@
 	f.fence = fence
 	f.bases = map[string]map[string]int{}
 	f.orders = map[orderKey]order{}
+	f.first = map[string]bool{}
 	if f.seen == nil {
 		f.missing = map[orderKey]time.Time{}
 		f.seen = map[string]int{}
 		f.seenAt = map[string]time.Time{}
-		f.cheap = map[orderKey]int{}
 	}
 }
 
@@ -122,14 +125,17 @@
 	if p.Scaling == nil || p.Scaling.CheapPrice <= 0 || p.Scaling.CheapPrice >= 1 {
 		return
 	}
-	if f.bases[p.Name] == nil && !f.learn(ctx, p) {
+	learned := f.bases[p.Name] != nil || f.learn(ctx, p)
+	if !learned && !f.first[p.Name] {
 		return
 	}
 	sites := f.sites(p)
 	counts := sizing.Counts(sites, sizing.Bounds{Min: p.Scaling.Min, Max: p.Scaling.Max})
 	for i, s := range sites {
 		f.order(ctx, p, orderKey{p.Name, s.DataCentre, true}, counts[i].Cheap, s.Cheap)
-		f.order(ctx, p, orderKey{p.Name, s.DataCentre, false}, counts[i].Regular, s.Regular)
+		if learned {
+			f.order(ctx, p, orderKey{p.Name, s.DataCentre, false}, counts[i].Regular, s.Regular)
+		}
 	}
 }
 
@@ -148,6 +154,7 @@
 		}
 		return true
 	}
+	f.first[p.Name] = platform.IsErrNotFound(err)
 	heartbeat := ms(f.g.Settings.Forwarding.HeartbeatMs)
 	settled := f.seen[p.Name] > 0 && time.Since(f.seenAt[p.Name]) > time.Duration(settledHeartbeats*float64(heartbeat))
 	if !platform.IsErrNotFound(err) || !settled {
@@ -158,10 +165,7 @@
 
 // record keeps the number of servers that were set up for later holders.
 func (f *fleet) record(ctx context.Context, p *hostroute.Pool) bool {
-	bases := map[string]int{}
-	for _, m := range f.g.roster.Serving(p.Name) {
-		bases[m.Entry().DataCentre]++
-	}
+	bases := f.setUp(p)
 	record := wire.SizeRecord{Pool: p.Name}
 	for _, dc := range f.g.Settings.Forwarding.DataCentres {
 		record.Sites = append(record.Sites, wire.SizeSite{DataCentre: dc, Base: bases[dc]})
@@ -175,12 +179,27 @@
 	return true
 }
 
+// setUp returns the number of regular servers by data centre: before anything was ordered, those that were set up.
+func (f *fleet) setUp(p *hostroute.Pool) map[string]int {
+	bases := map[string]int{}
+	for _, m := range f.g.roster.Serving(p.Name) {
+		if e := m.Entry(); !e.Cheap {
+			bases[e.DataCentre]++
+		}
+	}
+	return bases
+}
+
 func (f *fleet) sites(p *hostroute.Pool) []sizing.Site {
 	now := time.Now()
 	missingFor := time.Duration(missingResends * float64(sizing.Resend(p.Scaling.BootTime)))
+	bases := f.bases[p.Name]
+	if bases == nil {
+		bases = f.setUp(p)
+	}
 	var sites []sizing.Site
 	for _, dc := range f.g.Settings.Forwarding.DataCentres {
-		base, ok := f.bases[p.Name][dc]
+		base, ok := bases[dc]
 		if !ok || base == 0 {
 			continue
 		}
@@ -209,7 +228,11 @@
 	if !ordered && n == serving && !key.cheap {
 		return
 	}
-	if ordered && last.n == n && (serving >= n || time.Since(last.at) < sizing.Resend(p.Scaling.BootTime)) {
+	again := sizing.Resend(p.Scaling.BootTime)
+	if last.refused {
+		again = sizing.RetryCheap
+	}
+	if ordered && last.n == n && (serving >= n || time.Since(last.at) < again) {
 		return
 	}
 	err := f.g.lease.Do(f.fence, func() error {
@@ -226,6 +249,6 @@
 		f.missing[key] = time.Now()
 	}
 	if err == nil || errors.As(err, &none) {
-		f.orders[key] = order{n: n, at: time.Now()}
+		f.orders[key] = order{n: n, at: time.Now(), refused: err != nil}
 	}
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -128,7 +129,7 @@
 	g.run = g.Settings.Instance + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	g.configured = make(chan struct{})
 	g.budgets = map[string]*attempt.Window{}
-	g.roster = &roster.Roster{Log: g.Log}
+	g.roster = &roster.Roster{Log: g.Log, Reach: reach}
 	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
 	g.configs, g.servers = g.configFeed(), g.serverFeed()
 	g.transport = &upstream.Transport{
@@ -156,6 +157,15 @@
 	}
 }
 
+// reach connects to a backend server and hangs up.
+func reach(address string) error {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func (g *Gateway) readiness() *entry.Readiness {
 	return &entry.Readiness{Listen: g.Settings.Listen.Readiness, Ready: g.ready}
 }
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -216,6 +216,16 @@
 	return max(0, l.uncertain-l.Now())
 }
 
+// HolderRun returns the run of the process that held the lease when it was last read; empty is none.
+func (l *Lease) HolderRun() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.record.Released {
+		return ""
+	}
+	return l.record.Run
+}
+
 // Status returns the lease as this instance last saw it.
 func (l *Lease) Status() wire.LeaseStatus {
 	_, _, held := l.Held()
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -30,12 +30,13 @@
 	intervalLeast = 20 * time.Millisecond
 	intervalMost  = time.Second
 	// heartbeat is the time after which news are sent without a change.
-	heartbeat = 250 * time.Millisecond
+	heartbeat = 100 * time.Millisecond
 	// wholeEvery is how often all loads are told, which mends lost datagrams, and how often counts are.
 	wholeEvery = time.Second
 	countEvery = 500 * time.Millisecond
-	// silentAfter is the number of heartbeats without news after which an instance counts as silent.
-	silentAfter = 3
+	// silentAfter is the number of heartbeats without news after which an instance counts as silent; a link that loses a
+	// few in a hundred doesn't lose so many in a row.
+	silentAfter = 4
 	// forgottenAfter is the time after which a silent instance is no longer told anything; it is learned again from its
 	// own news.
 	forgottenAfter = 60 * time.Second
@@ -126,7 +127,7 @@
 			return
 		case <-wake:
 			sleep(ctx, m.interval()-time.Since(sent))
-		case <-time.After(max(heartbeat, m.interval())):
+		case <-time.After(max(heartbeat, m.interval()) - time.Since(sent)):
 		}
 		now := time.Now()
 		all := now.Sub(whole) >= wholeEvery
--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -8,10 +8,10 @@
 const (
 	// loadAge is how long a reported load is believed: about the time in which a slot's request ends.
 	loadAge = time.Second
-	// suspectMin and suspectMax bound the time for which a server that can't be reached gets no requests. The first is
-	// a tenth of the time in which an entry without heartbeats goes.
+	// suspectMin and suspectMax bound the time until a server that couldn't be reached is tried again. The first is a
+	// tenth of the time in which an entry without heartbeats goes.
 	suspectMin = 400 * time.Millisecond
-	suspectMax = 3200 * time.Millisecond
+	suspectMax = 1600 * time.Millisecond
 	// weightOfOutcome is the weight of the newest outcome in the share of failures.
 	weightOfOutcome = 0.15
 	// weightOfPace is the weight of the newest observation in the pace.
@@ -54,16 +54,19 @@
 	// pace is the mean time of the server's steps in milliseconds; 0 is unknown.
 	pace float64
 
-	// suspectUntil is the time until which the server gets no requests; suspectFor is the last such span.
-	suspectUntil time.Time
-	suspectFor   time.Duration
-	// proving is true while one request shows whether a suspected server is back.
-	proving bool
+	// suspect is true while the server is believed to be unreachable; it then gets no requests. suspectFor is the time
+	// until it is tried again.
+	suspect    bool
+	suspectFor time.Duration
+	// reach connects to an address; nil tries nothing.
+	reach func(address string) error
 	// cut ends when the server is believed to be unreachable; requests that may move then leave it.
 	cut chan struct{}
 }
 
-func newMember(e Entry) *Member { return &Member{entry: e, cut: make(chan struct{})} }
+func newMember(e Entry, reach func(string) error) *Member {
+	return &Member{entry: e, reach: reach, cut: make(chan struct{})}
+}
 
 // remoteLoad is the load that another instance has put on the server.
 type remoteLoad struct {
@@ -118,9 +121,6 @@
 	m.running++
 	m.unread += unread
 	m.changed = true
-	if time.Now().Before(m.suspectUntil) || m.suspectFor > 0 {
-		m.proving = true
-	}
 	return &Visit{m: m, unread: unread}
 }
 
@@ -170,19 +170,18 @@
 	v.ended = true
 	v.m.running--
 	v.m.unread -= v.unread
-	v.m.proving = false
 	v.m.changed = true
 	now := time.Now()
 	switch o {
 	case Answered, Refused:
 		v.m.heardAt = now
-		v.m.suspectUntil, v.m.suspectFor = time.Time{}, 0
+		v.m.trust()
 		v.m.outcome(0, now)
 	case Failed:
 		v.m.outcome(1, now)
 	case Unreached:
 		v.m.outcome(1, now)
-		v.m.suspect(now)
+		v.m.doubt()
 	case Left:
 	}
 }
@@ -202,20 +201,44 @@
 	return m.failing / (1 + float64(age)/float64(failingAge))
 }
 
-// suspect keeps requests away for a time that doubles while the server stays unreachable.
-func (m *Member) suspect(now time.Time) {
-	if now.Before(m.suspectUntil) {
+// doubt keeps requests away until the server was reached again, and ends those that wait there and may move. The lock is
+// held.
+func (m *Member) doubt() {
+	if m.suspect {
 		return
 	}
-	m.suspectFor = min(max(2*m.suspectFor, suspectMin), suspectMax)
-	m.suspectUntil = now.Add(m.suspectFor)
+	m.suspect = true
+	m.suspectFor = suspectMin
 	close(m.cut)
 	m.cut = make(chan struct{})
+	if m.reach != nil {
+		time.AfterFunc(m.suspectFor, m.try)
+	}
 }
 
-// suspected tells whether requests should go elsewhere.
-func (m *Member) suspected(now time.Time) bool {
-	return now.Before(m.suspectUntil) || m.suspectFor > 0 && m.proving
+// trust ends a suspicion; the lock is held.
+func (m *Member) trust() { m.suspect, m.suspectFor = false, 0 }
+
+// try connects to a suspected server, so that no request is lost on one that is still gone.
+func (m *Member) try() {
+	m.mu.Lock()
+	address, due := m.entry.Address, m.suspect && !m.gone
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	err := m.reach(address)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.suspect || m.gone {
+		return
+	}
+	if err == nil {
+		m.trust()
+		return
+	}
+	m.suspectFor = min(2*m.suspectFor, suspectMax)
+	time.AfterFunc(m.suspectFor, m.try)
 }
 
 // State is what is known of a server at one moment.
--- a/process/roster/remote.go
+++ b/process/roster/remote.go
@@ -59,7 +59,7 @@
 		if now.Sub(m.heardAt) < quietFor {
 			return false
 		}
-		m.suspect(now)
+		m.doubt()
 		return true
 	})
 	r.Log.Info("servers_suspected", zap.String("data_centre", dataCentre), zap.Int("servers", n))
@@ -68,8 +68,8 @@
 // Trust ends the suspicion of a data centre's servers.
 func (r *Roster) Trust(dataCentre string) {
 	n := r.each(dataCentre, func(m *Member) bool {
-		was := m.suspectFor > 0
-		m.suspectUntil, m.suspectFor, m.proving = time.Time{}, 0, false
+		was := m.suspect
+		m.trust()
 		return was
 	})
 	r.Log.Info("servers_trusted", zap.String("data_centre", dataCentre), zap.Int("servers", n))
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -19,6 +19,8 @@
 	Log *zap.Logger
 	// Changed is called after servers came, left or began to drain; it may be nil.
 	Changed func()
+	// Reach connects to a server's address and hangs up; nil lets suspected servers wait for a request.
+	Reach func(address string) error
 
 	mu sync.Mutex
 	// members holds the servers by id; an id that started anew has a new Member.
@@ -54,7 +56,7 @@
 	}
 	m := r.members[e.ID]
 	if m == nil || m.replacedBy(e) {
-		m = newMember(e)
+		m = newMember(e, r.Reach)
 		if e.Draining {
 			m.drainingSince = time.Now()
 		}
@@ -184,11 +186,10 @@
 // that skip names are left out.
 func (r *Roster) Usable(pool string, skip map[string]bool) []*Member {
 	serving := r.Serving(pool)
-	now := time.Now()
 	usable := make([]*Member, 0, len(serving))
 	for _, m := range serving {
 		m.mu.Lock()
-		ok := !m.gone && !m.suspected(now) && !skip[m.entry.ID]
+		ok := !m.gone && !m.suspect && !skip[m.entry.ID]
 		m.mu.Unlock()
 		if ok {
 			usable = append(usable, m)
@@ -214,7 +215,7 @@
 	for _, m := range r.members {
 		m.mu.Lock()
 		leaving := !m.drainingSince.IsZero() && now.Sub(m.drainingSince) > sourceFor
-		if m.entry.Pool == pool && !leaving && !m.suspected(now) {
+		if m.entry.Pool == pool && !leaving && !m.suspect {
 			list = append(list, m)
 		}
 		m.mu.Unlock()
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -41,6 +41,8 @@
 	// totalShare is the number of servers for each one of the base: a reclaim takes the cheap ones of a data centre
 	// at once, and what is left must do the work of the base until others have started.
 	totalShare = 1.4
+	// leastShare is the part of the base below which regular servers are ordered in place of cheap ones that can't be had.
+	leastShare = 0.75
 	// settled is the part of the ordered cheap servers that must serve before regular ones are given up.
 	settled = 0.75
 )
@@ -52,7 +54,7 @@
 	missing := 0
 	for i, s := range sites {
 		counts[i] = usual(s, b)
-		missing += s.Base - counts[i].Regular - s.Cheap
+		missing += int(math.Ceil(leastShare*float64(s.Base))) - counts[i].Regular - s.Cheap
 	}
 	for i, s := range sites {
 		if !s.CheapMissing && s.Cheap < int(math.Ceil(settled*float64(counts[i].Cheap))) && s.Regular > counts[i].Regular {
@@ -71,7 +73,7 @@
 	return Count{Regular: regular, Cheap: total - regular}
 }
 
-// fill orders regular servers for those that are missing against the base, the cheapest data centres first, where the cheap
+// fill orders regular servers for those that are missing, the cheapest data centres first, where the cheap
 // kind can't be had.
 func fill(sites []Site, counts []Count, b Bounds, missing int) {
 	if missing <= 0 || !slices.ContainsFunc(sites, func(s Site) bool { return s.CheapMissing }) {
@@ -107,5 +109,9 @@
 
 func clamp(n, low, high int) int { return max(min(n, high), low) }
 
+// RetryCheap is how often the cheap kind is asked for again where it couldn't be had: a call costs far less than the regular
+// servers that stand in.
+const RetryCheap = 2 * time.Second
+
 // Resend returns when an order that isn't fulfilled is sent again: after the time in which its servers should serve.
 func Resend(boot time.Duration) time.Duration { return 3 * boot / 2 }
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -91,6 +91,9 @@
 	overfull = 2048
 	// rereadShare is the part of the shared tokens' cost that moving away from their owner costs.
 	rereadShare = 1
+	// farCost is what a server in another data centre costs: its link may be cut, and its bytes are paid. It is a tenth of
+	// the shortest usual target.
+	farCost = 2048
 	// failingCost multiplies a server's cost by up to 1 + failingCost.
 	failingCost = 8
 )
@@ -106,6 +109,9 @@
 		if i != owner {
 			cost += rereadShare * float64(p.Shared())
 		}
+		if !candidates[i].Near {
+			cost += farCost
+		}
 		cost *= 1 + failingCost*candidates[i].Failing
 		if best.Index < 0 || cost < best.Cost {
 			best = Choice{Index: i, Owner: owner, Cost: cost}
