Keep long prompts apart from streams that must keep coming; weigh waits against targets

Cause: on the grown deployments 450 of 564 late chats were late by pauses: an event of 6 or 7 tokens takes as many steps, each of which may read a piece of a long prompt (174 to 203 ms against 200). Where that can happen, patient requests get servers of their own, by the mix of work. A wait that is short against the target no longer moves a request from the owner of its shared parts (a third of long prompts had moved).

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/toucanroute/toucanroute/process/tally"
 	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/request/forward"
+	"github.com/toucanroute/toucanroute/request/place"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 	"github.com/toucanroute/toucanroute/version/settings"
 	"github.com/toucanroute/toucanroute/wire"
@@ -78,8 +79,9 @@
 	configured chan struct{}
 
 	mu sync.Mutex
-	// budgets holds the budgets of further attempts by pool.
+	// budgets holds the budgets of further attempts by pool, mixes the mix of each pool's work.
 	budgets map[string]*attempt.Window
+	mixes   map[string]*place.Mix
 }
 
 const (
@@ -129,6 +131,7 @@
 	g.run = g.Settings.Instance + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
 	g.configured = make(chan struct{})
 	g.budgets = map[string]*attempt.Window{}
+	g.mixes = map[string]*place.Mix{}
 	g.roster = &roster.Roster{Log: g.Log, Reach: reach}
 	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
 	g.configs, g.servers = g.configFeed(), g.serverFeed()
@@ -151,6 +154,7 @@
 		Log:        g.Log,
 		Table:      g.table.Load,
 		Budget:     g.budget,
+		Mix:        g.mix,
 		Began:      g.counter.Began,
 		DataCentre: g.Settings.DataCentre,
 		Placed:     g.mesh.Changed,
@@ -208,6 +212,18 @@
 	return b
 }
 
+// mix returns the mix of a pool's work.
+func (g *Gateway) mix(pool string) *place.Mix {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.mixes[pool]
+	if m == nil {
+		m = &place.Mix{}
+		g.mixes[pool] = m
+	}
+	return m
+}
+
 const (
 	// ratioShare is the part of the permitted ratio that is used: requests that arrive late in a window count elsewhere.
 	ratioShare = 0.8
--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -25,6 +25,8 @@
 type Member struct {
 	mu    sync.Mutex
 	entry Entry
+	// position is the server's place among the serving ones of its pool and data centre, 0 to 1, in a fixed order.
+	position float64
 	// gone is set when the entry is away.
 	gone bool
 	// drainingSince is when the server was first seen to drain; zero is not draining.
@@ -246,10 +248,12 @@
 	// Running is the number of requests that the server runs or holds in line, as far as known.
 	Running int
 	// Own is the number of this instance's requests among them.
-	Own     int
-	Slots   int
-	Unread  int
-	Failing float64
+	Own    int
+	Slots  int
+	Unread int
+	// Position is the server's place among the serving ones of its pool and data centre, 0 to 1.
+	Position float64
+	Failing  float64
 	// Pace is the mean time of a step in milliseconds; 0 is unknown.
 	Pace float64
 }
@@ -258,7 +262,7 @@
 func (m *Member) State(now time.Time) State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Failing: m.failingAt(now), Pace: m.pace}
+	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Position: m.position, Failing: m.failingAt(now), Pace: m.pace}
 	others := 0
 	for _, l := range m.remote {
 		if now.Sub(l.at) < remoteAge {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,11 +172,31 @@
 		}
 	}
 	r.pools = pools
+	order(pools)
 	if r.Changed != nil {
 		go r.Changed()
 	}
 }
 
+// order gives the serving members of each pool and data centre their positions, by the hash of their ids.
+func order(pools map[string][]*Member) {
+	for _, members := range pools {
+		byPlace := map[string][]*Member{}
+		for _, m := range members {
+			dc := m.Entry().DataCentre
+			byPlace[dc] = append(byPlace[dc], m)
+		}
+		for _, list := range byPlace {
+			slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(keyOf(a.Entry().ID), keyOf(b.Entry().ID)) })
+			for i, m := range list {
+				m.mu.Lock()
+				m.position = (float64(i) + 0.5) / float64(len(list))
+				m.mu.Unlock()
+			}
+		}
+	}
+}
+
 // Serving returns the members of a pool that aren't leaving; callers must not change the list.
 func (r *Roster) Serving(pool string) []*Member {
 	r.mu.Lock()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -28,6 +28,8 @@
 	Table func() *hostroute.Table
 	// Budget returns the budget of further attempts of a pool.
 	Budget func(pool string) *attempt.Window
+	// Mix returns the mix of work of a pool.
+	Mix func(pool string) *place.Mix
 	// Began is called once for each request that a backend server began to run.
 	Began func(workspace string, at time.Time)
 	// Admit decides whether a request may go to a server of the pool now; nil lets all.
@@ -94,6 +96,8 @@
 	sends, ran int
 	// counted is set once the request was counted as begun.
 	counted bool
+	// gap is the longest pause between two events of the answer.
+	gap time.Duration
 	// firstAt is when the answer's first byte went to the caller.
 	firstAt time.Time
 	server  string
@@ -169,6 +173,10 @@
 	}
 	c.rank = c.table.Rank(route, owner)
 	c.pool = c.choosePool()
+	if c.ask.Prompt != nil {
+		c.ask.Prompt.Patient = c.table.Apart(c.pool.Name) && c.table.Patient(route, c.pool.Name)
+		c.ask.Prompt.Target = route.Target
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
@@ -271,7 +279,7 @@
 	}
 	if !c.firstAt.IsZero() {
 		s.First = c.firstAt.Sub(c.arrived)
-		fields = append(fields, zap.Duration("first", s.First))
+		fields = append(fields, zap.Duration("first", s.First), zap.Duration("gap", c.gap))
 	}
 	c.f.Log.Info("request", fields...)
 	if c.f.Observe != nil {
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -102,12 +102,13 @@
 	if len(members) == 0 {
 		return placed{}, c.giveUp(errors.New("no backend server is left"))
 	}
-	candidates := c.f.candidates(members)
+	candidates := c.f.candidates(members, c.share())
 	var choice place.Choice
 	unread := 0
 	if c.pool.Engine != nil && c.ask.Prompt != nil {
 		choice = place.Engine(c.ask.Prompt, candidates)
 		unread = c.ask.Prompt.Tokens - c.ask.Prompt.Shared()
+		c.f.Mix(c.pool.Name).Add(c.ask.Prompt, unread)
 	} else {
 		choice = place.Service(c.ask.ID, candidates)
 	}
@@ -133,6 +134,14 @@
 	return p, nil
 }
 
+// share returns the part of the pool's servers that patient requests get.
+func (c *call) share() float64 {
+	if !c.table.Apart(c.pool.Name) {
+		return 0
+	}
+	return c.f.Mix(c.pool.Name).Share()
+}
+
 // youngFor is the age up to which an engine counts as new: parts of prompts are in use again within about this time.
 const youngFor = 10 * time.Second
 
@@ -140,12 +149,18 @@
 func (c *call) source(chosen *roster.Member) string {
 	members := c.f.Roster.Sources(c.pool.Name)
 	sources := make([]place.Candidate, len(members))
-	oldest := time.Now().Add(-youngFor).UnixMilli()
+	now, share := time.Now(), 0.0
+	if c.table.Apart(c.pool.Name) {
+		share = c.f.Mix(c.pool.Name).Before(youngFor)
+	}
+	oldest := now.Add(-youngFor).UnixMilli()
 	for i, m := range members {
 		e := m.Entry()
-		sources[i] = place.Candidate{Name: e.ID, Young: e.Started > oldest}
+		sources[i] = place.Candidate{
+			Name: e.ID, Young: e.Started > oldest, Near: e.DataCentre == c.f.DataCentre, Patient: m.State(now).Position < share,
+		}
 	}
-	i, ok := place.Source(c.ask.Prompt.Subject(), sources)
+	i, ok := place.Source(c.ask.Prompt, sources)
 	if !ok || members[i] == chosen {
 		return ""
 	}
@@ -153,7 +168,7 @@
 }
 
 // candidates returns what is known of the members, where failures and pace count against those of all.
-func (f *Forwarder) candidates(members []*roster.Member) []place.Candidate {
+func (f *Forwarder) candidates(members []*roster.Member, share float64) []place.Candidate {
 	now := time.Now()
 	list := make([]place.Candidate, len(members))
 	paces := make([]float64, 0, len(members))
@@ -162,7 +177,7 @@
 		s, e := m.State(now), m.Entry()
 		list[i] = place.Candidate{
 			Name: e.ID, Running: s.Running, Slots: s.Slots, Unread: s.Unread, Failing: s.Failing, Slow: s.Pace,
-			Near: e.DataCentre == f.DataCentre,
+			Near: e.DataCentre == f.DataCentre, Patient: s.Position < share,
 		}
 		leastFailing = min(leastFailing, s.Failing)
 		if s.Pace > 0 {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -34,7 +34,9 @@
 				return failed
 			}
 			if n > 0 {
-				v.Paced(time.Since(last))
+				pause := time.Since(last)
+				c.gap = max(c.gap, pause)
+				v.Paced(pause)
 			}
 			last = time.Now()
 			if id != "" {
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -28,6 +28,10 @@
 	Tokens int
 	// MaxOutput bounds the length of the answer in tokens.
 	MaxOutput int
+	// Patient tells that the request's stream may pause far longer than others of its pool.
+	Patient bool
+	// Target is the time to the first event that the service level asks for; 0 is none.
+	Target time.Duration
 }
 
 // Subject returns the id of the last part that other requests share, by which the prompt is kept together with its like.
@@ -69,6 +73,8 @@
 	Leaving time.Duration
 	// Near tells that the server is in the instance's own data centre.
 	Near bool
+	// Patient tells that the server is one of those for patient requests.
+	Patient bool
 	// Young tells that the server started a short time ago, so that what it now owns was read elsewhere.
 	Young bool
 }
@@ -94,6 +100,10 @@
 	// farCost is what a server in another data centre costs: its link may be cut, and its bytes are paid. It is a tenth of
 	// the shortest usual target.
 	farCost = 2048
+	// misplaced is what it costs to put a patient request beside others or the other way round: reading a long prompt holds
+	// up each token of the streams that run along. It is a second's reading of an engine, so that it happens only where
+	// the request's own kind of servers is far behind.
+	misplaced = 40000
 	// failingCost multiplies a server's cost by up to 1 + failingCost.
 	failingCost = 8
 )
@@ -102,16 +112,19 @@
 // that they are read once, as long as that server is about as free as the others. It answers the load of many subjects
 // with long shared prompts, and of one subject that gets much of the traffic.
 func Engine(p *Prompt, candidates []Candidate) Choice {
-	owner := Owner(p.Subject(), candidates)
+	owner := p.owner(candidates, func(*Candidate) bool { return true })
 	best := Choice{Index: -1, Owner: -1}
 	for i := range candidates {
-		cost := waitOf(&candidates[i]) + float64(p.Tokens-p.Shared())
+		cost := p.weigh(waitOf(&candidates[i])) + float64(p.Tokens-p.Shared())
 		if i != owner {
 			cost += rereadShare * float64(p.Shared())
 		}
 		if !candidates[i].Near {
 			cost += farCost
 		}
+		if candidates[i].Patient != p.Patient {
+			cost += misplaced
+		}
 		cost *= 1 + failingCost*candidates[i].Failing
 		if best.Index < 0 || cost < best.Cost {
 			best = Choice{Index: i, Owner: owner, Cost: cost}
@@ -120,23 +133,34 @@
 	return best
 }
 
-// Source returns the name of the server that most likely keeps a subject's shared parts: the owner among all that can
-// still be asked, also those that are leaving, where a server that has just started owns nothing yet. It answers servers
-// that come and go in numbers: what they take over is fetched and not read again.
-func Source(subject string, sources []Candidate) (int, bool) {
-	old := make([]Candidate, 0, len(sources))
-	index := make([]int, 0, len(sources))
-	for i, s := range sources {
-		if !s.Young {
-			old = append(old, s)
-			index = append(index, i)
-		}
-	}
-	owner := Owner(subject, old)
-	if owner < 0 {
-		return 0, false
+// Source returns the index of the server that most likely keeps a prompt's shared parts: the owner among all that can still
+// be asked, also those that are leaving, where a server that has just started owns nothing yet. It answers servers that come
+// and go in numbers: what they take over is fetched and not read again.
+func Source(p *Prompt, sources []Candidate) (int, bool) {
+	owner := p.owner(sources, func(c *Candidate) bool { return !c.Young })
+	return owner, owner >= 0
+}
+
+// owner returns the index of the server that keeps the prompt's shared parts, among those of its kind that may.
+func (p *Prompt) owner(servers []Candidate, may func(*Candidate) bool) int {
+	return ownerAmong(p.Subject(), servers, func(c *Candidate) bool { return c.Patient == p.Patient && may(c) })
+}
+
+const (
+	// readRate is the usual reading rate of an engine in tokens a millisecond, by which targets compare with work.
+	readRate = 80
+	// harmless is the part of a request's target below which a wait begins to matter less than work done twice.
+	harmless = 0.3
+)
+
+// weigh returns what a wait costs the request: little while it is short against the request's target, so that a patient
+// request stays where its shared parts are kept.
+func (p *Prompt) weigh(wait float64) float64 {
+	limit := harmless * readRate * float64(p.Target.Milliseconds())
+	if limit <= 0 || wait >= limit {
+		return wait
 	}
-	return index[owner], true
+	return wait * wait / limit
 }
 
 // waitOf returns the work that stands before a new prompt, in tokens of reading.
@@ -151,11 +175,15 @@
 	return wait
 }
 
-// Owner returns the index of the server that keeps a subject: the highest hash of both names. It is -1 without candidates.
-func Owner(subject string, candidates []Candidate) int {
+// ownerAmong returns the index of the server that keeps a subject: the highest hash of both names among the servers that may.
+// It is -1 where none may.
+func ownerAmong(subject string, candidates []Candidate, may func(*Candidate) bool) int {
 	owner, highest := -1, uint64(0)
 	base := xxhash.Sum64String(subject)
 	for i := range candidates {
+		if !may(&candidates[i]) {
+			continue
+		}
 		if h := mix(base, candidates[i].Name); owner < 0 || h > highest {
 			owner, highest = i, h
 		}
--- a/version/hostroute/table.go
+++ b/version/hostroute/table.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // ErrConfig tells why a configuration can't be used.
@@ -28,6 +29,8 @@
 	pools  map[string]*Pool
 	// ranks holds the rank of each level.
 	ranks map[level]int
+	// gaps holds the shortest permitted pause of each pool's streams.
+	gaps map[string]time.Duration
 	// keys holds the owners of the keys by the keys' hashes.
 	keys map[[sha256.Size]byte]*Workspace
 }
@@ -55,6 +58,7 @@
 		}
 	}
 	t.rankLevels()
+	t.findGaps()
 	return t, nil
 }
 
@@ -166,6 +170,44 @@
 	}
 }
 
+// findGaps finds the shortest permitted pause of each pool's streams.
+func (t *Table) findGaps() {
+	t.gaps = map[string]time.Duration{}
+	for i := range t.cfg.Routes {
+		r := &t.cfg.Routes[i]
+		if r.Kind != Stream || r.Gap <= 0 {
+			continue
+		}
+		for _, s := range r.Shares {
+			if least, ok := t.gaps[s.Pool]; !ok || r.Gap < least {
+				t.gaps[s.Pool] = r.Gap
+			}
+		}
+	}
+}
+
+const (
+	// patientFactor is how many times the pool's shortest permitted pause a patient stream may pause.
+	patientFactor = 2
+	// readingStep is the usual time of an engine's step that also reads a piece of a long prompt: 2,048 tokens.
+	readingStep = 30 * time.Millisecond
+	// heldUp is the part of the shortest permitted pause from which such steps in a row endanger it.
+	heldUp = 0.8
+)
+
+// Apart tells whether long prompts would hold up the pool's streams too long, so that patient requests get servers of their
+// own: one event takes as many steps as it has tokens.
+func (t *Table) Apart(pool string) bool {
+	p, ok := t.pools[pool]
+	gap := t.gaps[pool]
+	return ok && p.Engine != nil && gap > 0 && float64(p.Engine.EventTokens)*float64(readingStep) >= heldUp*float64(gap)
+}
+
+// Patient tells whether streams of the route may pause far longer than others of the pool.
+func (t *Table) Patient(r *Route, pool string) bool {
+	return r.Kind == Stream && t.gaps[pool] > 0 && r.Gap >= patientFactor*t.gaps[pool]
+}
+
 // Ranks is the number of ranks that engines tell apart.
 const Ranks = 10
 
