Let two instances of each data centre read and write the store for the others

Others learn from the readers when their news tell of a newer version; counts are told to the readers, who write copies of all runs; of a run's copies the largest counts.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -40,6 +40,10 @@
 	Wake <-chan struct{}
 	// Pause is the time between an answer with changes and the next watch, so that changes in a row come together.
 	Pause time.Duration
+	// Lead tells whether this instance reads the store itself; others learn from those that do. Nil is always.
+	Lead func() bool
+	// Lapsed tells whether objects that another instance doesn't list may have lapsed with an outage; nil is never.
+	Lapsed func() bool
 	// Fallback, if not nil, returns the objects as another instance knows them, for the time in which the store is out of
 	// reach.
 	Fallback func(ctx context.Context) (wire.ObjectList, error)
@@ -91,6 +95,9 @@
 func (f *Feed) Run(ctx context.Context) {
 	delays := &backoff.ExponentialBackOff{InitialInterval: retryFirst, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: retryMost}
 	for ctx.Err() == nil {
+		if !f.leads() && f.follow(ctx) {
+			continue
+		}
 		list, err := f.Store.List(ctx, f.Kind, "")
 		if err != nil {
 			f.failed(err)
@@ -105,6 +112,34 @@
 	}
 }
 
+// leads tells whether this instance reads the store itself; one that knows nothing yet does.
+func (f *Feed) leads() bool {
+	f.mu.Lock()
+	known := f.version > 0
+	f.mu.Unlock()
+	return f.Lead == nil || f.Fallback == nil || !known || f.Lead()
+}
+
+// followTick is how often an instance that follows looks whether it has to lead.
+const followTick = 200 * time.Millisecond
+
+// follow takes in what another instance knows once it knows more. It tells false where no other can be asked.
+func (f *Feed) follow(ctx context.Context) bool {
+	t := time.NewTimer(followTick)
+	defer t.Stop()
+	f.mu.Lock()
+	f.waiting, f.answered = 0, time.Time{}
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return true
+	case <-t.C:
+		return true
+	case <-f.Wake:
+	}
+	return f.fallBack(ctx)
+}
+
 // reset takes in the whole list.
 func (f *Feed) reset(list wire.ObjectList, afterOutage bool) {
 	f.mu.Lock()
@@ -117,29 +152,30 @@
 	f.Reset(list.Items, afterOutage)
 }
 
-// fallBack takes in what another instance knows, unless that is older.
-func (f *Feed) fallBack(ctx context.Context) {
+// fallBack takes in what another instance knows, unless that is older, and tells whether one answered.
+func (f *Feed) fallBack(ctx context.Context) bool {
 	if f.Fallback == nil {
-		return
+		return false
 	}
 	list, err := f.Fallback(ctx)
 	if err != nil {
 		f.Log.Debug("peer_has_no_objects", zap.String("kind", f.Kind), zap.Error(err))
-		return
+		return false
 	}
 	f.mu.Lock()
 	older := list.Version <= f.version
 	f.mu.Unlock()
 	if older {
-		return
+		return true
 	}
 	f.Log.Info("objects_from_peer", zap.String("kind", f.Kind), zap.Int("version", list.Version), zap.Int("objects", len(list.Items)))
-	f.reset(list, false)
+	f.reset(list, f.Lapsed != nil && f.Lapsed())
+	return true
 }
 
 // watch takes in changes until the history is gone or a call fails.
 func (f *Feed) watch(ctx context.Context, from int) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && f.leads() {
 		events, err := f.call(ctx, from)
 		if errors.As(err, &errWoken{}) {
 			return
--- a/process/gateway/beliefs.go
+++ b/process/gateway/beliefs.go
@@ -16,9 +16,13 @@
 // tenth of the time within which a leaving server must get no more requests.
 const watchPause = 200 * time.Millisecond
 
+// lapsedWithin is the time after an instance couldn't reach the store within which entries may be missing: until the
+// instances that read have it again, and the servers' entries too.
+const lapsedWithin = 5 * time.Second
+
 func (g *Gateway) configFeed() *feed.Feed {
 	return &feed.Feed{
-		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, Wait: g.watchWait, Log: g.Log, Wake: g.newerConfig,
+		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, Wait: g.watchWait, Log: g.Log, Wake: g.newerConfig, Lead: g.mesh.IsReader,
 		Fallback: func(ctx context.Context) (wire.ObjectList, error) { return g.fromPeer(ctx, g.Platform.ConfigKind) },
 		Reset: func(items []wire.Object, _ bool) {
 			for _, o := range items {
@@ -62,6 +66,7 @@
 func (g *Gateway) serverFeed() *feed.Feed {
 	return &feed.Feed{
 		Kind: g.Platform.ServerKind, Store: g.Platform.Store, Wait: g.watchWait, Log: g.Log, Pause: watchPause, Wake: g.newerServers,
+		Lead: g.mesh.IsReader, Lapsed: func() bool { return g.mesh.OutWithin(lapsedWithin) },
 		Fallback: func(ctx context.Context) (wire.ObjectList, error) { return g.fromPeer(ctx, g.Platform.ServerKind) },
 		Reset: func(items []wire.Object, afterOutage bool) {
 			entries := make([]roster.Entry, 0, len(items))
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -61,7 +61,6 @@
 	forwarder *forward.Forwarder
 	callers   *entry.Server
 	counter   *tally.Counter
-	keeper    *tally.Keeper
 	reporter  *tally.Reporter
 	configs   *feed.Feed
 	servers   *feed.Feed
@@ -104,7 +103,7 @@
 		eg.Go(func() error { return part(run) })
 	}
 	for _, part := range []func(context.Context){
-		g.configs.Run, g.servers.Run, g.mesh.Execute, g.counter.Execute, g.keeper.Execute, g.lease.Run, g.reporter.Execute, (&fleet{g: g}).run,
+		g.configs.Run, g.servers.Run, g.mesh.Execute, g.counter.Execute, g.lease.Run, g.reporter.Execute, (&fleet{g: g}).run,
 	} {
 		eg.Go(func() error { part(run); return nil })
 	}
@@ -134,17 +133,19 @@
 	g.mixes = map[string]*place.Mix{}
 	g.roster = &roster.Roster{Log: g.Log, Reach: reach}
 	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
-	g.configs, g.servers = g.configFeed(), g.serverFeed()
 	g.transport = &upstream.Transport{
 		IDHeader: g.Platform.Headers.ID, SkipOthers: true, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
 	}
-	g.counter = &tally.Counter{Run: g.run, Window: ms(set.UsageWindowMs), Store: g.Platform.Store, Log: g.Log}
+	g.counter = &tally.Counter{
+		Run: g.run, DataCentre: g.Settings.DataCentre, Window: ms(set.UsageWindowMs), Store: g.Platform.Store, Log: g.Log,
+		Writes: func() bool { return g.mesh.IsReader() },
+	}
 	g.buildMesh()
+	g.configs, g.servers = g.configFeed(), g.serverFeed()
 	g.lease = g.newLease()
 	g.reporter = &tally.Reporter{
 		Window: ms(set.UsageWindowMs), Delay: ms(set.UsageDelayMs), Store: g.Platform.Store, Log: g.Log,
 		Held:   g.held,
-		Writes: func(run string) bool { return run == g.run || g.mesh.Writes(run) },
 		Report: g.reportUsage,
 	}
 	g.forwarder = &forward.Forwarder{
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -5,12 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/connection/news"
 	"github.com/toucanroute/toucanroute/process/mesh"
-	"github.com/toucanroute/toucanroute/process/tally"
 	"github.com/toucanroute/toucanroute/wire"
 )
 
@@ -27,11 +25,10 @@
 		Counts: g.counter.Newest,
 		Heard:  g.roster.Heard,
 		Learn:  g.learn,
-		Keep:   func(run string, windows []wire.NewsWindow) { g.keeper.Keep(run, windows) },
+		Keep:   g.counter.Keep,
 		Doubt:  g.roster.Doubt,
 		Trust:  g.roster.Trust,
 	}
-	g.keeper = &tally.Keeper{Window: ms(g.Settings.Forwarding.UsageWindowMs), Store: g.Platform.Store, Log: g.Log, Writes: g.mesh.Writes}
 }
 
 // version returns the version of the configuration in force; 0 is none.
@@ -47,6 +44,7 @@
 	n.Version = g.version()
 	n.Servers = g.servers.Changed()
 	n.Leaving = g.leaving.Load()
+	n.Reads = g.mesh.IsReader()
 	n.StoreOut = g.configs.Out() || g.servers.Out()
 }
 
@@ -67,7 +65,15 @@
 	if g.behind.IsZero() {
 		g.behind = time.Now()
 	}
-	if time.Since(g.behind) > behindFor && notify(g.newerServers) {
+	patience := behindFor
+	if !n.Reads {
+		// What an instance that reads tells will be asked of it; others only repeat it.
+		patience = 2 * behindFor
+	}
+	if !g.mesh.IsReader() && n.Reads {
+		patience = 0
+	}
+	if time.Since(g.behind) >= patience && notify(g.newerServers) {
 		g.behind = time.Time{}
 		g.Log.Info("servers_newer_elsewhere", zap.String("peer", n.From), zap.Int("version", n.Servers), zap.Int("own", own))
 	}
@@ -95,7 +101,7 @@
 
 // watchWait returns the wait of the next watch.
 func (g *Gateway) watchWait() time.Duration {
-	return min(max(time.Duration(len(g.mesh.HeardPeers()))*time.Second/renewalsPerSecond, waitLeast), waitMost)
+	return min(max(time.Duration(g.mesh.Peers())*time.Second/renewalsPerSecond, waitLeast), waitMost)
 }
 
 // knownObjects returns the objects of a kind that this instance can vouch for.
@@ -109,21 +115,19 @@
 	return wire.ObjectList{}, false
 }
 
-// peersAsked is the number of instances that are asked in turn: about a third may be cut off from the store together.
-const peersAsked = 4
+// peersAsked is the number of instances that are asked in turn.
+const peersAsked = 3
 
 // errNoPeer tells that no instance could be asked.
 var errNoPeer = errors.New("no other instance is heard")
 
 // fromPeer returns the objects of a kind as another instance knows them.
 func (g *Gateway) fromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
-	peers := g.mesh.HeardPeers()
+	peers := g.mesh.ReaderAddresses()
 	err := errNoPeer
-	for i := range min(len(peers), peersAsked) {
-		// Each instance begins elsewhere, so that they don't all ask the same.
-		at := (int(xxhash.Sum64String(g.run)%uint64(len(peers))) + i) % len(peers)
+	for _, address := range peers[:min(len(peers), peersAsked)] {
 		var list wire.ObjectList
-		if list, err = news.Fetch(ctx, peers[at], kind); err == nil {
+		if list, err = news.Fetch(ctx, address, kind); err == nil {
 			return list, nil
 		}
 	}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -7,9 +7,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -48,8 +48,9 @@
 	loadsPerDatagram = 30
 	// namesPerDatagram likewise.
 	namesPerDatagram = 30
-	// keepers is the number of instances that keep a copy of the counts.
-	keepers = 2
+	// Readers is the number of instances of a data centre that read and write the store for the others there: one may be
+	// lost without a gap.
+	Readers = 2
 )
 
 // Mesh is an instance's part of the exchange. The exported fields are set before Run.
@@ -84,6 +85,8 @@
 	// doubted holds the data centres that were reported to Doubt.
 	doubted map[string]bool
 	changed chan struct{}
+	// outAt is when an instance last told that it can't reach the store.
+	outAt time.Time
 }
 
 // peer is another instance.
@@ -97,6 +100,7 @@
 	known      time.Time
 	leaving    bool
 	storeOut   bool
+	reads      bool
 }
 
 // Changed lets the loads be told soon.
@@ -246,30 +250,62 @@
 	}
 }
 
-// keepers returns the instances that keep this one's counts: the next ones by name, the first in another data centre so
-// that losing one data centre doesn't lose both.
+// keepers returns the instances that keep this one's counts: the readers of the own data centre and one of another, so that
+// losing a data centre doesn't lose all copies.
 func (m *Mesh) keepers(now time.Time) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var names []string
-	for name, p := range m.peers {
-		if now.Sub(p.heard) <= m.silence() && !p.leaving {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	at, _ := slices.BinarySearch(names, m.Instance)
-	names = append(names[at:], names[:at]...)
 	var near, far []netip.AddrPort
-	for _, name := range names {
-		if p := m.peers[name]; p.dataCentre == m.DataCentre {
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[name]
+		switch {
+		case now.Sub(p.heard) > m.silence() || !p.reads:
+		case p.dataCentre == m.DataCentre:
 			near = append(near, p.address)
-		} else {
+		case len(far) == 0:
 			far = append(far, p.address)
 		}
 	}
-	list := append(far[:min(len(far), 1)], near...)
-	return list[:min(len(list), keepers)]
+	return append(near, far...)
+}
+
+// IsReader tells whether this instance reads and writes the store for its data centre: the first ones there by name that are
+// heard and reach the store.
+func (m *Mesh) IsReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for name, p := range m.peers {
+		if name < m.Instance && p.dataCentre == m.DataCentre && time.Since(p.heard) <= m.silence() && !p.storeOut && !p.leaving {
+			before++
+		}
+	}
+	return before < Readers
+}
+
+// ReaderAddresses returns the addresses of the instances that read the store, those of the own data centre first.
+func (m *Mesh) ReaderAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []string
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[name]
+		switch {
+		case time.Since(p.heard) > m.silence() || !p.reads || p.storeOut:
+		case p.dataCentre == m.DataCentre:
+			near = append(near, p.address.String())
+		default:
+			far = append(far, p.address.String())
+		}
+	}
+	return append(near, far...)
+}
+
+// OutWithin tells whether an instance was out of reach of the store within that time.
+func (m *Mesh) OutWithin(d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.outAt.IsZero() && time.Since(m.outAt) < d
 }
 
 // Take takes another instance's news.
@@ -311,7 +347,10 @@
 	}
 	p.run, p.dataCentre, p.address, p.version, p.leaving = news.Run, news.DataCentre, address, news.Version, news.Leaving
 	p.heard = time.Now()
-	p.storeOut = news.StoreOut
+	p.storeOut, p.reads = news.StoreOut, news.Reads
+	if news.StoreOut {
+		m.outAt = p.heard
+	}
 }
 
 // discover records where this instance takes news and learns where the others do.
@@ -408,14 +447,6 @@
 	}
 }
 
-// Alive tells whether a run was heard within a few heartbeats.
-func (m *Mesh) Alive(run string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.byRun(run)
-	return p != nil && time.Since(p.heard) <= m.silence()
-}
-
 // Writes tells whether a run is alive and reaches the store.
 func (m *Mesh) Writes(run string) bool {
 	m.mu.Lock()
@@ -441,29 +472,15 @@
 	return len(m.peers) + 1
 }
 
-// HeardPeers returns the addresses of the instances that were heard lately, those with the newest configuration first.
-func (m *Mesh) HeardPeers() []string {
+// Peers returns the number of other instances that are heard.
+func (m *Mesh) Peers() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	type known struct {
-		address string
-		version int
-	}
-	var list []known
+	n := 0
 	for _, p := range m.peers {
 		if time.Since(p.heard) <= m.silence() {
-			list = append(list, known{p.address.String(), p.version})
-		}
-	}
-	slices.SortFunc(list, func(a, b known) int {
-		if a.version != b.version {
-			return b.version - a.version
+			n++
 		}
-		return strings.Compare(a.address, b.address)
-	})
-	addresses := make([]string, len(list))
-	for i, k := range list {
-		addresses[i] = k.address
 	}
-	return addresses
+	return n
 }
--- a/process/tally/reporter.go
+++ b/process/tally/reporter.go
@@ -18,8 +18,8 @@
 	// and at last without those that haven't.
 	sumAfter  = 0.15
 	sumAtLast = 0.85
-	// adoptedBy is how long after a window's end the counts of dead runs are there.
-	adoptedBy = adoptAfter + time.Second
+	// allBy is how long after a window's end all instances that write have written, unless they can't.
+	allBy = settle + 2*time.Second
 	// deadAfter is the number of windows without a write after which a run's object is removed.
 	deadAfter = 20
 	// pollInterval is how often the holder looks for something to do.
@@ -35,9 +35,6 @@
 	Log   *zap.Logger
 	// Held returns the fencing number under which the instance holds the duty.
 	Held func() (fence int, ok bool)
-	// Writes tells whether a run is alive and can write its counts; the counts of others are written by those that keep
-	// copies of them.
-	Writes func(run string) bool
 	// Report sends a report; a repeat carries the same counts.
 	Report func(ctx context.Context, fence int, start time.Time, counts map[string]int) error
 
@@ -139,30 +136,44 @@
 	return slices.ContainsFunc(r.sums.Windows, func(w wire.CountsWindow) bool { return int64(w.StartMs) == startMs })
 }
 
-// sum adds up the counts of a window; waiting tells that a run that still writes hasn't written since the window's end.
-func (r *Reporter) sum(runs []wire.Object, start, now time.Time) (counts wire.CountsWindowCounts, waiting bool) {
-	counts = wire.CountsWindowCounts{}
+// sum adds up the counts of a window: of each run the largest copy. It tells whether it is worth waiting: at first for each
+// instance that writes, then for one of each data centre.
+func (r *Reporter) sum(objects []wire.Object, start, now time.Time) (counts wire.CountsWindowCounts, waiting bool) {
 	end := start.Add(r.Window)
-	for _, o := range runs {
+	runs := map[string]map[string]int{}
+	fresh := map[string]bool{}
+	stale := false
+	for _, o := range objects {
 		record, err := platform.Decode[wire.CountsRecord](o)
 		if err != nil {
 			r.Log.Warn("counts_unreadable", zap.String("run", o.Name), zap.Error(err))
 			continue
 		}
 		written := time.UnixMilli(int64(record.WrittenMs))
-		if written.Before(end) && written.After(end.Add(-2*r.Window)) && (r.Writes(o.Name) || now.Before(end.Add(adoptedBy))) {
-			waiting = true
+		if written.Before(end.Add(-2 * r.Window)) {
+			continue
 		}
-		for _, w := range record.Windows {
-			if int64(w.StartMs) != start.UnixMilli() {
-				continue
-			}
-			for name, n := range w.Counts {
-				counts[name] += n
+		fresh[record.DataCentre] = fresh[record.DataCentre] || !written.Before(end)
+		stale = stale || written.Before(end)
+		for _, run := range record.Runs {
+			for _, w := range run.Windows {
+				if int64(w.StartMs) != start.UnixMilli() {
+					continue
+				}
+				if runs[run.Run] == nil {
+					runs[run.Run] = map[string]int{}
+				}
+				raise(runs[run.Run], w.Counts)
 			}
 		}
 	}
-	return counts, waiting
+	counts = wire.CountsWindowCounts{}
+	for _, run := range runs {
+		for name, n := range run {
+			counts[name] += n
+		}
+	}
+	return counts, stale && now.Before(end.Add(allBy)) || slices.Contains(slices.Collect(maps.Values(fresh)), false)
 }
 
 // fix stores the sums. Where the answer is lost, what is stored counts.
@@ -223,9 +234,3 @@
 		}
 	}
 }
-
-func conflictOf(err error) (platform.ErrConflict, bool) {
-	var conflict platform.ErrConflict
-	ok := errors.As(err, &conflict)
-	return conflict, ok
-}
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -1,15 +1,18 @@
 // Package tally counts the requests that began in each window of time and reports each window once for all instances.
 //
-// Each run of an instance keeps its counts of the last windows in an object of its own, which only it writes. The holder of
-// the duty sums the objects of all runs and fixes the sums by a conditional update of one object before it reports them, so
-// that a later holder repeats the same figures and never others.
+// Counts of a run of an instance only grow, so that of two copies the larger holds. Each run tells its counts to the
+// instances that write for its data centre; those keep copies and write what they know of all runs into an object of their
+// own each. The holder of the duty takes the largest copy of each run's counts, sums the runs, and fixes the sums by a
+// conditional update of one object before it reports them, so that a later holder repeats the same figures and never others.
 //
-// A run that dies loses what it counted since its last write.
+// What a run counted in its last half second may be lost with it.
 package tally
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,47 +31,80 @@
 )
 
 const (
-	// keptWindows is the number of windows in a run's object; a report is due within two windows' time.
-	keptWindows = 6
-	// settle is how long after a window's end its counts are written: requests that began in it are known by then.
-	settle = 200 * time.Millisecond
+	// keptWindows is the number of windows in an object; a report is due within two windows' time.
+	keptWindows = 5
+	// settle is how long after a window's end its counts are written: copies of other runs' counts are told every half
+	// second.
+	settle = 900 * time.Millisecond
 	// writeRetry is the delay before a failed write is tried again.
 	writeRetry = 250 * time.Millisecond
+	// copiedWindows is the number of windows that are told to other instances: the running one and the last.
+	copiedWindows = 2
 )
 
-// Counter counts the requests of one run of an instance. The exported fields are set before use.
+// windowCounts holds the counts of each workspace by the window's start in Unix milliseconds.
+type windowCounts map[int64]map[string]int
+
+// Counter counts the requests of one run of an instance and keeps copies of other runs' counts. The exported fields are set
+// before use.
 type Counter struct {
 	// Run names the process; it differs from that of the instance's earlier processes.
-	Run    string
-	Window time.Duration
-	Store  platform.Store
-	Log    *zap.Logger
+	Run        string
+	DataCentre string
+	Window     time.Duration
+	Store      platform.Store
+	Log        *zap.Logger
+	// Writes tells whether this instance writes the counts that it knows.
+	Writes func() bool
 
 	mu sync.Mutex
-	// windows holds the counts of each workspace by the window's start in Unix milliseconds.
-	windows map[int64]map[string]int
+	// runs holds the counts of this run and the copies of others.
+	runs map[string]windowCounts
 	// version is that of the run's object; 0 is not written yet.
 	version int
 }
 
+// counts returns the counts of a run's window, which it makes; the lock is held.
+func (c *Counter) counts(run string, start int64) map[string]int {
+	if c.runs == nil {
+		c.runs = map[string]windowCounts{}
+	}
+	if c.runs[run] == nil {
+		c.runs[run] = windowCounts{}
+	}
+	if c.runs[run][start] == nil {
+		c.runs[run][start] = map[string]int{}
+	}
+	return c.runs[run][start]
+}
+
 // Began counts one request of the workspace that began then.
 func (c *Counter) Began(workspace string, at time.Time) {
-	start := Start(at, c.Window).UnixMilli()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.windows == nil {
-		c.windows = map[int64]map[string]int{}
+	c.counts(c.Run, Start(at, c.Window).UnixMilli())[workspace]++
+}
+
+// Keep takes a copy of another run's counts.
+func (c *Counter) Keep(run string, windows []wire.NewsWindow) {
+	if run == c.Run {
+		return
 	}
-	if c.windows[start] == nil {
-		c.windows[start] = map[string]int{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range windows {
+		raise(c.counts(run, int64(w.StartMs)), w.Counts)
 	}
-	c.windows[start][workspace]++
 }
 
-// copiedWindows is the number of windows that other instances keep copies of: the running one and the last.
-const copiedWindows = 2
+// raise lifts the counts to those of a copy.
+func raise(counts, copied map[string]int) {
+	for name, n := range copied {
+		counts[name] = max(counts[name], n)
+	}
+}
 
-// Newest returns the counts of the newest windows.
+// Newest returns this run's counts of the newest windows.
 func (c *Counter) Newest() []wire.NewsWindow {
 	now := time.Now()
 	c.mu.Lock()
@@ -76,7 +112,7 @@
 	var list []wire.NewsWindow
 	for i := range copiedWindows {
 		start := Start(now, c.Window).Add(-time.Duration(i) * c.Window).UnixMilli()
-		counts := c.windows[start]
+		counts := c.runs[c.Run][start]
 		if len(counts) == 0 {
 			continue
 		}
@@ -91,13 +127,13 @@
 	return time.UnixMilli(ms - ms%window.Milliseconds())
 }
 
-// Execute writes the counts after the end of each window until ctx ends, then once more.
+// Execute writes the counts after the end of each window until ctx ends, where this instance writes.
 func (c *Counter) Execute(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
 		next := Start(now, c.Window).Add(c.Window + settle)
 		sleep(ctx, next.Sub(now))
-		for ctx.Err() == nil && c.Write(ctx) != nil {
+		for ctx.Err() == nil && c.Writes() && c.Write(ctx) != nil {
 			sleep(ctx, writeRetry)
 		}
 	}
@@ -112,8 +148,8 @@
 	}
 }
 
-// Write stores the counts as they are now. Only this run writes its object, so a version that another write of its own has
-// raised is taken over.
+// Write stores the counts as they are known now. Only this run writes its object, so a version that another write of its own
+// has raised is taken over.
 func (c *Counter) Write(ctx context.Context) error {
 	record, version := c.record(time.Now())
 	var o wire.Object
@@ -134,7 +170,8 @@
 
 func (c *Counter) writeFailed(err error) error {
 	c.Log.Info("counts_not_written", zap.String("run", c.Run), zap.Error(err))
-	if conflict, ok := conflictOf(err); ok {
+	var conflict platform.ErrConflict
+	if errors.As(err, &conflict) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.version = conflict.Current.Version
@@ -142,22 +179,24 @@
 	return err
 }
 
-// record returns the counts of the last windows and forgets older ones.
+// record returns what is known of the last windows and forgets older ones.
 func (c *Counter) record(now time.Time) (wire.CountsRecord, int) {
 	oldest := Start(now, c.Window).Add(-keptWindows * c.Window).UnixMilli()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := wire.CountsRecord{WrittenMs: int(now.UnixMilli()), Windows: []wire.CountsWindow{}}
-	for start, counts := range c.windows {
-		if start < oldest {
-			delete(c.windows, start)
+	r := wire.CountsRecord{WrittenMs: int(now.UnixMilli()), DataCentre: c.DataCentre, Runs: []wire.CountsRun{}}
+	for _, run := range slices.Sorted(maps.Keys(c.runs)) {
+		windows := c.runs[run]
+		maps.DeleteFunc(windows, func(start int64, _ map[string]int) bool { return start < oldest })
+		if len(windows) == 0 {
+			delete(c.runs, run)
 			continue
 		}
-		w := wire.CountsWindow{StartMs: int(start), Counts: make(wire.CountsWindowCounts, len(counts))}
-		for name, n := range counts {
-			w.Counts[name] = n
+		cr := wire.CountsRun{Run: run}
+		for start, counts := range windows {
+			cr.Windows = append(cr.Windows, wire.CountsWindow{StartMs: int(start), Counts: maps.Clone(wire.CountsWindowCounts(counts))})
 		}
-		r.Windows = append(r.Windows, w)
+		r.Runs = append(r.Runs, cr)
 	}
 	return r, c.version
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -166,6 +166,9 @@
 	// Loads that changed since the last news.
 	Loads []NewsLoad `json:"loads,omitempty,omitzero"`
 
+	// The instance reads the store for others of its data centre.
+	Reads bool `json:"reads,omitempty,omitzero"`
+
 	// Process that tells; a restarted instance has another.
 	Run string `json:"run"`
 
--- a/wire/records.go
+++ b/wire/records.go
@@ -71,15 +71,28 @@
 	Through int `json:"through"`
 }
 
-// CountsRecord is the requests that one run of an instance saw begin.
+// CountsRecord is the requests that runs of instances saw begin, as one instance
+// knows them.
 type CountsRecord struct {
-	// Windows corresponds to the JSON schema field "windows".
-	Windows []CountsWindow `json:"windows"`
+	// Data centre of the instance that wrote them.
+	DataCentre string `json:"data_centre"`
+
+	// Runs corresponds to the JSON schema field "runs".
+	Runs []CountsRun `json:"runs"`
 
 	// Unix time in milliseconds at which the counts were written.
 	WrittenMs int `json:"written_ms"`
 }
 
+// CountsRun is the requests that one run saw begin.
+type CountsRun struct {
+	// Run corresponds to the JSON schema field "run".
+	Run string `json:"run"`
+
+	// Windows corresponds to the JSON schema field "windows".
+	Windows []CountsWindow `json:"windows"`
+}
+
 // CountsWindow is the requests that began in one window.
 type CountsWindow struct {
 	// Requests by workspace.
