--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -410,7 +410,8 @@
 func (m *Mesh) judge(now time.Time) {
 	m.mu.Lock()
 	heard, once := map[string]bool{}, map[string]bool{}
-	any := false
+	// An instance that is itself cut off loses all others within a heartbeat: it doubts nothing.
+	connected := false
 	for _, p := range m.peers {
 		if p.heard.IsZero() {
 			continue
@@ -418,8 +419,8 @@
 		once[p.dataCentre] = once[p.dataCentre] || now.Sub(p.heard) < forgottenAfter
 		if now.Sub(p.heard) <= m.silence() {
 			heard[p.dataCentre] = true
-			any = true
 		}
+		connected = connected || now.Sub(p.heard) <= m.silence()/2
 	}
 	if m.doubted == nil {
 		m.doubted = map[string]bool{}
@@ -431,7 +432,7 @@
 		case heard[dc] && m.doubted[dc]:
 			delete(m.doubted, dc)
 			trust = append(trust, dc)
-		case !heard[dc] && any && !m.doubted[dc]:
+		case !heard[dc] && connected && !m.doubted[dc]:
 			m.doubted[dc] = true
 			doubt = append(doubt, dc)
 		}
--- /dev/null
+++ b/request/attempt/window_test.go
@@ -0,0 +1,77 @@
+package attempt
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func newWindow(extra float64) *Window {
+	return &Window{Length: 10 * time.Second, Ratio: 0.2, Extra: func() float64 { return extra }}
+}
+
+func TestWindowSpendsShareAndExtra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWindow(3)
+		for range 10 {
+			w.Request()
+		}
+		taken := 0
+		for w.Take() {
+			taken++
+		}
+		assert.Equal(t, taken, 5)
+		time.Sleep(11 * time.Second)
+		assert.Assert(t, w.Take(), "the extra is there again in the next window")
+	})
+}
+
+func TestWindowAfterALongPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWindow(1)
+		w.Request()
+		assert.Assert(t, w.Take())
+		time.Sleep(time.Hour)
+		assert.Assert(t, w.Left() == 1.0)
+	})
+}
+
+// Of any span of the window's length, the further attempts never exceed the share of what came within that span or the one
+// before it, and the extra.
+func TestWindowHoldsInAnySpan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 900), 50, 200).Draw(rt, "pauses in ms")
+		synctest.Test(t, func(t *testing.T) {
+			w := newWindow(2)
+			type event struct {
+				at    time.Time
+				taken bool
+			}
+			var events []event
+			for _, ms := range pauses {
+				time.Sleep(time.Duration(ms) * time.Millisecond)
+				w.Request()
+				events = append(events, event{time.Now(), false})
+				if w.Take() {
+					events = append(events, event{time.Now(), true})
+				}
+			}
+			for _, last := range events {
+				taken, requests := 0, 0
+				for _, e := range events {
+					age := last.at.Sub(e.at)
+					if e.taken && age >= 0 && age < w.Length {
+						taken++
+					}
+					if !e.taken && age >= 0 && age < 2*w.Length {
+						requests++
+					}
+				}
+				assert.Assert(t, float64(taken) <= w.Ratio*float64(requests)+2)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/version/hostroute/table_test.go
@@ -0,0 +1,122 @@
+package hostroute
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func tier(n int) *int { return &n }
+
+func testConfig() Config {
+	one := []Share{{Pool: "engines", Weight: 1}}
+	return Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "chat", Host: "A.example", Prefix: "/x/", Kind: Stream, Shares: one, Gap: 200 * time.Millisecond, Resumable: true},
+			{Name: "book", Host: "a.example", Prefix: "/x/y/", Kind: Once, Shares: one, Tier: 2},
+			{Name: "long", Host: "a.example", Prefix: "/z/", Kind: Stream, Shares: one, Tier: 1, Gap: 800 * time.Millisecond},
+			{Name: "open", Host: "b.example", Prefix: "/", Kind: Repeatable, Shares: one, Open: true},
+		},
+		Pools:      []Pool{{Name: "engines", Engine: &Engine{Slots: 8, EventTokens: 6}}},
+		Workspaces: []Workspace{{Name: "alba", Keys: []string{"k1", "k2"}, Tier: tier(0)}, {Name: "bela", Keys: []string{"k3"}, Tier: tier(1)}},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	table, err := NewTable(testConfig())
+	assert.NilError(t, err)
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "chat"},
+		{"a.EXAMPLE:8080", "/x/", "chat"},
+		{"a.example", "/x/y/z", "book"},
+		{"a.example", "/x/y", "chat"},
+		{"a.example", "/xy/", ""},
+		{"a.example", "/x", ""},
+		{"b.example", "/anything", "open"},
+		{"c.example", "/x/1", ""},
+		{"", "", ""},
+	} {
+		r, ok := table.Route(tc.host, tc.path)
+		assert.Equal(t, ok, tc.want != "", "%s %s", tc.host, tc.path)
+		if ok {
+			assert.Equal(t, r.Name, tc.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	table, err := NewTable(testConfig())
+	assert.NilError(t, err)
+	chat, _ := table.Route("a.example", "/x/1")
+	open, _ := table.Route("b.example", "/")
+	assert.Assert(t, table.NeedsKey(chat) && !table.NeedsKey(open))
+	owner, ok := table.Owner("k2")
+	assert.Assert(t, ok && owner.Name == "alba")
+	_, ok = table.Owner("k4")
+	assert.Assert(t, !ok)
+	_, ok = table.Owner("")
+	assert.Assert(t, !ok)
+}
+
+// A workspace's tier goes before the routes' tiers, which order the requests of workspaces of one tier.
+func TestRanks(t *testing.T) {
+	table, err := NewTable(testConfig())
+	assert.NilError(t, err)
+	chat, _ := table.Route("a.example", "/x/1")
+	book, _ := table.Route("a.example", "/x/y/1")
+	alba, _ := table.Owner("k1")
+	bela, _ := table.Owner("k3")
+	assert.Assert(t, table.Rank(chat, alba) < table.Rank(book, alba))
+	assert.Assert(t, table.Rank(book, alba) < table.Rank(chat, bela))
+	assert.Assert(t, table.Rank(chat, bela) < table.Rank(book, bela))
+}
+
+func TestRanksAreFew(t *testing.T) {
+	cfg := testConfig()
+	for i := range 40 {
+		cfg.Workspaces = append(cfg.Workspaces, Workspace{Name: fmt.Sprint(i), Keys: []string{fmt.Sprint("key", i)}, Tier: tier(i)})
+	}
+	table, err := NewTable(cfg)
+	assert.NilError(t, err)
+	last := -1
+	for i := range 40 {
+		w, _ := table.Owner(fmt.Sprint("key", i))
+		rank := table.Rank(&table.Routes()[0], w)
+		assert.Assert(t, rank >= last && rank < Ranks)
+		last = rank
+	}
+}
+
+// An event of six tokens takes six steps, each of which may read a piece of a long prompt: 180 ms of 200.
+func TestApart(t *testing.T) {
+	cfg := testConfig()
+	table, err := NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, table.Apart("engines"))
+	assert.Assert(t, !table.Patient(&table.Routes()[0], "engines"))
+	assert.Assert(t, table.Patient(&table.Routes()[2], "engines"))
+	cfg = testConfig()
+	cfg.Pools[0].Engine.EventTokens = 5
+	table, err = NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, !table.Apart("engines"))
+}
+
+func TestFaultyConfig(t *testing.T) {
+	for name, spoil := range map[string]func(*Config){
+		"prefix":  func(c *Config) { c.Routes[0].Prefix = "x/" },
+		"pool":    func(c *Config) { c.Routes[1].Shares = []Share{{Pool: "none"}} },
+		"no pool": func(c *Config) { c.Routes[1].Shares = nil },
+	} {
+		cfg := testConfig()
+		spoil(&cfg)
+		_, err := NewTable(cfg)
+		var fault ErrConfig
+		assert.Assert(t, errors.As(err, &fault), name)
+		assert.Equal(t, fault.Version, 3)
+	}
+}
