Serve metrics and status of a forwarding daemon; reload settings; never block on logs

Cause: SIGHUP ended the process, the settings file may change without a signal, logs went to standard error and could hold a request up, and the operators' address answered nothing in this form of the daemon.

--- a/cmd/toucanrouted/gateway.go
+++ b/cmd/toucanrouted/gateway.go
@@ -27,7 +27,7 @@
 		Client:   &client.Client{BaseURL: "http://" + set.Platform.Usage, Timeout: dutyTimeout},
 		Instance: set.Instance,
 	}
-	return &gateway.Gateway{Settings: set, Log: log, Platform: gateway.Platform{
+	return &gateway.Gateway{Settings: set, Log: log, Build: build(), Platform: gateway.Platform{
 		Store:        store.Objects(),
 		ConfigKind:   platform.ConfigKind,
 		ConfigName:   platform.ConfigName,
--- a/cmd/toucanrouted/log.go
+++ b/cmd/toucanrouted/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime/debug"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -24,8 +23,8 @@
 	return "info"
 }
 
-// newLog returns a log that writes one line of key=value pairs for each event to standard error.
-func newLog(level string) (*zap.Logger, error) {
+// newLog returns a log that writes one line of key=value pairs for each event to out.
+func newLog(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
 	var lowest zapcore.Level
 	if err := lowest.UnmarshalText([]byte(level)); err != nil {
 		return nil, err
@@ -34,7 +33,7 @@
 	cfg.TimeKey = "time"
 	cfg.MessageKey = "event"
 	cfg.EncodeTime = zapcore.ISO8601TimeEncoder
-	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(os.Stderr), lowest))
+	log := zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), out, lowest))
 	logging.SetLogger(netLogger{log.Sugar()})
 	return log, nil
 }
--- a/cmd/toucanrouted/main.go
+++ b/cmd/toucanrouted/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/toucanroute/toucanroute/process/instance"
 	"github.com/toucanroute/toucanroute/request/pick"
@@ -67,7 +68,11 @@
 
 // serve runs the daemon until SIGTERM or an interrupt.
 func serve(set *settings.Settings, opts options) int {
-	log, err := newLog(logLevel(set, opts))
+	out := zapcore.Lock(os.Stderr)
+	if set.Forwarding != nil {
+		out = newOutput(os.Stdout)
+	}
+	log, err := newLog(logLevel(set, opts), out)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return exitUsage
@@ -77,7 +82,9 @@
 	defer stop()
 	daemon := (&instance.Instance{Settings: set, Log: log, Baseline: baseline(opts.Baseline), Build: build()}).Run
 	if set.Forwarding != nil {
-		daemon = newGateway(set, log).Run
+		g := newGateway(set, log)
+		go reload(ctx, opts.Settings, log, g.Reload)
+		daemon = g.Run
 	}
 	if err := daemon(ctx); err != nil {
 		log.Error("instance_failed", zap.Error(err))
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -155,7 +155,7 @@
 		return true
 	}
 	f.first[p.Name] = platform.IsErrNotFound(err)
-	heartbeat := ms(f.g.Settings.Forwarding.HeartbeatMs)
+	heartbeat := ms(f.g.limits.Load().HeartbeatMs)
 	settled := f.seen[p.Name] > 0 && time.Since(f.seenAt[p.Name]) > time.Duration(settledHeartbeats*float64(heartbeat))
 	if !platform.IsErrNotFound(err) || !settled {
 		return false
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/process/lease"
 	"github.com/toucanroute/toucanroute/process/mesh"
+	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/roster"
 	"github.com/toucanroute/toucanroute/process/tally"
@@ -52,6 +54,11 @@
 	Settings *settings.Settings
 	Log      *zap.Logger
 	Platform Platform
+	// Build names the build in the status.
+	Build string
+
+	// limits are the settings that may change while the process runs.
+	limits atomic.Pointer[wire.SettingsForwarding]
 
 	// run names the process.
 	run       string
@@ -59,7 +66,8 @@
 	roster    *roster.Roster
 	transport *upstream.Transport
 	forwarder *forward.Forwarder
-	callers   *entry.Server
+	callers   atomic.Pointer[entry.Server]
+	metrics   *metrics.Metrics
 	counter   *tally.Counter
 	reporter  *tally.Reporter
 	configs   *feed.Feed
@@ -98,8 +106,10 @@
 	defer stop()
 	eg, run := errgroup.WithContext(base)
 	g.build()
+	g.metrics.Register()
+	defer g.metrics.Unregister()
 	g.Log.Info("instance_started", zap.String("instance", g.Settings.Instance), zap.String("run", g.run), zap.String("data_centre", g.Settings.DataCentre))
-	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers, g.socket.Run, g.objects.Run} {
+	for _, part := range []func(context.Context) error{g.readiness().Run, g.serveCallers, g.socket.Run, g.objects.Run, g.operators().Run} {
 		eg.Go(func() error { return part(run) })
 	}
 	for _, part := range []func(context.Context){
@@ -125,9 +135,25 @@
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// memoryShare is the part of the permitted memory from which the runtime collects garbage more often.
+const memoryShare = 0.7
+
+// Reload takes in settings that may change while the process runs; addresses and names stay as they were at the start.
+func (g *Gateway) Reload(set *settings.Settings) {
+	if set.Forwarding == nil {
+		g.Log.Warn("settings_not_applied", zap.String("reason", "the section forwarding is missing"))
+		return
+	}
+	g.limits.Store(set.Forwarding)
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.Forwarding.MemoryMb) * (1 << 20)))
+}
+
 func (g *Gateway) build() {
 	set := g.Settings.Forwarding
+	g.limits.CompareAndSwap(nil, set)
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMb) * (1 << 20)))
 	g.run = g.Settings.Instance + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
+	g.metrics = metrics.New(g.gauges)
 	g.configured = make(chan struct{})
 	g.budgets = map[string]*attempt.Window{}
 	g.mixes = map[string]*place.Mix{}
@@ -159,6 +185,7 @@
 		Began:      g.counter.Began,
 		DataCentre: g.Settings.DataCentre,
 		Placed:     g.mesh.Changed,
+		Observe:    g.observe,
 	}
 }
 
@@ -192,12 +219,13 @@
 	case <-g.configured:
 	}
 	limits := g.table.Load().Limits()
-	g.callers = &entry.Server{
+	callers := &entry.Server{
 		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout: limits.IdleTimeout + time.Duration(idleSlack*float64(limits.IdleTimeout)),
 	}
-	return g.callers.Run(ctx)
+	g.callers.Store(callers)
+	return callers.Run(ctx)
 }
 
 // budget returns the budget of further attempts of a pool.
@@ -235,7 +263,7 @@
 
 // extraShare returns this instance's part of the fixed number of further attempts.
 func (g *Gateway) extraShare() float64 {
-	return float64(g.Settings.Forwarding.RetryExtra) / float64(max(g.mesh.Instances(), instancesLeast))
+	return float64(g.limits.Load().RetryExtra) / float64(max(g.mesh.Instances(), instancesLeast))
 }
 
 const (
@@ -251,15 +279,16 @@
 	g.leaving.Store(true)
 	started := time.Now()
 	g.Log.Info("instance_leaving", zap.String("instance", g.Settings.Instance))
-	ctx, cancel := context.WithDeadline(ctx, started.Add(ms(g.Settings.Forwarding.ShutdownMs)-leaveMargin))
+	ctx, cancel := context.WithDeadline(ctx, started.Add(ms(g.limits.Load().ShutdownMs)-leaveMargin))
 	defer cancel()
-	if g.callers == nil {
+	callers := g.callers.Load()
+	if callers == nil {
 		return
 	}
-	g.callers.BeginDrain()
+	callers.BeginDrain()
 	sleep(ctx, leaveCheck)
-	err := g.callers.Drain(ctx)
-	g.Log.Info("instance_drained", zap.Duration("took", time.Since(started)), zap.Int64("running", g.callers.Running()), zap.Error(err))
+	err := callers.Drain(ctx)
+	g.Log.Info("instance_drained", zap.Duration("took", time.Since(started)), zap.Int64("running", callers.Running()), zap.Error(err))
 	_ = g.counter.Write(ctx)
 }
 
--- a/process/mesh/mesh_test.go
+++ b/process/mesh/mesh_test.go
@@ -66,8 +66,10 @@
 	e := &events{doubted: map[string]bool{}, loads: map[string][]wire.NewsLoad{}, kept: map[string]bool{}}
 	m := &Mesh{
 		Instance: name, Run: name + ".1", DataCentre: dc, Address: address, Store: objects.Store(name), Log: zap.NewNop(),
-		Loads:  func(bool) []wire.NewsLoad { return []wire.NewsLoad{{S: 1, R: 2, U: 3}} },
-		Counts: func() []wire.NewsWindow { return []wire.NewsWindow{{StartMs: 1, Counts: wire.NewsWindowCounts{"alba": 1}}} },
+		Loads: func(bool) []wire.NewsLoad { return []wire.NewsLoad{{S: 1, R: 2, U: 3}} },
+		Counts: func() []wire.NewsWindow {
+			return []wire.NewsWindow{{StartMs: 1, Counts: wire.NewsWindowCounts{"alba": 1}}}
+		},
 		Heard: func(from string, loads []wire.NewsLoad) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -256,13 +256,15 @@
 	Failing  float64
 	// Pace is the mean time of a step in milliseconds; 0 is unknown.
 	Pace float64
+	// Suspect tells that the server is believed to be unreachable.
+	Suspect bool
 }
 
 // State returns what is known of the server now.
 func (m *Member) State(now time.Time) State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Position: m.position, Failing: m.failingAt(now), Pace: m.pace}
+	s := State{Own: m.running, Running: m.running, Slots: m.entry.Slots, Unread: m.unread, Position: m.position, Failing: m.failingAt(now), Pace: m.pace, Suspect: m.suspect}
 	others := 0
 	for _, l := range m.remote {
 		if now.Sub(l.at) < remoteAge {
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -96,7 +96,7 @@
 	c.w.WriteHeader(res.StatusCode)
 	if _, err := c.w.Write(body); err != nil {
 		v.End(roster.Left)
-		c.outcome = outcomeLeft
+		c.outcome = OutcomeLeft
 		return nil
 	}
 	if whole {
@@ -125,7 +125,7 @@
 func (c *call) copyRest(v *roster.Visit, res *http.Response) error {
 	if _, err := io.Copy(c.w, res.Body); err != nil {
 		v.End(roster.Failed)
-		c.outcome = outcomeBroken
+		c.outcome = OutcomeBroken
 		return err
 	}
 	v.End(roster.Answered)
@@ -145,9 +145,9 @@
 	}
 	c.status = res.StatusCode
 	c.firstAt = time.Now()
-	c.outcome = outcomeServed
+	c.outcome = OutcomeServed
 	if !isSuccess(res) {
-		c.outcome = outcomePassed
+		c.outcome = OutcomePassed
 	}
 }
 
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -60,13 +60,16 @@
 
 // Summary is the end of one request.
 type Summary struct {
+	// Route is empty where none was found.
 	Route   string
-	Status  int
-	Own     bool
-	Sends   int
-	First   time.Duration
-	Total   time.Duration
-	Outcome string
+	Outcome Outcome
+	// Code is that of the instance's own answer; empty is none.
+	Code string
+	// Sends is the number of backend servers that the request was sent to.
+	Sends int
+	// First is the time to the answer's first byte; 0 is none.
+	First time.Duration
+	Total time.Duration
 }
 
 // call is one request on its way.
@@ -105,9 +108,9 @@
 	placement placement
 	fetched   string
 	status    int
-	// own tells that the answer is the instance's own.
-	own     bool
-	outcome string
+	// code is that of the instance's own answer; empty is none.
+	code    string
+	outcome Outcome
 }
 
 var (
@@ -132,19 +135,26 @@
 		c.fail(err)
 	}
 	c.log()
-	if c.outcome == outcomeBroken {
+	if c.outcome == OutcomeBroken {
 		// The caller must not take what it has for a whole answer.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// Outcomes of a request in logs and metrics.
+// Outcome tells how a request ended.
+type Outcome string
+
 const (
-	outcomeServed = "served"
-	outcomePassed = "failure_passed"
-	outcomeOwn    = "own_answer"
-	outcomeBroken = "broken_off"
-	outcomeLeft   = "caller_left"
+	// OutcomeServed is a backend server's success.
+	OutcomeServed Outcome = "served"
+	// OutcomePassed is a backend server's failure that was passed on.
+	OutcomePassed Outcome = "failure_passed"
+	// OutcomeOwn is an answer of the instance's own.
+	OutcomeOwn Outcome = "own_answer"
+	// OutcomeBroken is an answer that was broken off.
+	OutcomeBroken Outcome = "broken_off"
+	// OutcomeLeft is that the caller left.
+	OutcomeLeft Outcome = "caller_left"
 )
 
 // prepare finds the route and the rights of the request and reads its body.
@@ -245,11 +255,11 @@
 
 // log writes the request's line.
 func (c *call) log() {
-	s := Summary{Status: c.status, Own: c.own, Sends: c.sends, Total: time.Since(c.arrived), Outcome: c.outcome}
+	s := Summary{Code: c.code, Sends: c.sends, Total: time.Since(c.arrived), Outcome: c.outcome}
 	fields := make([]zap.Field, 0, 24)
 	fields = append(fields,
 		zap.String("request_id", c.ask.ID),
-		zap.String("outcome", c.outcome),
+		zap.String("outcome", string(c.outcome)),
 		zap.Int("status", c.status),
 		zap.Duration("total", s.Total),
 	)
--- a/request/forward/refuse.go
+++ b/request/forward/refuse.go
@@ -38,7 +38,7 @@
 // server can have begun with it.
 func (c *call) giveUp(cause error) error {
 	if !c.firstAt.IsZero() {
-		c.outcome = outcomeBroken
+		c.outcome = OutcomeBroken
 		return cause
 	}
 	if cause := context.Cause(c.ctx); cause != nil {
@@ -75,15 +75,15 @@
 
 // fail ends a request with the instance's own answer.
 func (c *call) fail(err error) {
-	if c.outcome == outcomeBroken {
+	if c.outcome == OutcomeBroken {
 		return
 	}
 	if errors.Is(err, errCallerLeft) {
-		c.outcome = outcomeLeft
+		c.outcome = OutcomeLeft
 		return
 	}
 	answer := request.AnswerOf(err)
-	c.outcome, c.status, c.own = outcomeOwn, answer.Status, true
+	c.outcome, c.status, c.code = OutcomeOwn, answer.Status, answer.Code
 	c.f.Log.Info("request_refused",
 		zap.String("request_id", c.ask.ID),
 		zap.Int("status", answer.Status),
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -36,7 +36,7 @@
 			return c.refusal(err, last)
 		}
 		sent, err := c.visit(p)
-		if err == nil || c.outcome == outcomeBroken {
+		if err == nil || c.outcome == OutcomeBroken {
 			return err
 		}
 		last = err
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -74,7 +74,7 @@
 		return nil
 	}
 	v.End(roster.Left)
-	c.outcome = outcomeBroken
+	c.outcome = OutcomeBroken
 	c.cancel(errCallerLeft)
 	return errCallerLeft
 }
@@ -97,11 +97,11 @@
 		return err
 	}
 	if cause := context.Cause(c.ctx); cause != nil {
-		c.outcome = outcomeBroken
+		c.outcome = OutcomeBroken
 		return errCallerLeft
 	}
 	if !c.route.Resumable || c.ask.LastEvent == "" {
-		c.outcome = outcomeBroken
+		c.outcome = OutcomeBroken
 		return err
 	}
 	c.f.Log.Info("stream_interrupted",
