--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -191,7 +191,8 @@
 
 // reach connects to a backend server and hangs up.
 func reach(address string) error {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -60,14 +62,15 @@
 	// until it is tried again.
 	suspect    bool
 	suspectFor time.Duration
+	log        *zap.Logger
 	// reach connects to an address; nil tries nothing.
 	reach func(address string) error
 	// cut ends when the server is believed to be unreachable; requests that may move then leave it.
 	cut chan struct{}
 }
 
-func newMember(e Entry, reach func(string) error) *Member {
-	return &Member{entry: e, reach: reach, cut: make(chan struct{})}
+func newMember(e Entry, log *zap.Logger, reach func(string) error) *Member {
+	return &Member{entry: e, log: log, reach: reach, cut: make(chan struct{})}
 }
 
 // remoteLoad is the load that another instance has put on the server.
@@ -211,6 +214,7 @@
 	}
 	m.suspect = true
 	m.suspectFor = suspectMin
+	m.log.Info("server_suspected", append(fields(m.entry), zap.Int("running", m.running), zap.Time("heard", m.heardAt))...)
 	close(m.cut)
 	m.cut = make(chan struct{})
 	if m.reach != nil {
@@ -219,7 +223,12 @@
 }
 
 // trust ends a suspicion; the lock is held.
-func (m *Member) trust() { m.suspect, m.suspectFor = false, 0 }
+func (m *Member) trust() {
+	if m.suspect {
+		m.log.Info("server_trusted", fields(m.entry)...)
+	}
+	m.suspect, m.suspectFor = false, 0
+}
 
 // try connects to a suspected server, so that no request is lost on one that is still gone.
 func (m *Member) try() {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -58,7 +58,7 @@
 	}
 	m := r.members[e.ID]
 	if m == nil || m.replacedBy(e) {
-		m = newMember(e, r.Reach)
+		m = newMember(e, r.Log, r.Reach)
 		if e.Draining {
 			m.drainingSince = time.Now()
 		}
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -239,7 +239,7 @@
 func TestRefusedGoesElsewhere(t *testing.T) {
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Not-Run", "1")
-		w.WriteHeader(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	x := newFixture(t, refuse, signed(200, "second"))
 	status, body, _ := x.do(t, x.request(t, "POST", "/once/", "b"))
@@ -346,7 +346,7 @@
 func TestStreamIsResumed(t *testing.T) {
 	x := newFixture(t, events(1, 2, false), func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Last-Event-Id") != "2" {
-			w.WriteHeader(400)
+			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		events(3, 4, true)(w, r)
--- a/request/place/model_test.go
+++ b/request/place/model_test.go
@@ -18,7 +18,6 @@
 
 type modelEngine struct {
 	name    string
-	patient bool
 	down    bool
 	kept    map[string]bool
 	waiting []*modelRun
@@ -75,7 +74,7 @@
 func (m *model) place(i int, p *Prompt) *modelRun {
 	e := m.engines[i]
 	r := &modelRun{prompt: p, arrived: m.now, unread: p.Tokens, steps: p.MaxOutput}
-	for k, part := range p.Parts[:len(p.Parts)-1] {
+	for _, part := range p.Parts[:len(p.Parts)-1] {
 		if e.kept[part.ID] {
 			r.unread -= part.Tokens
 			continue
@@ -83,7 +82,6 @@
 		if m.read[part.ID] {
 			m.reread += part.Tokens
 		}
-		_ = k
 		e.kept[part.ID], m.read[part.ID] = true, true
 	}
 	e.waiting = append(e.waiting, r)
