--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -37,8 +37,8 @@
 	// silentAfter is the number of heartbeats without news after which an instance counts as silent; a link that loses a
 	// few in a hundred doesn't lose so many in a row.
 	silentAfter = 4
-	// forgottenAfter is the time after which a silent instance is no longer told anything; it is learned again from its
-	// own news.
+	// forgottenAfter is the time after which a silent instance counts as gone. Its record is removed, and a little later it is
+	// no longer told anything; it is learned again from its own news.
 	forgottenAfter = 60 * time.Second
 	// tryEvery is how often a silent instance is told something.
 	tryEvery = time.Second
@@ -63,6 +63,8 @@
 	Store   platform.Store
 	Log     *zap.Logger
 	Send    func(to netip.AddrPort, data []byte)
+	// Cleans tells whether this instance removes the records of instances that are gone; nil is never.
+	Cleans func() bool
 	// About fills in what this instance knows: its versions, whether it leaves and whether it reaches the store.
 	About func(*wire.News)
 	// Loads returns this instance's load on each backend server that changed, or on all.
@@ -103,6 +105,11 @@
 	reads      bool
 }
 
+// gone tells whether the instance wasn't heard for that long and has been known for it.
+func (p *peer) gone(now time.Time, after time.Duration) bool {
+	return now.Sub(p.heard) > after && now.Sub(p.known) > after
+}
+
 // Changed lets the loads be told soon.
 func (m *Mesh) Changed() {
 	select {
@@ -208,7 +215,7 @@
 			if now.Sub(p.told) < tryEvery {
 				continue
 			}
-			if now.Sub(p.heard) > forgottenAfter && now.Sub(p.known) > forgottenAfter {
+			if p.gone(now, forgottenAfter+2*relistEvery) {
 				delete(m.peers, name)
 				continue
 			}
@@ -364,6 +371,9 @@
 	for ctx.Err() == nil {
 		if list, err := m.Store.List(ctx, KindInstance, ""); err == nil {
 			m.learn(list.Items)
+			if m.Cleans != nil && m.Cleans() {
+				m.clean(ctx, list.Items)
+			}
 		}
 		sleep(ctx, relistEvery)
 	}
@@ -385,6 +395,22 @@
 	return err == nil
 }
 
+// clean removes the records of instances that weren't heard for so long that they are told nothing any more. One that was only
+// cut off finds the others by the store's list.
+func (m *Mesh) clean(ctx context.Context, items []wire.Object) {
+	for _, o := range items {
+		m.mu.Lock()
+		p := m.peers[o.Name]
+		gone := p != nil && p.gone(time.Now(), forgottenAfter)
+		m.mu.Unlock()
+		if !gone {
+			continue
+		}
+		err := m.Store.Delete(ctx, KindInstance, o.Name, o.Version)
+		m.Log.Info("instance_record_removed", zap.String("peer", o.Name), zap.Error(err))
+	}
+}
+
 func (m *Mesh) learn(items []wire.Object) {
 	now := time.Now()
 	m.mu.Lock()
--- a/process/mesh/mesh_test.go
+++ b/process/mesh/mesh_test.go
@@ -200,6 +200,31 @@
 	})
 }
 
+// The record of an instance that is gone is removed by one of the others; those of the living stay.
+func TestRecordsOfTheGoneAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &net{nodes: map[netip.AddrPort]*Mesh{}}
+		objects := &platformtest.Objects{}
+		a, _ := add(n, objects, "a1", "a", "10.0.0.1:1")
+		b, _ := add(n, objects, "a2", "a", "10.0.0.2:1")
+		a.Cleans = func() bool { return true }
+		gone := wire.InstanceRecord{Address: "10.0.0.9:1", Run: "x", DataCentre: "a"}
+		_, err := objects.Store("x").Create(t.Context(), KindInstance, "gone", gone)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+		defer cancel()
+		var wg sync.WaitGroup
+		for _, m := range []*Mesh{a, b} {
+			wg.Go(func() { m.Execute(ctx) })
+		}
+		wg.Wait()
+		time.Sleep(time.Minute)
+		list, err := objects.Store("x").List(t.Context(), KindInstance, "")
+		assert.NilError(t, err)
+		assert.Equal(t, len(list.Items), 2)
+	})
+}
+
 func TestFaultyNewsAreLeft(t *testing.T) {
 	m, e := add(&net{nodes: map[netip.AddrPort]*Mesh{}}, &platformtest.Objects{}, "a1", "a", "10.0.0.1:1")
 	for _, data := range []string{"", "{", `{"from":""}`, `{"from":"a1","address":"10.0.0.1:1"}`, `{"from":"b","address":"x"}`} {
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -58,6 +58,7 @@
 		{nameVersionsAge, "gauge", "seconds", nil, "Time since the versions in force were known to be the newest; -1 where they never were."},
 		{nameLeaseHeld, "gauge", "0 or 1", []string{"job"}, "1 where this instance holds its data centre's lease of the job."},
 		{nameLeaseFence, "gauge", "number", []string{"job"}, "Newest fencing number of the lease that this instance has seen."},
+		{"toucanroute_log_lines_left_out_total", "counter", "lines", nil, "Log lines of a forwarding instance that were left out, since the reader of its output was too slow."},
 		{"toucanroute_platform_calls_total", "counter", "calls", []string{"call", "result"}, "Calls to the platform. `call` is the kind, such as `object_get`; `result` is the HTTP status, or `error` without an answer."},
 		{"toucanroute_usage_reports_late_total", "counter", "reports", nil, "Usage reports sent later than one window and its grace after the window's end."},
 		{"toucanroute_usage_reports_corrected_total", "counter", "reports", nil, "Usage reports that hold corrections for earlier windows."},
