Leave servers that take connections and never answer

After a few targets without a byte from the server to anybody, it counts as failing for a while, and what may be repeated goes elsewhere.

--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -115,6 +115,7 @@
 // Visit is one request at a server.
 type Visit struct {
 	m      *Member
+	began  time.Time
 	unread int
 	ended  bool
 }
@@ -126,7 +127,7 @@
 	m.running++
 	m.unread += unread
 	m.changed = true
-	return &Visit{m: m, unread: unread}
+	return &Visit{m: m, began: time.Now(), unread: unread}
 }
 
 // Member returns the server.
@@ -142,6 +143,19 @@
 	v.m.heardAt = time.Now()
 }
 
+// Mute tells whether the server has sent nothing at all since the visit began. Others then avoid it for a while: a server that
+// takes connections and never answers looks idle.
+func (v *Visit) Mute() bool {
+	v.m.mu.Lock()
+	defer v.m.mu.Unlock()
+	if v.ended || !v.m.heardAt.Before(v.began) {
+		return false
+	}
+	v.m.log.Info("server_mute", append(fields(v.m.entry), zap.Duration("waited", time.Since(v.began)), zap.Int("running", v.m.running))...)
+	v.m.failing, v.m.failedAt = 1, time.Now()
+	return true
+}
+
 // Told notes the load that the server told in the answer to the visit.
 func (v *Visit) Told(l Load) {
 	v.m.mu.Lock()
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -369,6 +369,23 @@
 	assert.Assert(t, strings.Contains(body, "|") && !strings.Contains(body, "no"), body)
 }
 
+// A server takes connections and never answers: what may be repeated goes elsewhere, and later requests avoid it.
+func TestMuteServer(t *testing.T) {
+	x := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}, signed(200, "second"))
+	began := time.Now()
+	status, body, _ := x.do(t, x.request(t, "GET", "/repeat/", ""))
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "second")
+	assert.Assert(t, time.Since(began) < time.Second)
+	for range 5 {
+		_, body, _ = x.do(t, x.request(t, "GET", "/once/", ""))
+		assert.Equal(t, body, "second")
+	}
+}
+
 func TestServersGone(t *testing.T) {
 	x := newFixture(t)
 	status, _, _ := x.do(t, x.request(t, "POST", "/once/", "b"))
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -116,6 +116,7 @@
 var (
 	errTimeout = errors.New("the route's time is over")
 	errCut     = errors.New("the backend server can't be reached any more")
+	errMute    = errors.New("the backend server answers nothing")
 )
 
 // ServeHTTP runs one request.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -206,6 +206,12 @@
 	if c.route.MayRepeat() {
 		go cancelAtCut(ctx, cancel, member.Cut())
 	}
+	quiet := time.AfterFunc(c.quietFor(), func() {
+		if v.Mute() && c.route.MayRepeat() {
+			cancel(errMute)
+		}
+	})
+	defer quiet.Stop()
 	res, err := c.send(ctx, entry, p.fetchFrom)
 	if err != nil {
 		sent = c.lost(ctx, v, err)
@@ -216,6 +222,19 @@
 	return true, c.take(ctx, v, res)
 }
 
+const (
+	// quietTargets is the number of targets after which a server that has sent nothing to anybody counts as mute.
+	quietTargets = 2.5
+	// quietLeast and quietMost bound that time: the first is far above the usual work of a plain service, the last is twice
+	// the time in which an engine reads the longest usual prompt.
+	quietLeast = 400 * time.Millisecond
+	quietMost  = time.Second
+)
+
+func (c *call) quietFor() time.Duration {
+	return min(max(time.Duration(quietTargets*float64(c.route.Target)), quietLeast), quietMost)
+}
+
 // cancelAtCut ends an attempt whose server can't be reached any more.
 func cancelAtCut(ctx context.Context, cancel context.CancelCauseFunc, cut <-chan struct{}) {
 	select {
