Take a server for mute only if nobody hears of it; order more servers for a strained pool

Another instance's request that gets on there now counts as a sign of life. Two reclaims and a burst of 2.4 left 33 of 72 engines: a pool whose mean unread work is above 250 ms gets more servers.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/sizing"
+	"github.com/toucanroute/toucanroute/request/place"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -64,6 +65,9 @@
 	// seen and seenAt are the number of servers last seen and since when.
 	seen   map[string]int
 	seenAt map[string]time.Time
+	// strains follows the strain of each pool; wasStrained is what it told last.
+	strains     map[string]*sizing.Strain
+	wasStrained map[string]bool
 	// first tells that nothing was recorded of the pool yet: its servers are still coming in.
 	first map[string]bool
 }
@@ -93,6 +97,8 @@
 	f.first = map[string]bool{}
 	if f.seen == nil {
 		f.missing = map[orderKey]time.Time{}
+		f.strains = map[string]*sizing.Strain{}
+		f.wasStrained = map[string]bool{}
 		f.seen = map[string]int{}
 		f.seenAt = map[string]time.Time{}
 	}
@@ -130,7 +136,7 @@
 		return
 	}
 	sites := f.sites(p)
-	counts := sizing.Counts(sites, sizing.Bounds{Min: p.Scaling.Min, Max: p.Scaling.Max})
+	counts := sizing.Counts(sites, sizing.Bounds{Min: p.Scaling.Min, Max: p.Scaling.Max}, f.strained(p))
 	for i, s := range sites {
 		f.order(ctx, p, orderKey{p.Name, s.DataCentre, true}, counts[i].Cheap, s.Cheap)
 		if learned {
@@ -139,6 +145,30 @@
 	}
 }
 
+// strained tells whether the pool's servers have more work than they can do in time.
+func (f *fleet) strained(p *hostroute.Pool) bool {
+	members := f.g.roster.Serving(p.Name)
+	if p.Engine == nil || len(members) == 0 {
+		return false
+	}
+	now, unread := time.Now(), 0
+	for _, m := range members {
+		unread += m.State(now).Unread
+	}
+	s := f.strains[p.Name]
+	if s == nil {
+		s = &sizing.Strain{}
+		f.strains[p.Name] = s
+	}
+	wait := time.Duration(float64(unread) / float64(len(members)) / place.ReadRate * float64(time.Millisecond))
+	was, is := f.wasStrained[p.Name], s.Observe(wait, now)
+	if was != is {
+		f.wasStrained[p.Name] = is
+		f.g.Log.Info("pool_strained", zap.String("pool", p.Name), zap.Bool("strained", is), zap.Duration("unread", wait), zap.Int("servers", len(members)))
+	}
+	return is
+}
+
 // learn finds the number of servers that were set up: as recorded, or as seen once no more come in.
 func (f *fleet) learn(ctx context.Context, p *hostroute.Pool) bool {
 	o, err := f.g.Platform.Store.Get(ctx, kindSize, p.Name)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -91,17 +91,17 @@
 
 const (
 	// waitLeast and waitMost bound the wait of one watch. An instance that hears no other relies on its own watches alone:
-	// the least is half of the usual time within which a configuration must be in force.
+	// the least is half of the usual time within which a configuration must be in force, the most 1.5 times that.
 	waitLeast = time.Second
-	waitMost  = 10 * time.Second
-	// renewalsPerSecond is how often all instances together renew a watch, so that one of them soon sees a change that
+	waitMost  = 3 * time.Second
+	// renewalsPerSecond is how often all readers together renew a watch, so that one of them soon sees a change that
 	// waiting watches don't tell.
 	renewalsPerSecond = 4
 )
 
 // watchWait returns the wait of the next watch.
 func (g *Gateway) watchWait() time.Duration {
-	return min(max(time.Duration(g.mesh.Peers())*time.Second/renewalsPerSecond, waitLeast), waitMost)
+	return min(max(time.Duration(len(g.mesh.ReaderAddresses())+1)*time.Second/renewalsPerSecond, waitLeast), waitMost)
 }
 
 // knownObjects returns the objects of a kind that this instance can vouch for.
--- a/process/roster/remote.go
+++ b/process/roster/remote.go
@@ -46,6 +46,10 @@
 		if m.remote == nil {
 			m.remote = map[string]remoteLoad{}
 		}
+		if before := m.remote[instance]; l.R < before.running || l.U < before.unread {
+			// Another instance's request got on: the server isn't mute.
+			m.heardAt = now
+		}
 		m.remote[instance] = remoteLoad{running: l.R, unread: l.U, at: now}
 		m.mu.Unlock()
 	}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -177,3 +177,22 @@
 		assert.Equal(t, m.State(time.Now()).Position, before[m.Entry().ID])
 	}
 }
+
+// A server is mute if nobody hears of it: not while another instance's requests get on there.
+func TestMute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoster(entry("a"))
+		m := r.Serving("p")[0]
+		v := m.Begin(0)
+		r.Heard("other", []wire.NewsLoad{{S: keyOf("a"), R: 3, U: 2000}})
+		time.Sleep(time.Second)
+		r.Heard("other", []wire.NewsLoad{{S: keyOf("a"), R: 3, U: 1000}})
+		assert.Assert(t, !v.Mute())
+		time.Sleep(time.Millisecond)
+		v = m.Begin(0)
+		time.Sleep(time.Second)
+		r.Heard("other", []wire.NewsLoad{{S: keyOf("a"), R: 4, U: 3000}})
+		assert.Assert(t, v.Mute(), "more work there shows nothing")
+		assert.Assert(t, m.State(time.Now()).Failing > 0.9)
+	})
+}
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -43,18 +43,28 @@
 	totalShare = 1.4
 	// leastShare is the part of the base below which regular servers are ordered in place of cheap ones that can't be had.
 	leastShare = 0.75
+	// strainedTotal and strainedLeast take the places of totalShare and leastShare while the servers are strained: a burst
+	// of one kind of request asks for about twice the usual.
+	strainedTotal = 1.8
+	strainedLeast = 1.4
 	// settled is the part of the ordered cheap servers that must serve before regular ones are given up.
 	settled = 0.75
 )
 
 // Counts returns the number of servers of each kind for each site, in their order. It answers a steady load, a data
 // centre that loses its cheap servers at once, and cheap servers that can't be had.
-func Counts(sites []Site, b Bounds) []Count {
+//
+// Where the servers are strained, cheap and regular ones are ordered up to what a burst needs.
+func Counts(sites []Site, b Bounds, strained bool) []Count {
 	counts := make([]Count, len(sites))
+	total, least := totalShare, leastShare
+	if strained {
+		total, least = strainedTotal, strainedLeast
+	}
 	missing := 0
 	for i, s := range sites {
-		counts[i] = usual(s, b)
-		missing += int(math.Ceil(leastShare*float64(s.Base))) - counts[i].Regular - s.Cheap
+		counts[i] = usual(s, b, total)
+		missing += int(math.Ceil(least*float64(s.Base))) - counts[i].Regular - s.Cheap
 	}
 	for i, s := range sites {
 		if !s.CheapMissing && s.Cheap < int(math.Ceil(settled*float64(counts[i].Cheap))) && s.Regular > counts[i].Regular {
@@ -67,12 +77,43 @@
 }
 
 // usual returns the number of servers in a site where nothing is missing.
-func usual(s Site, b Bounds) Count {
-	total := clamp(int(math.Ceil(totalShare*float64(s.Base))), b.Min, b.Max)
+func usual(s Site, b Bounds, share float64) Count {
+	total := clamp(int(math.Ceil(share*float64(s.Base))), b.Min, b.Max)
 	regular := clamp(int(math.Round(regularShare*float64(s.Base))), 1, total)
 	return Count{Regular: regular, Cheap: total - regular}
 }
 
+const (
+	// strainedWait is the mean unread work of a server from which a pool counts as strained: the shortest usual target
+	// for a first event.
+	strainedWait = 250 * time.Millisecond
+	// strainedFor is how long a pool stays strained, so that what was ordered has started and is used.
+	strainedFor = 8 * time.Second
+	// strainAge is the time in which a past observation loses two thirds of its weight.
+	strainAge = time.Second
+)
+
+// Strain follows whether the servers of a pool have more work than they can do in time. It belongs to one goroutine.
+type Strain struct {
+	mean  float64
+	at    time.Time
+	until time.Time
+}
+
+// Observe takes the mean time that a server needs for what it has yet to read, and tells whether the pool is strained.
+func (s *Strain) Observe(wait time.Duration, now time.Time) bool {
+	if s.at.IsZero() {
+		s.at = now
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(s.at))/float64(strainAge))
+	s.mean += weight * (float64(wait) - s.mean)
+	s.at = now
+	if s.mean > float64(strainedWait) {
+		s.until = now.Add(strainedFor)
+	}
+	return now.Before(s.until)
+}
+
 // fill orders regular servers for those that are missing, the cheapest data centres first, where the cheap
 // kind can't be had.
 func fill(sites []Site, counts []Count, b Bounds, missing int) {
--- a/process/sizing/sizing_test.go
+++ b/process/sizing/sizing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -21,18 +22,18 @@
 }
 
 func TestSteadyLoad(t *testing.T) {
-	for _, c := range Counts(sites(func(int, *Site) {}), bounds) {
+	for _, c := range Counts(sites(func(int, *Site) {}), bounds, false) {
 		assert.Equal(t, c, Count{Regular: 1, Cheap: 8})
 	}
 }
 
 // Regular servers stay until the cheap ones that take their place serve.
 func TestCheapOnesAreStarting(t *testing.T) {
-	counts := Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 6, 0 }), bounds)
+	counts := Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 6, 0 }), bounds, false)
 	for _, c := range counts {
 		assert.Equal(t, c, Count{Regular: 4, Cheap: 8}, "no more than both kinds may be together")
 	}
-	counts = Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 4, 6 }), bounds)
+	counts = Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 4, 6 }), bounds, false)
 	for _, c := range counts {
 		assert.Equal(t, c, Count{Regular: 1, Cheap: 8})
 	}
@@ -49,7 +50,7 @@
 			if i == 1 {
 				s.Regular = regular
 			}
-		}), bounds)
+		}), bounds, false)
 	}
 	first := lost(1)
 	assert.Equal(t, first[1].Regular, 5)
@@ -59,9 +60,47 @@
 
 func TestBoundsHold(t *testing.T) {
 	tight := Bounds{Min: 2, Max: 3}
-	for _, c := range Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap, s.CheapMissing = 0, 0, true }), tight) {
+	for _, c := range Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap, s.CheapMissing = 0, 0, true }), tight, false) {
 		assert.Assert(t, c.Regular >= 1 && c.Regular <= 3)
 	}
-	one := Counts([]Site{{DataCentre: "a", Base: 1, Regular: 1}}, bounds)
+	one := Counts([]Site{{DataCentre: "a", Base: 1, Regular: 1}}, bounds, false)
 	assert.Assert(t, one[0].Regular >= 1)
 }
+
+// A burst beside a reclaim: the servers are strained, so that more than the base is ordered, within the bounds.
+func TestStrained(t *testing.T) {
+	list := sites(func(i int, s *Site) {
+		if i == 2 {
+			s.Cheap, s.CheapMissing = 0, true
+		}
+	})
+	counts := Counts(list, bounds, true)
+	assert.Equal(t, counts[0].Cheap, 10)
+	total := 0
+	for i, c := range counts {
+		total += c.Regular
+		cheap := c.Cheap
+		if list[i].CheapMissing {
+			cheap = list[i].Cheap
+		}
+		assert.Assert(t, c.Regular+cheap <= bounds.Max)
+	}
+	assert.Assert(t, total > 3, "regular ones stand in")
+}
+
+func TestStrainLastsForAWhile(t *testing.T) {
+	var s Strain
+	now := time.Unix(0, 0)
+	observe := func(wait time.Duration, seconds float64) (strained bool) {
+		for range int(seconds * 2) {
+			now = now.Add(500 * time.Millisecond)
+			strained = s.Observe(wait, now)
+		}
+		return strained
+	}
+	assert.Assert(t, !observe(20*time.Millisecond, 10))
+	assert.Assert(t, !observe(500*time.Millisecond, 0.5), "one look is no burst")
+	assert.Assert(t, observe(800*time.Millisecond, 2))
+	assert.Assert(t, observe(10*time.Millisecond, 5))
+	assert.Assert(t, !observe(10*time.Millisecond, 8))
+}
--- a/request/place/model_test.go
+++ b/request/place/model_test.go
@@ -104,7 +104,7 @@
 	if len(e.waiting) > 0 {
 		r := e.waiting[0]
 		n := min(r.unread, pieceTokens)
-		took += time.Duration(n) * time.Millisecond / readRate
+		took += time.Duration(n) * time.Millisecond / ReadRate
 		r.unread -= n
 		if r.unread <= 0 {
 			r.first, r.last = e.free+took, e.free+took
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -147,8 +147,8 @@
 }
 
 const (
-	// readRate is the usual reading rate of an engine in tokens a millisecond, by which targets compare with work.
-	readRate = 80
+	// ReadRate is the usual reading rate of an engine in tokens a millisecond, by which targets compare with work.
+	ReadRate = 80
 	// harmless is the part of a request's target below which a wait begins to matter less than work done twice.
 	harmless = 0.3
 )
@@ -156,7 +156,7 @@
 // weigh returns what a wait costs the request: little while it is short against the request's target, so that a patient
 // request stays where its shared parts are kept.
 func (p *Prompt) weigh(wait float64) float64 {
-	limit := harmless * readRate * float64(p.Target.Milliseconds())
+	limit := harmless * ReadRate * float64(p.Target.Milliseconds())
 	if limit <= 0 || wait >= limit {
 		return wait
 	}
