Keep missing entries only after an outage of most readers; ask peers first when they know more

Also seen in the logs: a reader that the store answers with silence waited for a call's timeout before it asked a peer; a list without changes counted as a change, so that followers asked again every 20 ms.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -102,13 +104,14 @@
 		if err != nil {
 			f.failed(err)
 			f.fallBack(ctx)
-			sleep(ctx, delays.NextBackOff())
+			pause.For(ctx, delays.NextBackOff())
 			continue
 		}
 		delays.Reset()
-		afterOutage := f.good(list.Version)
-		f.reset(list, afterOutage)
-		f.watch(ctx, list.Version)
+		f.reset(list, f.good(list.Version))
+		for f.watch(ctx) && f.fallBack(ctx) {
+			// Another instance knew something newer, and has told it.
+		}
 	}
 }
 
@@ -120,6 +123,14 @@
 	return f.Lead == nil || f.Fallback == nil || !known || f.Lead()
 }
 
+// differs tells whether the list isn't what is known; the lock is held.
+func (f *Feed) differs(items []wire.Object) bool {
+	if len(items) != len(f.objects) {
+		return true
+	}
+	return slices.ContainsFunc(items, func(o wire.Object) bool { return f.objects[o.Name].Version != o.Version })
+}
+
 // followTick is how often an instance that follows looks whether it has to lead.
 const followTick = 200 * time.Millisecond
 
@@ -143,11 +154,14 @@
 // reset takes in the whole list.
 func (f *Feed) reset(list wire.ObjectList, afterOutage bool) {
 	f.mu.Lock()
+	if f.version == 0 || f.differs(list.Items) {
+		f.changed = list.Version
+	}
 	f.objects = make(map[string]wire.Object, len(list.Items))
 	for _, o := range list.Items {
 		f.objects[o.Name] = o
 	}
-	f.version, f.changed = list.Version, list.Version
+	f.version = list.Version
 	f.mu.Unlock()
 	f.Reset(list.Items, afterOutage)
 }
@@ -173,16 +187,19 @@
 	return true
 }
 
-// watch takes in changes until the history is gone or a call fails.
-func (f *Feed) watch(ctx context.Context, from int) {
+// watch takes in changes until the history is gone or a call fails. It tells true where another instance knows newer ones.
+func (f *Feed) watch(ctx context.Context) (woken bool) {
 	for ctx.Err() == nil && f.leads() {
+		f.mu.Lock()
+		from := f.version
+		f.mu.Unlock()
 		events, err := f.call(ctx, from)
 		if errors.As(err, &errWoken{}) {
-			return
+			return true
 		}
 		if err != nil {
 			f.failed(err)
-			return
+			return false
 		}
 		f.mu.Lock()
 		f.answered = time.Now()
@@ -203,9 +220,10 @@
 			f.Event(e)
 		}
 		if len(events.Events) > 0 {
-			sleep(ctx, f.Pause)
+			pause.For(ctx, f.Pause)
 		}
 	}
+	return false
 }
 
 // errWoken tells that the feed was asked to list anew.
@@ -263,12 +281,3 @@
 		f.Log.Info("store_lost", zap.String("kind", f.Kind), zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/sizing"
 	"github.com/toucanroute/toucanroute/request/place"
@@ -86,7 +87,7 @@
 				f.step(ctx, &table.Pools()[i])
 			}
 		}
-		sleep(ctx, sizeInterval)
+		pause.For(ctx, sizeInterval)
 	}
 }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/toucanroute/toucanroute/process/lease"
 	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/metrics"
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/roster"
 	"github.com/toucanroute/toucanroute/process/tally"
@@ -79,7 +80,9 @@
 	newerConfig  chan struct{}
 	newerServers chan struct{}
 	// behind is since when another instance knows newer servers; it belongs to the goroutine that takes news.
-	behind  time.Time
+	behind time.Time
+	// asked is when the servers were last read anew for that; it belongs to the same goroutine.
+	asked   time.Time
 	lease   *lease.Lease
 	leaving atomic.Bool
 	// configured is closed once a configuration is in force.
@@ -287,17 +290,8 @@
 		return
 	}
 	callers.BeginDrain()
-	sleep(ctx, leaveCheck)
+	pause.For(ctx, leaveCheck)
 	err := callers.Drain(ctx)
 	g.Log.Info("instance_drained", zap.Duration("took", time.Since(started)), zap.Int64("running", callers.Running()), zap.Error(err))
 	_ = g.counter.Write(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -48,6 +48,9 @@
 	n.StoreOut = g.configs.Out() || g.servers.Out()
 }
 
+// askEvery is the least time between two reads for what another instance told: a third of what is waited for a watch.
+const askEvery = behindFor / 3
+
 // behindFor is how long another instance may know a newer change of the backend servers before they are read anew; an
 // answer of the own watch is usually there before.
 const behindFor = 300 * time.Millisecond
@@ -65,6 +68,9 @@
 	if g.behind.IsZero() {
 		g.behind = time.Now()
 	}
+	if time.Since(g.asked) < askEvery {
+		return
+	}
 	patience := behindFor
 	if !n.Reads {
 		// What an instance that reads tells will be asked of it; others only repeat it.
@@ -74,7 +80,7 @@
 		patience = 0
 	}
 	if time.Since(g.behind) >= patience && notify(g.newerServers) {
-		g.behind = time.Time{}
+		g.behind, g.asked = time.Time{}, time.Now()
 		g.Log.Info("servers_newer_elsewhere", zap.String("peer", n.From), zap.Int("version", n.Servers), zap.Int("own", own))
 	}
 }
--- a/process/lease/history_test.go
+++ b/process/lease/history_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/platform/platformtest"
 	"github.com/toucanroute/toucanroute/wire"
@@ -144,7 +145,7 @@
 				if fence, _, held := l.Held(); held {
 					r.add(instances+i, operation{fence: fence}, r.now(), r.now())
 				}
-				sleep(ctx, 50*time.Millisecond)
+				pause.For(ctx, 50*time.Millisecond)
 			}
 		})
 	}
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -216,47 +217,16 @@
 	return max(0, l.uncertain-l.Now())
 }
 
-// HolderRun returns the run of the process that held the lease when it was last read; empty is none.
-func (l *Lease) HolderRun() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.record.Released {
-		return ""
-	}
-	return l.record.Run
-}
-
-// Status returns the lease as this instance last saw it.
-func (l *Lease) Status() wire.LeaseStatus {
-	_, _, held := l.Held()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	status := wire.LeaseStatus{DataCentre: l.DataCentre, Job: l.Job, Holder: l.record.Holder, Fence: l.record.Fence, HeldHere: held}
-	if l.record.Released {
-		status.Holder = ""
-	}
-	return status
-}
-
 // Run takes and renews the lease until ctx ends; then it releases the lease.
 func (l *Lease) Run(ctx context.Context) {
 	l.setDefaults()
 	for ctx.Err() == nil {
 		wait := l.step(ctx)
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	l.release(context.WithoutCancel(ctx))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // step does the next thing and returns the time until the following one.
 func (l *Lease) step(ctx context.Context) time.Duration {
 	if _, _, held := l.Held(); held {
--- /dev/null
+++ b/process/mesh/discover.go
@@ -0,0 +1,85 @@
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/pause"
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// discover records where this instance takes news and learns where the others do.
+func (m *Mesh) discover(ctx context.Context) {
+	for !m.record(ctx) {
+		pause.For(ctx, tryEvery)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	for ctx.Err() == nil {
+		if list, err := m.Store.List(ctx, KindInstance, ""); err == nil {
+			m.learn(list.Items)
+			if m.Cleans != nil && m.Cleans() {
+				m.clean(ctx, list.Items)
+			}
+		}
+		pause.For(ctx, relistEvery)
+	}
+}
+
+// record writes this instance's address over that of its earlier process.
+func (m *Mesh) record(ctx context.Context) bool {
+	record := wire.InstanceRecord{Address: m.Address, Run: m.Run, DataCentre: m.DataCentre}
+	_, err := m.Store.Create(ctx, KindInstance, m.Instance, record)
+	if platform.IsErrConflict(err) {
+		var o wire.Object
+		if o, err = m.Store.Get(ctx, KindInstance, m.Instance); err == nil {
+			_, err = m.Store.Update(ctx, KindInstance, m.Instance, o.Version, record)
+		}
+	}
+	if err != nil {
+		m.Log.Info("instance_not_recorded", zap.Error(err))
+	}
+	return err == nil
+}
+
+// clean removes the records of instances that weren't heard for so long that they are told nothing any more. One that was only
+// cut off finds the others by the store's list.
+func (m *Mesh) clean(ctx context.Context, items []wire.Object) {
+	for _, o := range items {
+		m.mu.Lock()
+		p := m.peers[o.Name]
+		gone := p != nil && p.gone(time.Now(), forgottenAfter)
+		m.mu.Unlock()
+		if !gone {
+			continue
+		}
+		err := m.Store.Delete(ctx, KindInstance, o.Name, o.Version)
+		m.Log.Info("instance_record_removed", zap.String("peer", o.Name), zap.Error(err))
+	}
+}
+
+func (m *Mesh) learn(items []wire.Object) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil {
+		m.peers = map[string]*peer{}
+	}
+	for _, o := range items {
+		record, err := platform.Decode[wire.InstanceRecord](o)
+		if err != nil || o.Name == m.Instance || m.peers[o.Name] != nil {
+			continue
+		}
+		address, err := netip.ParseAddrPort(record.Address)
+		if err != nil {
+			m.Log.Info("instance_record_rejected", zap.String("peer", o.Name), zap.Error(err))
+			continue
+		}
+		m.peers[o.Name] = &peer{dataCentre: record.DataCentre, address: address, known: now}
+	}
+}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -7,14 +7,13 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -87,8 +86,6 @@
 	// doubted holds the data centres that were reported to Doubt.
 	doubted map[string]bool
 	changed chan struct{}
-	// outAt is when an instance last told that it can't reach the store.
-	outAt time.Time
 }
 
 // peer is another instance.
@@ -103,6 +100,8 @@
 	leaving    bool
 	storeOut   bool
 	reads      bool
+	// outAt is when the instance last told that it can't reach the store.
+	outAt time.Time
 }
 
 // gone tells whether the instance wasn't heard for that long and has been known for it.
@@ -137,7 +136,7 @@
 		case <-ctx.Done():
 			return
 		case <-wake:
-			sleep(ctx, m.interval()-time.Since(sent))
+			pause.For(ctx, m.interval()-time.Since(sent))
 		case <-time.After(max(heartbeat, m.interval()) - time.Since(sent)):
 		}
 		now := time.Now()
@@ -155,18 +154,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // interval returns the least time between two news.
 func (m *Mesh) interval() time.Duration {
 	m.mu.Lock()
@@ -257,64 +244,6 @@
 	}
 }
 
-// keepers returns the instances that keep this one's counts: the readers of the own data centre and one of another, so that
-// losing a data centre doesn't lose all copies.
-func (m *Mesh) keepers(now time.Time) []netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var near, far []netip.AddrPort
-	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-		p := m.peers[name]
-		switch {
-		case now.Sub(p.heard) > m.silence() || !p.reads:
-		case p.dataCentre == m.DataCentre:
-			near = append(near, p.address)
-		case len(far) == 0:
-			far = append(far, p.address)
-		}
-	}
-	return append(near, far...)
-}
-
-// IsReader tells whether this instance reads and writes the store for its data centre: the first ones there by name that are
-// heard and reach the store.
-func (m *Mesh) IsReader() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	before := 0
-	for name, p := range m.peers {
-		if name < m.Instance && p.dataCentre == m.DataCentre && time.Since(p.heard) <= m.silence() && !p.storeOut && !p.leaving {
-			before++
-		}
-	}
-	return before < Readers
-}
-
-// ReaderAddresses returns the addresses of the instances that read the store, those of the own data centre first.
-func (m *Mesh) ReaderAddresses() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var near, far []string
-	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-		p := m.peers[name]
-		switch {
-		case time.Since(p.heard) > m.silence() || !p.reads || p.storeOut:
-		case p.dataCentre == m.DataCentre:
-			near = append(near, p.address.String())
-		default:
-			far = append(far, p.address.String())
-		}
-	}
-	return append(near, far...)
-}
-
-// OutWithin tells whether an instance was out of reach of the store within that time.
-func (m *Mesh) OutWithin(d time.Duration) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return !m.outAt.IsZero() && time.Since(m.outAt) < d
-}
-
 // Take takes another instance's news.
 func (m *Mesh) Take(data []byte) {
 	var news wire.News
@@ -356,79 +285,7 @@
 	p.heard = time.Now()
 	p.storeOut, p.reads = news.StoreOut, news.Reads
 	if news.StoreOut {
-		m.outAt = p.heard
-	}
-}
-
-// discover records where this instance takes news and learns where the others do.
-func (m *Mesh) discover(ctx context.Context) {
-	for !m.record(ctx) {
-		sleep(ctx, tryEvery)
-		if ctx.Err() != nil {
-			return
-		}
-	}
-	for ctx.Err() == nil {
-		if list, err := m.Store.List(ctx, KindInstance, ""); err == nil {
-			m.learn(list.Items)
-			if m.Cleans != nil && m.Cleans() {
-				m.clean(ctx, list.Items)
-			}
-		}
-		sleep(ctx, relistEvery)
-	}
-}
-
-// record writes this instance's address over that of its earlier process.
-func (m *Mesh) record(ctx context.Context) bool {
-	record := wire.InstanceRecord{Address: m.Address, Run: m.Run, DataCentre: m.DataCentre}
-	_, err := m.Store.Create(ctx, KindInstance, m.Instance, record)
-	if platform.IsErrConflict(err) {
-		var o wire.Object
-		if o, err = m.Store.Get(ctx, KindInstance, m.Instance); err == nil {
-			_, err = m.Store.Update(ctx, KindInstance, m.Instance, o.Version, record)
-		}
-	}
-	if err != nil {
-		m.Log.Info("instance_not_recorded", zap.Error(err))
-	}
-	return err == nil
-}
-
-// clean removes the records of instances that weren't heard for so long that they are told nothing any more. One that was only
-// cut off finds the others by the store's list.
-func (m *Mesh) clean(ctx context.Context, items []wire.Object) {
-	for _, o := range items {
-		m.mu.Lock()
-		p := m.peers[o.Name]
-		gone := p != nil && p.gone(time.Now(), forgottenAfter)
-		m.mu.Unlock()
-		if !gone {
-			continue
-		}
-		err := m.Store.Delete(ctx, KindInstance, o.Name, o.Version)
-		m.Log.Info("instance_record_removed", zap.String("peer", o.Name), zap.Error(err))
-	}
-}
-
-func (m *Mesh) learn(items []wire.Object) {
-	now := time.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.peers == nil {
-		m.peers = map[string]*peer{}
-	}
-	for _, o := range items {
-		record, err := platform.Decode[wire.InstanceRecord](o)
-		if err != nil || o.Name == m.Instance || m.peers[o.Name] != nil {
-			continue
-		}
-		address, err := netip.ParseAddrPort(record.Address)
-		if err != nil {
-			m.Log.Info("instance_record_rejected", zap.String("peer", o.Name), zap.Error(err))
-			continue
-		}
-		m.peers[o.Name] = &peer{dataCentre: record.DataCentre, address: address, known: now}
+		p.outAt = p.heard
 	}
 }
 
@@ -473,41 +330,3 @@
 		m.Trust(dc)
 	}
 }
-
-// Writes tells whether a run is alive and reaches the store.
-func (m *Mesh) Writes(run string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.byRun(run)
-	return p != nil && time.Since(p.heard) <= m.silence() && !p.storeOut
-}
-
-// byRun returns the instance of a run, nil where another run or none is known; the lock is held.
-func (m *Mesh) byRun(run string) *peer {
-	for _, p := range m.peers {
-		if p.run == run {
-			return p
-		}
-	}
-	return nil
-}
-
-// Instances returns the number of instances that are known, also silent ones, this one included.
-func (m *Mesh) Instances() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.peers) + 1
-}
-
-// Peers returns the number of other instances that are heard.
-func (m *Mesh) Peers() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 0
-	for _, p := range m.peers {
-		if time.Since(p.heard) <= m.silence() {
-			n++
-		}
-	}
-	return n
-}
--- a/process/mesh/mesh_test.go
+++ b/process/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,8 @@
 	version int
 	loads   map[string][]wire.NewsLoad
 	kept    map[string]bool
+	// out makes the instance tell that it can't reach the store.
+	out atomic.Bool
 }
 
 func (e *events) doubts(dc string) bool {
@@ -96,7 +99,7 @@
 			delete(e.doubted, dc)
 		},
 	}
-	m.About = func(news *wire.News) { news.Version, news.Reads = 7, m.IsReader() }
+	m.About = func(news *wire.News) { news.Version, news.Reads, news.StoreOut = 7, m.IsReader(), e.out.Load() }
 	m.Send = n.send(m)
 	n.nodes[netip.MustParseAddrPort(address)] = m
 	return m, e
@@ -189,6 +192,22 @@
 	})
 }
 
+// The store turns one reader away: that is no outage, so that entries that are missing elsewhere are gone. All readers away is.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, meshes, told, stop := started(t)
+		told[0].out.Store(true)
+		time.Sleep(time.Second)
+		assert.Assert(t, !meshes[2].OutWithin(5*time.Second))
+		for _, i := range []int{1, 3, 4} {
+			told[i].out.Store(true)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, meshes[2].OutWithin(5*time.Second))
+		stop()
+	})
+}
+
 func TestReaderIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, meshes, _, stop := started(t)
--- /dev/null
+++ b/process/mesh/readers.go
@@ -0,0 +1,115 @@
+package mesh
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// keepers returns the instances that keep this one's counts: the readers of the own data centre and one of another, so that
+// losing a data centre doesn't lose all copies.
+func (m *Mesh) keepers(now time.Time) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []netip.AddrPort
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[name]
+		switch {
+		case now.Sub(p.heard) > m.silence() || !p.reads:
+		case p.dataCentre == m.DataCentre:
+			near = append(near, p.address)
+		case len(far) == 0:
+			far = append(far, p.address)
+		}
+	}
+	return append(near, far...)
+}
+
+// IsReader tells whether this instance reads and writes the store for its data centre: the first ones there by name that are
+// heard and reach the store.
+func (m *Mesh) IsReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := 0
+	for name, p := range m.peers {
+		if name < m.Instance && p.dataCentre == m.DataCentre && time.Since(p.heard) <= m.silence() && !p.storeOut && !p.leaving {
+			before++
+		}
+	}
+	return before < Readers
+}
+
+// ReaderAddresses returns the addresses of the instances that read the store, those of the own data centre first.
+func (m *Mesh) ReaderAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []string
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[name]
+		switch {
+		case time.Since(p.heard) > m.silence() || !p.reads || p.storeOut:
+		case p.dataCentre == m.DataCentre:
+			near = append(near, p.address.String())
+		default:
+			far = append(far, p.address.String())
+		}
+	}
+	return append(near, far...)
+}
+
+// OutWithin tells whether at least half of the instances that read the store couldn't reach it within that time. A store that
+// turns single instances away is no outage.
+func (m *Mesh) OutWithin(d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	readers, out := 0, 0
+	for _, p := range m.peers {
+		recently := !p.outAt.IsZero() && time.Since(p.outAt) < d
+		if recently || p.reads && time.Since(p.heard) <= m.silence() {
+			readers++
+		}
+		if recently {
+			out++
+		}
+	}
+	return out > 0 && 2*out >= readers
+}
+
+// Writes tells whether a run is alive and reaches the store.
+func (m *Mesh) Writes(run string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.byRun(run)
+	return p != nil && time.Since(p.heard) <= m.silence() && !p.storeOut
+}
+
+// byRun returns the instance of a run, nil where another run or none is known; the lock is held.
+func (m *Mesh) byRun(run string) *peer {
+	for _, p := range m.peers {
+		if p.run == run {
+			return p
+		}
+	}
+	return nil
+}
+
+// Instances returns the number of instances that are known, also silent ones, this one included.
+func (m *Mesh) Instances() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
+
+// Peers returns the number of other instances that are heard.
+func (m *Mesh) Peers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, p := range m.peers {
+		if time.Since(p.heard) <= m.silence() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/process/pause/pause_test.go
@@ -0,0 +1,23 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		For(t.Context(), time.Second)
+		assert.Equal(t, time.Since(began), time.Second)
+		For(t.Context(), -time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		For(ctx, time.Hour)
+		assert.Equal(t, time.Since(began), 2*time.Second)
+	})
+}
--- a/process/tally/reporter.go
+++ b/process/tally/reporter.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -55,7 +56,7 @@
 				r.Log.Info("usage_step_failed", zap.Int("fence", fence), zap.Error(err))
 			}
 		}
-		sleep(ctx, pollInterval)
+		pause.For(ctx, pollInterval)
 	}
 }
 
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/pause"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -132,22 +133,13 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		next := Start(now, c.Window).Add(c.Window + settle)
-		sleep(ctx, next.Sub(now))
+		pause.For(ctx, next.Sub(now))
 		for ctx.Err() == nil && c.Writes() && c.Write(ctx) != nil {
-			sleep(ctx, writeRetry)
+			pause.For(ctx, writeRetry)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Write stores the counts as they are known now. Only this run writes its object, so a version that another write of its own
 // has raised is taken over.
 func (c *Counter) Write(ctx context.Context) error {
--- a/request/forward/refuse.go
+++ b/request/forward/refuse.go
@@ -90,7 +90,7 @@
 		zap.String("code", answer.Code),
 		zap.Bool("not_run", answer.NotRun),
 		zap.Duration("retry_after", answer.RetryAfter),
-		zap.NamedError("cause", answer.Cause),
+		zap.Error(answer.Cause),
 	)
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -206,8 +206,9 @@
 	if c.route.MayRepeat() {
 		go cancelAtCut(ctx, cancel, member.Cut())
 	}
+	mayMove := c.route.MayRepeat() && c.mayRepeatFailure()
 	quiet := time.AfterFunc(c.quietFor(), func() {
-		if v.Mute() && c.route.MayRepeat() {
+		if v.Mute() && mayMove {
 			cancel(errMute)
 		}
 	})
--- a/scenario/pages_test.go
+++ b/scenario/pages_test.go
@@ -77,9 +77,10 @@
 	return regexp.MustCompile(call).MatchString(scripts)
 }
 
-// TestEventsAreListed fails for an event of the daemon's log that OPERATING.md doesn't list.
+// TestEventsAreListed fails for an event of the daemon's log that neither OPERATING.md nor, for the daemon's forwarding form,
+// OPERATIONS.md lists.
 func TestEventsAreListed(t *testing.T) {
-	page := readAll(t, "../docs/OPERATING.md")
+	page := readAll(t, "../docs/OPERATING.md") + readAll(t, "../docs/OPERATIONS.md")
 	event := regexp.MustCompile(`(?:Info|Warn|Error|logOrder)\("([a-z_]+)"`)
 	n := 0
 	for _, dir := range []string{"cmd", "connection", "process", "request"} {
