Release a lease whose renewal was cut off by the stop

The release is written over the holder's own renewal; TestReleaseAfterAnInterruptedRenewal fails without it.

--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -458,6 +458,10 @@
 	defer cancel()
 	record.Released = true
 	obj, err := l.write(ctx, seen, record)
+	var conflict platform.ErrConflict
+	if errors.As(err, &conflict) && l.isOwnRenewal(conflict.Current, record.Fence) {
+		obj, err = l.write(ctx, conflict.Current, record)
+	}
 	if err != nil {
 		l.Log.Warn("lease_release_failed", l.fields(zap.Int("fence", record.Fence), zap.Error(err))...)
 		return
@@ -466,6 +470,12 @@
 	l.Log.Info("lease_released", l.fields(zap.Int("fence", record.Fence))...)
 }
 
+// isOwnRenewal tells whether the stored object is a renewal of this run that the stop cut off before its answer came.
+func (l *Lease) isOwnRenewal(stored wire.Object, fence int) bool {
+	record, err := platform.Decode[wire.LeaseRecord](stored)
+	return err == nil && l.mine(record) && record.Fence == fence && !record.Released
+}
+
 func (l *Lease) fields(more ...zap.Field) []zap.Field {
 	return append([]zap.Field{zap.String("data_centre", l.DataCentre), zap.String("job", l.Job), zap.String("holder", l.Holder)}, more...)
 }
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -59,6 +59,32 @@
 	})
 }
 
+// The holder is stopped while a renewal is under way: the store has it, the answer doesn't come. The lease is released all the
+// same.
+func TestReleaseAfterAnInterruptedRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var slow atomic.Bool
+		api := &platformtest.Objects{Decide: func(c platformtest.Call) platformtest.Fault {
+			if slow.Load() && c.Instance == "a" && c.IsWrite() {
+				return platformtest.Fault{After: 500 * time.Millisecond}
+			}
+			return platformtest.Fault{}
+		}}
+		a, b := newLease(api, "a"), newLease(api, "b")
+		actx, stopA := context.WithCancel(t.Context())
+		go a.Run(actx)
+		waitHeld(t, a, time.Second)
+		go b.Run(t.Context())
+		time.Sleep(time.Second)
+		slow.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		stopA()
+		synctest.Wait()
+		slow.Store(false)
+		waitHeld(t, b, 2*pollInterval)
+	})
+}
+
 func TestTakerWaitsOutALostHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		api := &platformtest.Objects{}
