State durations in the platform's units; take out what nothing uses

Cause: a bound with a fraction would have become a wrong number of milliseconds in the filled-in settings, and one that a deployment doesn't name an invalid file; three settings, a hook for admission, a field and a lookup had no user. Callers that all servers refuse are told to come back after half a second in place of 50 ms.

--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -47,7 +47,7 @@
 	return g.lease.Do(fence, func() error {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		window := ms(g.Settings.Forwarding.UsageWindowMs)
+		window := seconds(g.Settings.Forwarding.UsageWindowS)
 		return g.Platform.ReportUsage(ctx, fence, start, window, counts, func() error { return g.lease.CheckFence(fence) })
 	})
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -136,7 +136,9 @@
 	return err
 }
 
-func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // memoryShare is the part of the permitted memory from which the runtime collects garbage more often.
 const memoryShare = 0.7
@@ -166,14 +168,14 @@
 		IDHeader: g.Platform.Headers.ID, SkipOthers: true, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
 	}
 	g.counter = &tally.Counter{
-		Run: g.run, DataCentre: g.Settings.DataCentre, Window: ms(set.UsageWindowMs), Store: g.Platform.Store, Log: g.Log,
+		Run: g.run, DataCentre: g.Settings.DataCentre, Window: seconds(set.UsageWindowS), Store: g.Platform.Store, Log: g.Log,
 		Writes: func() bool { return g.mesh.IsReader() },
 	}
 	g.buildMesh()
 	g.configs, g.servers = g.configFeed(), g.serverFeed()
 	g.lease = g.newLease()
 	g.reporter = &tally.Reporter{
-		Window: ms(set.UsageWindowMs), Delay: ms(set.UsageDelayMs), Store: g.Platform.Store, Log: g.Log,
+		Window: seconds(set.UsageWindowS), Delay: seconds(set.UsageDelayS), Store: g.Platform.Store, Log: g.Log,
 		Held:   g.held,
 		Report: g.reportUsage,
 	}
@@ -239,7 +241,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[pool]
 	if b == nil {
-		b = &attempt.Window{Length: ms(set.RetryWindowMs), Ratio: set.RetryRatio * ratioShare, Extra: g.extraShare}
+		b = &attempt.Window{Length: seconds(set.RetryWindowS), Ratio: set.RetryRatio * ratioShare, Extra: g.extraShare}
 		g.budgets[pool] = b
 	}
 	return b
@@ -267,7 +269,7 @@
 
 // extraShare returns this instance's part of the fixed number of further attempts.
 func (g *Gateway) extraShare() float64 {
-	return float64(g.limits.Load().RetryExtra) / float64(max(g.mesh.Instances(), instancesLeast))
+	return g.limits.Load().RetryExtra / float64(max(g.mesh.Instances(), instancesLeast))
 }
 
 const (
@@ -283,7 +285,7 @@
 	g.leaving.Store(true)
 	started := time.Now()
 	g.Log.Info("instance_leaving", zap.String("instance", g.Settings.Instance))
-	ctx, cancel := context.WithDeadline(ctx, started.Add(ms(g.limits.Load().ShutdownMs)-leaveMargin))
+	ctx, cancel := context.WithDeadline(ctx, started.Add(seconds(g.limits.Load().ShutdownS)-leaveMargin))
 	defer cancel()
 	callers := g.callers.Load()
 	if callers == nil {
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -32,8 +32,6 @@
 	Mix func(pool string) *place.Mix
 	// Began is called once for each request that a backend server began to run.
 	Began func(workspace string, at time.Time)
-	// Admit decides whether a request may go to a server of the pool now; nil lets all.
-	Admit func(a Arrival) error
 	// DataCentre is the instance's own.
 	DataCentre string
 	// Placed is called when this instance's load on a server has changed; it may be nil.
@@ -42,22 +40,6 @@
 	Observe func(Summary)
 }
 
-// Arrival is a request that asks for a backend server.
-type Arrival struct {
-	Pool   *hostroute.Pool
-	Route  *hostroute.Route
-	Rank   int
-	Prompt *place.Prompt
-	// Cost is the expected time until the prompt is read, in tokens of reading.
-	Cost float64
-	// Candidates are the servers that it could go to.
-	Candidates []place.Candidate
-	// Left is the time until the request's target, from its arrival on.
-	Left time.Duration
-	// Attempt counts the servers that it went to before.
-	Attempt int
-}
-
 // Summary is the end of one request.
 type Summary struct {
 	// Route is empty where none was found.
--- a/request/forward/refuse.go
+++ b/request/forward/refuse.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// retryFull is when to come back where all servers that were asked are full: about the time in which an engine reads
+	// what stands in a full line.
+	retryFull = 500 * time.Millisecond
 	// retrySoon is when to come back where another instance or server can serve the request at once.
 	retrySoon = 50 * time.Millisecond
 	// retryStarting is when to come back to an instance that has no configuration yet: the usual time of one list call.
@@ -45,9 +48,13 @@
 		return c.ended(cause)
 	}
 	if c.ran == 0 {
+		retryAfter := retrySoon
+		if errors.Is(cause, errRefused) {
+			retryAfter = retryFull
+		}
 		return request.ErrAnswer{
 			Status: http.StatusServiceUnavailable, Code: request.CodeNoServer, Message: "no backend server took the request",
-			NotRun: true, RetryAfter: retrySoon, Cause: cause,
+			NotRun: true, RetryAfter: retryAfter, Cause: cause,
 		}
 	}
 	return request.ErrAnswer{
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -112,15 +112,6 @@
 	} else {
 		choice = place.Service(c.ask.ID, candidates)
 	}
-	if c.f.Admit != nil {
-		a := Arrival{
-			Pool: c.pool, Route: c.route, Rank: c.rank, Prompt: c.ask.Prompt, Cost: choice.Cost, Candidates: candidates,
-			Left: c.route.Target - time.Since(c.arrived), Attempt: c.sends,
-		}
-		if err := c.f.Admit(a); err != nil {
-			return placed{}, err
-		}
-	}
 	c.fetched = ""
 	p := placed{visit: members[choice.Index].Begin(unread)}
 	if c.pool.Engine != nil && c.ask.Prompt != nil {
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -69,8 +69,6 @@
 	Failing float64
 	// Slow is the server's recent time to answer against that of its pool; 1 is usual, 0 unknown.
 	Slow float64
-	// Leaving is the time until the server is gone; 0 is unknown or not leaving.
-	Leaving time.Duration
 	// Near tells that the server is in the instance's own data centre.
 	Near bool
 	// Patient tells that the server is one of those for patient requests.
--- a/version/hostroute/table.go
+++ b/version/hostroute/table.go
@@ -130,11 +130,6 @@
 	return w, ok
 }
 
-// Serves tells whether a route sends requests to the pool.
-func (t *Table) Serves(r *Route, pool string) bool {
-	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == pool && s.Weight > 0 })
-}
-
 // level is the urgency of a request: that of its workspace first, then that of its route.
 type level struct {
 	workspace, route int
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -41,48 +41,37 @@
 // SettingsForwarding makes the daemon forward requests by host and path, with
 // configuration and backend servers read from the platform's store.
 type SettingsForwarding struct {
-	// Milliseconds within which a configuration must be in force.
-	ApplyMs int `json:"apply_ms"`
-
-	// Milliseconds after its last use for which a cached part of a prompt is worth
-	// keeping.
-	CacheMs float64 `json:"cache_ms"`
-
 	// Names of all data centres of the deployment.
 	DataCentres []string `json:"data_centres"`
 
-	// Milliseconds for which a backend server still takes requests after it has
-	// announced that it leaves.
-	DrainMs int `json:"drain_ms"`
-
 	// Interval in milliseconds at which backend servers renew their entries.
-	HeartbeatMs int `json:"heartbeat_ms"`
+	HeartbeatMs float64 `json:"heartbeat_ms"`
 
 	// Milliseconds for which the holder of the duties keeps them after its last
 	// renewal.
-	LeaseMs int `json:"lease_ms"`
+	LeaseMs float64 `json:"lease_ms"`
 
 	// Memory in megabytes that the process may use.
 	MemoryMb int `json:"memory_mb"`
 
 	// Further attempts of all instances together in a window beside the share.
-	RetryExtra int `json:"retry_extra"`
+	RetryExtra float64 `json:"retry_extra"`
 
 	// Further attempts of all instances together, as a share of the requests in a
 	// window.
 	RetryRatio float64 `json:"retry_ratio"`
 
-	// Length in milliseconds of the window of the retry budget.
-	RetryWindowMs int `json:"retry_window_ms"`
+	// Length in seconds of the window of the retry budget.
+	RetryWindowS float64 `json:"retry_window_s"`
 
-	// Milliseconds from SIGTERM to SIGKILL.
-	ShutdownMs int `json:"shutdown_ms"`
+	// Seconds from SIGTERM to SIGKILL.
+	ShutdownS float64 `json:"shutdown_s"`
 
-	// Milliseconds after the end of a window within which its report is due.
-	UsageDelayMs int `json:"usage_delay_ms"`
+	// Seconds after the end of a window within which its report is due.
+	UsageDelayS float64 `json:"usage_delay_s"`
 
-	// Length in milliseconds of a window of usage.
-	UsageWindowMs int `json:"usage_window_ms"`
+	// Length in seconds of a window of usage.
+	UsageWindowS float64 `json:"usage_window_s"`
 }
 
 // SettingsListen gives the addresses on which the daemon listens. Without TLS,
