Take a request's length before its buffer is handed to the writer

Seen once in two runs of the whole script, by the race detector; the length only served to tell whether anything was sent.

--- a/connection/upstream/dial.go
+++ b/connection/upstream/dial.go
@@ -39,10 +39,12 @@
 // send writes a request. A long one goes on being written while the answer is read; its error then shows there.
 func (c *conn) send(buf *bytes.Buffer) (int, error) {
 	c.sending = nil
-	if buf.Len() <= inlineBytes {
+	n := buf.Len()
+	if n <= inlineBytes {
 		defer buffers.Put(buf)
 		return c.Write(buf.Bytes())
 	}
+	// From here on the buffer is the writer's, which gives it back.
 	done := make(chan error, 1)
 	c.sending = done
 	go func() {
@@ -50,7 +52,7 @@
 		buffers.Put(buf)
 		done <- err
 	}()
-	return buf.Len(), nil
+	return n, nil
 }
 
 // sent tells whether the whole request was written.
