--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -168,7 +168,7 @@
 		IDHeader: g.Platform.Headers.ID, SkipOthers: true, DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout,
 	}
 	g.counter = &tally.Counter{
-		Run: g.run, DataCentre: g.Settings.DataCentre, Window: seconds(set.UsageWindowS), Store: g.Platform.Store, Log: g.Log,
+		Run: g.run, DataCentre: g.Settings.DataCentre, Window: seconds(set.UsageWindowS), Delay: seconds(set.UsageDelayS), Store: g.Platform.Store, Log: g.Log,
 		Writes: func() bool { return g.mesh.IsReader() },
 	}
 	g.buildMesh()
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -32,8 +32,8 @@
 )
 
 const (
-	// keptWindows is the number of windows in an object; a report is due within two windows' time.
-	keptWindows = 5
+	// keptDelays is the time for which counts are kept, in delays within which a report is due, beside the window itself.
+	keptDelays = 2
 	// settle is how long after a window's end its counts are written: copies of other runs' counts are told every half
 	// second.
 	settle = 900 * time.Millisecond
@@ -53,8 +53,10 @@
 	Run        string
 	DataCentre string
 	Window     time.Duration
-	Store      platform.Store
-	Log        *zap.Logger
+	// Delay is the time after a window's end within which its report is due.
+	Delay time.Duration
+	Store platform.Store
+	Log   *zap.Logger
 	// Writes tells whether this instance writes the counts that it knows.
 	Writes func() bool
 
@@ -173,7 +175,7 @@
 
 // record returns what is known of the last windows and forgets older ones.
 func (c *Counter) record(now time.Time) (wire.CountsRecord, int) {
-	oldest := Start(now, c.Window).Add(-keptWindows * c.Window).UnixMilli()
+	oldest := Start(now.Add(-c.Window-keptDelays*c.Delay), c.Window).UnixMilli()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := wire.CountsRecord{WrittenMs: int(now.UnixMilli()), DataCentre: c.DataCentre, Runs: []wire.CountsRun{}}
--- a/process/tally/tally_test.go
+++ b/process/tally/tally_test.go
@@ -47,7 +47,7 @@
 }
 
 func newCounter(store platform.Store, run, dc string, writes bool) *Counter {
-	return &Counter{Run: run, DataCentre: dc, Window: window, Store: store, Log: zap.NewNop(), Writes: func() bool { return writes }}
+	return &Counter{Run: run, DataCentre: dc, Window: window, Delay: delay, Store: store, Log: zap.NewNop(), Writes: func() bool { return writes }}
 }
 
 func newReporter(store platform.Store, in *intake, fence int) *Reporter {
