--- a/connection/upstream/dial.go
+++ b/connection/upstream/dial.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/toucanroute/toucanroute/process/platform"
@@ -18,22 +17,18 @@
 	inlineBytes = 16 << 10
 	// keepShare is the part of the server's keep-alive time for which a connection is reused.
 	keepShare = 0.8
-	// probeInterval is that of the probes on a silent connection: the system's smallest.
-	probeInterval = time.Second
 )
 
-// dialer returns the dialer of new connections. A peer that has lost its power or its path answers nothing, so that
-// probes and a bound on unacknowledged bytes end the connection.
+// dialer returns the dialer of new connections.
 func (t *Transport) dialer() *net.Dialer {
-	d := &net.Dialer{Timeout: dialTimeout}
-	if t.DialTimeout > 0 {
-		d.Timeout = t.DialTimeout
+	timeout := t.DialTimeout
+	if timeout == 0 {
+		timeout = dialTimeout
 	}
-	if t.SilenceTimeout > 0 {
-		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 1}
-		d.Control = func(_, _ string, c syscall.RawConn) error { return platform.SetUserTimeout(c, t.SilenceTimeout) }
+	if t.SilenceTimeout == 0 {
+		return &net.Dialer{Timeout: timeout}
 	}
-	return d
+	return platform.ProbedDialer(timeout, t.SilenceTimeout)
 }
 
 // send writes a request. A long one goes on being written while the answer is read; its error then shows there.
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -38,7 +38,7 @@
 	Reset func(items []wire.Object, afterOutage bool)
 	// Event takes one change.
 	Event func(wire.ObjectEvent)
-	// Wake, if not nil, makes the feed list anew.
+	// Wake, if not nil, tells that another instance knows newer objects.
 	Wake <-chan struct{}
 	// Pause is the time between an answer with changes and the next watch, so that changes in a row come together.
 	Pause time.Duration
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -52,7 +52,7 @@
 	Readers = 2
 )
 
-// Mesh is an instance's part of the exchange. The exported fields are set before Run.
+// Mesh is an instance's part of the exchange. The exported fields are set before Execute.
 type Mesh struct {
 	Instance   string
 	Run        string
@@ -93,7 +93,6 @@
 	run        string
 	dataCentre string
 	address    netip.AddrPort
-	version    int
 	heard      time.Time
 	told       time.Time
 	known      time.Time
@@ -281,7 +280,7 @@
 	if p.run != news.Run {
 		m.Log.Info("peer_in", zap.String("peer", news.From), zap.String("run", news.Run), zap.String("data_centre", news.DataCentre))
 	}
-	p.run, p.dataCentre, p.address, p.version, p.leaving = news.Run, news.DataCentre, address, news.Version, news.Leaving
+	p.run, p.dataCentre, p.address, p.leaving = news.Run, news.DataCentre, address, news.Leaving
 	p.heard = time.Now()
 	p.storeOut, p.reads = news.StoreOut, news.Reads
 	if news.StoreOut {
--- a/process/platform/exchange.go
+++ b/process/platform/exchange.go
@@ -61,13 +61,17 @@
 // probeInterval is that of the probes on a silent connection: the system's smallest.
 const probeInterval = time.Second
 
-// ProbedTransport returns a transport whose connections end when their peer acknowledges nothing for the time of silence,
-// also while an answer is awaited.
-func ProbedTransport(dial, silence time.Duration) *http.Transport {
-	d := &net.Dialer{
+// ProbedDialer returns a dialer whose connections end when their peer acknowledges nothing for the time of silence, also while
+// an answer is awaited: a peer that has lost its power or its path answers nothing.
+func ProbedDialer(dial, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
 		Timeout:         dial,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: 1},
 		Control:         func(_, _ string, c syscall.RawConn) error { return SetUserTimeout(c, silence) },
 	}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute}
+}
+
+// ProbedTransport returns a transport that dials with a ProbedDialer.
+func ProbedTransport(dial, silence time.Duration) *http.Transport {
+	return &http.Transport{DialContext: ProbedDialer(dial, silence).DialContext, MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute}
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -19,8 +19,6 @@
 // Roster holds the backend servers. The exported fields are set before use.
 type Roster struct {
 	Log *zap.Logger
-	// Changed is called after servers came, left or began to drain; it may be nil.
-	Changed func()
 	// Reach connects to a server's address and hangs up; nil lets suspected servers wait for a request.
 	Reach func(address string) error
 
@@ -31,8 +29,6 @@
 	pools map[string][]*Member
 	// byKey holds the members by the short name that instances use among themselves.
 	byKey map[int]*Member
-	// lapse is running while entries are missed after an outage.
-	lapse *time.Timer
 	// known is set once a list was read.
 	known bool
 }
@@ -140,7 +136,7 @@
 		r.Log.Info("server_missed", fields(m.entry)...)
 	}
 	if afterOutage {
-		r.lapse = time.AfterFunc(lapseGrace, r.dropLapsed)
+		time.AfterFunc(lapseGrace, r.dropLapsed)
 	}
 	r.index()
 }
@@ -173,9 +169,6 @@
 	}
 	r.pools = pools
 	order(pools)
-	if r.Changed != nil {
-		go r.Changed()
-	}
 }
 
 // order gives the serving members of each pool and data centre their positions, by the hash of their ids.
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -148,7 +148,7 @@
 	for i, m := range members {
 		e := m.Entry()
 		sources[i] = place.Candidate{
-			Name: e.ID, Young: e.Started > oldest, Near: e.DataCentre == c.f.DataCentre, Patient: m.State(now).Position < share,
+			Name: e.ID, Young: e.Started > oldest, Patient: m.State(now).Position < share,
 		}
 	}
 	i, ok := place.Source(c.ask.Prompt, sources)
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -1,5 +1,5 @@
-// Package place chooses the backend server of one request. The choices are plain functions of what is known; they do no
-// input or output and hold no state.
+// Package place chooses the backend server of one request. The choices are plain functions of what is known and do no
+// input or output; only Mix keeps something, the mix of past work.
 package place
 
 import (
@@ -63,7 +63,7 @@
 	Running int
 	// Slots is the number of requests that the server runs at once.
 	Slots int
-	// Unread is the number of prompt tokens that the server has yet to read for requests of this instance.
+	// Unread is the number of prompt tokens that the server has yet to read for requests of all instances.
 	Unread int
 	// Failing is the share of the last requests that the server failed, 0 to 1.
 	Failing float64
