Write one usage object for each flush; refuse requests whose length is ambiguous

Cause (usage): a collector's flush went on for as long as counts came in, so that counts handed over during a write cost an object of their own, and the writes grew with the instances. Ruled out: the instances' own writes (the stored objects are all the collector's). A flush now writes what waited, and goes on only where an object is full.

Cause (callers' listener): nbhttp's parser prefers chunks to a length, accepts signs and keeps the connection, so that bytes behind the request were answered as a second one. The forwarding listener isn't changed here.

--- a/connection/caller/guard.go
+++ b/connection/caller/guard.go
@@ -56,6 +56,8 @@
 	// headerBytes and headerLines count the running header.
 	headerBytes int
 	headerLines int
+	// framing is what the running header says of the body's length.
+	framing framing
 	// bodyBytes counts the running body's chunks.
 	bodyBytes int
 	// failure is the answer that a callback of the parser asks for.
@@ -158,6 +160,9 @@
 	if g.headerLines > maxHeaders && g.failure == nil {
 		g.failure = &errHeadersTooLarge
 	}
+	if g.failure == nil && !g.framing.add(key, value) {
+		g.failure = &errMalformed
+	}
 	if g.failure == nil {
 		g.Processor.OnHeader(parser, key, value)
 	}
@@ -188,6 +193,7 @@
 func (g *guard) OnComplete(parser *nbhttp.Parser) {
 	g.begun, g.inBody = false, false
 	g.headerBytes, g.headerLines, g.bodyBytes = 0, 0, 0
+	g.framing = framing{}
 	g.letGo()
 	if g.failure != nil {
 		return
--- a/connection/caller/input_test.go
+++ b/connection/caller/input_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +167,43 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// A request whose length can be read in two ways gets one answer, 400, and its connection is closed: what follows must not be
+// taken for a second request.
+func TestAmbiguousLengths(t *testing.T) {
+	s := newStack(t, &fakeEngine{tokens: 1}, nil)
+	head := "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+	body := chatBody(false)
+	second := "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n\r\n"
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for name, framing := range map[string]string{
+		"length before chunks":  fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", len(chunks)+len(second), chunks),
+		"chunks before length":  fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n%s", len(chunks)+len(second), chunks),
+		"two lengths":           fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n\r\n%s", len(body)+len(second), len(body), body),
+		"length with a sign":    fmt.Sprintf("Content-Length: +%d\r\n\r\n%s", len(body), body),
+		"length in two parts":   fmt.Sprintf("Content-Length: %d, %d\r\n\r\n%s", len(body), len(body), body),
+		"empty length":          "Content-Length: \r\n\r\n" + body,
+		"length in other cases": fmt.Sprintf("content-LENGTH: %d\r\nTRANSFER-encoding: chunked\r\n\r\n%s", len(chunks)+len(second), chunks),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", s.server.Address())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = fmt.Fprint(conn, head+framing+second)
+			assert.NilError(t, err)
+			r := bufio.NewReader(conn)
+			res, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			answer, err := io.ReadAll(res.Body)
+			assert.NilError(t, err)
+			_ = res.Body.Close()
+			checkRefusal(t, res.StatusCode, http.StatusBadRequest, res.Header, string(answer), "bad_request")
+			_, err = r.ReadByte()
+			assert.Assert(t, err != nil && !os.IsTimeout(err), "the connection wasn't closed after its answer: %v", err)
+		})
+	}
+}
+
 // Many callers that send most of a body and wait must not hold more than MaxBuffered.
 func TestBuffersAreBounded(t *testing.T) {
 	const limit = 1 << 20
--- a/process/usage/collector.go
+++ b/process/usage/collector.go
@@ -87,32 +87,37 @@
 			c.store(ctx)
 		case <-ctx.Done():
 			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), WriteInterval)
-			c.store(last)
+			for c.store(last) && c.Waiting() > 0 {
+			}
 			cancel()
 			return
 		}
 	}
 }
 
-// store writes objects until nothing waits or a write fails.
-func (c *Collector) store(ctx context.Context) {
-	for {
-		counts, name := c.batch()
+// store writes what waits and tells whether it is stored. What comes in meanwhile waits for the next call unless an object
+// is full, so that the number of writes doesn't grow with the number of instances.
+func (c *Collector) store(ctx context.Context) bool {
+	for full := true; full; {
+		var counts []wire.UsageCount
+		var name string
+		counts, name, full = c.batch()
 		if len(counts) == 0 {
-			return
+			return true
 		}
 		if err := storePart(ctx, c.Objects, name, newPart(c.DataCentre, c.Window, counts)); err != nil {
 			if c.Log != nil {
 				c.Log.Warn("usage_part_not_stored", zap.Int("pieces", len(counts)), zap.Error(err))
 			}
-			return
+			return false
 		}
 		c.stored(counts)
 	}
+	return true
 }
 
-// batch returns pieces for one object, each run's in order, and its name.
-func (c *Collector) batch() ([]wire.UsageCount, string) {
+// batch returns pieces for one object, each run's in order, its name, and whether the object has no room for more.
+func (c *Collector) batch() (counts []wire.UsageCount, name string, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	names := make([]string, 0, len(c.runs))
@@ -124,11 +129,11 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	var counts []wire.UsageCount
 	lines := 0
 	for _, name := range names {
 		for _, count := range c.runs[name].waiting {
 			if len(counts) > 0 && lines+len(count.Lines) > partLines {
+				full = true
 				break
 			}
 			lines += len(count.Lines)
@@ -136,10 +141,10 @@
 		}
 	}
 	if len(counts) == 0 {
-		return nil, ""
+		return nil, "", false
 	}
 	c.parts++
-	return counts, partName(c.DataCentre, counts[0].WindowStartMs, c.RunID, c.parts)
+	return counts, partName(c.DataCentre, counts[0].WindowStartMs, c.RunID, c.parts), full
 }
 
 func (c *Collector) stored(counts []wire.UsageCount) {
