Take the duties over from a holder that only can't reach the store

Ruled out: trouble of the store (its readers reached it) and refused orders (none was sent).

Change: news tell the version of the lease that an instance holds. While somebody heard tells one, nobody is a candidate; candidates are the readers. A taker counts its wait from the holder's last news of a renewal and not from its own first read.

--- a/process/gateway/duties.go
+++ b/process/gateway/duties.go
@@ -25,7 +25,7 @@
 	return &lease.Lease{
 		DataCentre: everywhere, Job: dutiesJob, Holder: g.Settings.Instance, RunID: g.run,
 		Duration: duration, Margin: time.Duration(marginShare * float64(duration)), MaxInFlight: callTimeout,
-		Objects: g.Platform.Store, Log: g.Log,
+		Objects: g.Platform.Store, Log: g.Log, Now: lease.BootTime,
 		Candidate: g.isCandidate,
 		OnChange: func(fence int, held bool) {
 			g.Log.Info("duties", zap.Int("fence", fence), zap.Bool("held", held))
@@ -33,9 +33,11 @@
 	}
 }
 
-// isCandidate tells whether this instance should take the duties if they are free: not while their holder is heard.
+// isCandidate tells whether this instance should take the duties if they are free: if it is one of those that read the store,
+// and while no other is heard that holds them. A holder that can't renew its lease tells so as soon as the lease ends, also
+// where it is cut off from the store alone.
 func (g *Gateway) isCandidate() bool {
-	return g.table.Load() != nil && !g.leaving.Load() && !g.mesh.Writes(g.lease.HolderRun())
+	return g.table.Load() != nil && !g.leaving.Load() && g.mesh.IsReader() && !g.mesh.HearsHolder()
 }
 
 func (g *Gateway) held() (fence int, ok bool) {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -46,6 +46,7 @@
 	n.Leaving = g.leaving.Load()
 	n.Reads = g.mesh.IsReader()
 	n.StoreOut = g.configs.Out() || g.servers.Out()
+	n.Lease = g.lease.HeldVersion()
 }
 
 // askEvery is the least time between two reads for what another instance told: a third of what is waited for a watch.
@@ -57,6 +58,7 @@
 
 // learn lets the configuration and the backend servers be read anew where another instance knows newer ones.
 func (g *Gateway) learn(n wire.News) {
+	g.lease.Sight(n.Lease)
 	if own := g.version(); n.Version > own && own > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", n.From), zap.Int("version", n.Version), zap.Int("own", own))
 	}
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -92,6 +92,9 @@
 	seen      wire.Object
 	record    wire.LeaseRecord
 	seenSince time.Duration
+	// sighted is the highest version of the object that a holder told of, and sightedAt when that was first heard.
+	sighted   int
+	sightedAt time.Duration
 	// inFlight is the number of Do calls that are under way; idle is closed when it falls to 0, and nil while it is 0.
 	inFlight int
 	idle     chan struct{}
@@ -292,6 +295,9 @@
 	defer l.mu.Unlock()
 	if obj.Version != l.seen.Version || l.seenSince == 0 {
 		l.seenSince = now
+		if obj.Version == l.sighted && l.sightedAt != 0 {
+			l.seenSince = l.sightedAt
+		}
 	}
 	l.seen = obj
 	l.record = record
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -109,6 +109,41 @@
 	})
 }
 
+// A taker that was told of the holder's renewals waits from the last one, also where it reads the lease only later, and never
+// less than until the holder has stopped.
+func TestTakerCountsFromNews(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			api := &platformtest.Objects{}
+			var lost atomic.Bool
+			api.Decide = func(c platformtest.Call) platformtest.Fault {
+				if lost.Load() && c.Instance == "a" {
+					return platformtest.Fault{Outcome: platformtest.OutcomeDown}
+				}
+				return platformtest.Fault{}
+			}
+			a, b := newLease(api, "a"), newLease(api, "b")
+			go a.Run(t.Context())
+			waitHeld(t, a, time.Second)
+			b.Candidate = func() bool { return a.Check() != nil }
+			go b.Run(t.Context())
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+			lost.Store(true)
+			start := time.Now()
+			if told {
+				b.Sight(a.HeldVersion())
+			}
+			waitHeld(t, b, time.Minute)
+			assert.Assert(t, IsErrNotHeld(a.Check()))
+			shortest := b.Duration + b.Margin + b.MaxInFlight
+			taken := time.Since(start)
+			assert.Assert(t, taken >= shortest, "%s", taken)
+			assert.Equal(t, taken <= shortest+pollInterval, told, "%s", taken)
+		})
+	}
+}
+
 func TestLostAnswersKeepTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
--- a/process/lease/status.go
+++ b/process/lease/status.go
@@ -2,14 +2,26 @@
 
 import "github.com/toucanroute/toucanroute/wire"
 
-// HolderRun returns the run of the process that held the lease when it was last read; empty is none.
-func (l *Lease) HolderRun() string {
+// HeldVersion returns the version of the lease's object as this process holds it; 0 is that it doesn't.
+func (l *Lease) HeldVersion() int {
+	_, _, held := l.Held()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.record.Released {
-		return ""
+	if !held {
+		return 0
+	}
+	return l.seen.Version
+}
+
+// Sight notes that the lease's object had a version, as its holder told. A holder's right counts from the sending of its last
+// renewal, which came before it told of it, so that a taker may wait from then on; 0 is nothing. Now must be set.
+func (l *Lease) Sight(version int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if version <= l.sighted {
+		return
 	}
-	return l.record.Run
+	l.sighted, l.sightedAt = version, l.Now()
 }
 
 // Status returns the lease as this instance last saw it.
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -99,6 +99,8 @@
 	leaving    bool
 	storeOut   bool
 	reads      bool
+	// holds tells that the instance holds the duties.
+	holds bool
 	// outAt is when the instance last told that it can't reach the store.
 	outAt time.Time
 }
@@ -282,7 +284,7 @@
 	}
 	p.run, p.dataCentre, p.address, p.leaving = news.Run, news.DataCentre, address, news.Leaving
 	p.heard = time.Now()
-	p.storeOut, p.reads = news.StoreOut, news.Reads
+	p.storeOut, p.reads, p.holds = news.StoreOut, news.Reads, news.Lease > 0
 	if news.StoreOut {
 		p.outAt = p.heard
 	}
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -76,22 +76,16 @@
 	return out > 0 && 2*out >= readers
 }
 
-// Writes tells whether a run is alive and reaches the store.
-func (m *Mesh) Writes(run string) bool {
+// HearsHolder tells whether an instance that holds the duties is heard.
+func (m *Mesh) HearsHolder() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.byRun(run)
-	return p != nil && time.Since(p.heard) <= m.silence() && !p.storeOut
-}
-
-// byRun returns the instance of a run, nil where another run or none is known; the lock is held.
-func (m *Mesh) byRun(run string) *peer {
 	for _, p := range m.peers {
-		if p.run == run {
-			return p
+		if p.holds && time.Since(p.heard) <= m.silence() {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // Instances returns the number of instances that are known, also silent ones, this one included.
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -160,6 +160,10 @@
 	// Instance that tells.
 	From string `json:"from"`
 
+	// Version of the lease of the duties as the instance holds it; 0 is that it
+	// doesn't.
+	Lease int `json:"lease,omitempty,omitzero"`
+
 	// The instance is about to end.
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
