Choose between two servers by hash, refuse what would come too late, let hurried work go first

Many instances know each other's loads late and all take the server that looks free; what it reads again is counted nowhere and makes the others fall behind too. Ruled out: the engines' order (requests of the upper tier had 0.1 to 0.27 s at any load), fetching between engines (8,162 moves), lack of slots.

- request/place.Engine looks at two servers by hash, of all data centres and of the own one each; more only where these are singled out.
- Long prompts spill to servers of streams only where these are idle; instances tell each other the work of the pools, and the streams get the servers that they need first (TestHurriedWorkGoesFirst).

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// budgets holds the budgets of further attempts by pool, mixes the mix of each pool's work.
 	budgets map[string]*attempt.Window
 	mixes   map[string]*place.Mix
+	// readings holds how fast each pool's engines read.
+	readings map[string]*place.Reading
 }
 
 const (
@@ -162,6 +164,7 @@
 	g.configured = make(chan struct{})
 	g.budgets = map[string]*attempt.Window{}
 	g.mixes = map[string]*place.Mix{}
+	g.readings = map[string]*place.Reading{}
 	g.roster = &roster.Roster{Log: g.Log, Reach: reach}
 	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
 	g.transport = &upstream.Transport{
@@ -187,6 +190,7 @@
 		Table:      g.table.Load,
 		Budget:     g.budget,
 		Mix:        g.mix,
+		Reading:    g.reading,
 		Began:      g.counter.Began,
 		DataCentre: g.Settings.DataCentre,
 		Placed:     g.mesh.Changed,
@@ -259,6 +263,18 @@
 	return m
 }
 
+// reading returns how fast a pool's engines read.
+func (g *Gateway) reading(pool string) *place.Reading {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.readings[pool]
+	if r == nil {
+		r = &place.Reading{}
+		g.readings[pool] = r
+	}
+	return r
+}
+
 const (
 	// ratioShare is the part of the permitted ratio that is used: requests that arrive late in a window count elsewhere.
 	ratioShare = 0.8
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/toucanroute/toucanroute/connection/news"
 	"github.com/toucanroute/toucanroute/process/mesh"
+	"github.com/toucanroute/toucanroute/request/place"
 	"github.com/toucanroute/toucanroute/wire"
 )
 
@@ -19,9 +20,10 @@
 	g.mesh = &mesh.Mesh{
 		Instance: g.Settings.Instance, Run: g.run, DataCentre: g.Settings.DataCentre, Address: g.Settings.Listen.Peers,
 		Store: g.Platform.Store, Log: g.Log,
-		Send:   g.socket.Send,
-		About:  g.about,
-		Loads:  g.roster.Loads,
+		Send:  g.socket.Send,
+		About: g.about,
+		Loads: g.roster.Loads,
+		Mix:   g.tellMix, HeardMix: g.heardMix,
 		Counts: g.counter.Newest,
 		Heard:  g.roster.Heard,
 		Learn:  g.learn,
@@ -49,6 +51,27 @@
 	n.Lease = g.lease.HeldVersion()
 }
 
+// tellMix returns the work of the pools that this instance has sent requests to.
+func (g *Gateway) tellMix() []wire.NewsMix {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]wire.NewsMix, 0, len(g.mixes))
+	for pool, m := range g.mixes {
+		r := m.Own()
+		list = append(list, wire.NewsMix{S: pool, P: int(r.Patient), H: int(r.Hurried)})
+	}
+	return list
+}
+
+// heardMix takes in the work of another instance's requests.
+func (g *Gateway) heardMix(instance string, mix []wire.NewsMix) {
+	for _, n := range mix {
+		if t := g.table.Load(); t != nil && t.Apart(n.S) {
+			g.mix(n.S).Told(instance, place.Rates{Patient: float64(n.P), Hurried: float64(n.H)})
+		}
+	}
+}
+
 // askEvery is the least time between two reads for what another instance told: a third of what is waited for a watch.
 const askEvery = behindFor / 3
 
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -68,6 +68,9 @@
 	About func(*wire.News)
 	// Loads returns this instance's load on each backend server that changed, or on all.
 	Loads func(all bool) []wire.NewsLoad
+	// Mix returns the work of the pools, and HeardMix takes another instance's; nil is none.
+	Mix      func() []wire.NewsMix
+	HeardMix func(instance string, mix []wire.NewsMix)
 	// Counts returns the newest counts.
 	Counts func() []wire.NewsWindow
 	// Heard takes another instance's loads.
@@ -145,7 +148,7 @@
 		if all {
 			whole = now
 		}
-		m.tell(now, m.Loads(all))
+		m.tell(now, m.Loads(all), all)
 		sent = now
 		if now.Sub(count) >= countEvery {
 			count = now
@@ -168,17 +171,21 @@
 	return news
 }
 
-// tell sends the loads to all instances; without loads it is a sign of life.
-func (m *Mesh) tell(now time.Time, loads []wire.NewsLoad) {
+// tell sends the loads to all instances, and now and then the work of the pools; without loads it is a sign of life.
+func (m *Mesh) tell(now time.Time, loads []wire.NewsLoad, all bool) {
 	targets := m.targets(now)
 	if len(targets) == 0 {
 		return
 	}
 	news := m.news()
+	if all && m.Mix != nil {
+		news.Mix = m.Mix()
+	}
 	for first := true; first || len(loads) > 0; first = false {
 		n := min(len(loads), loadsPerDatagram)
 		news.Loads, loads = loads[:n], loads[n:]
 		m.send(targets, news)
+		news.Mix = nil
 	}
 }
 
@@ -262,6 +269,9 @@
 	if len(news.Loads) > 0 {
 		m.Heard(news.From, news.Loads)
 	}
+	if len(news.Mix) > 0 && m.HeardMix != nil {
+		m.HeardMix(news.From, news.Mix)
+	}
 	if len(news.Counts) > 0 {
 		m.Keep(news.Run, news.Counts)
 	}
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -33,7 +33,11 @@
 				return Ask{}, errors.New("no id")
 			}
 			ms, _ := strconv.Atoi(h.Get("X-Patience"))
-			return Ask{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last-Event-Id")}, nil
+			ask := Ask{ID: h.Get("X-Id"), Key: h.Get("X-Key"), Patience: time.Duration(ms) * time.Millisecond, LastEvent: h.Get("Last-Event-Id")}
+			if n, _ := strconv.Atoi(h.Get("X-Prompt")); n > 0 {
+				ask.Prompt = &place.Prompt{Parts: []place.Part{{ID: "own", Tokens: n}}, Tokens: n}
+			}
+			return ask, nil
 		},
 		Prepare: func(h http.Header, s Sending) {
 			h.Del("X-Key")
@@ -82,9 +86,12 @@
 			route("stream", func(r *hostroute.Route) { r.Kind, r.Resumable = hostroute.Stream, true }),
 			route("fixed", func(r *hostroute.Route) { r.Kind = hostroute.Stream }),
 			route("short", func(r *hostroute.Route) { r.Timeout = 200 * time.Millisecond }),
+			route("chat", func(r *hostroute.Route) {
+				r.Kind, r.Target, r.Shares = hostroute.Stream, time.Second, []hostroute.Share{{Pool: "engines", Weight: 1}}
+			}),
 			route("open", func(r *hostroute.Route) { r.Open = true }),
 		},
-		Pools:      []hostroute.Pool{{Name: "p"}},
+		Pools:      []hostroute.Pool{{Name: "p"}, {Name: "engines", Engine: &hostroute.Engine{Slots: 64}}},
 		Workspaces: []hostroute.Workspace{{Name: "alba", Keys: []string{"k"}}},
 		Limits:     hostroute.Limits{BodyBytes: 1 << 20},
 	})
@@ -98,6 +105,7 @@
 			handler(w, r)
 		}))
 		t.Cleanup(s.Close)
+		entries = append(entries, roster.Entry{ID: fmt.Sprint("e", i), Address: strings.TrimPrefix(s.URL, "http://"), Pool: "engines", Slots: 64})
 		entries = append(entries, roster.Entry{ID: fmt.Sprint("s", i), Address: strings.TrimPrefix(s.URL, "http://"), Pool: "p", Slots: 8 * (len(servers) - i)})
 	}
 	ros.Reset(entries, false)
@@ -106,9 +114,10 @@
 	budget := &attempt.Window{Length: 10 * time.Second, Ratio: 1, Extra: func() float64 { return 10 }}
 	x.f = &Forwarder{
 		Headers: testHeaders(), Send: tr.Send, Roster: ros, Log: zap.NewNop(),
-		Table:  func() *hostroute.Table { return table },
-		Budget: func(string) *attempt.Window { return budget },
-		Mix:    func(string) *place.Mix { return &place.Mix{} },
+		Table:   func() *hostroute.Table { return table },
+		Budget:  func(string) *attempt.Window { return budget },
+		Mix:     func(string) *place.Mix { return &place.Mix{} },
+		Reading: func(string) *place.Reading { return &place.Reading{} },
 		Began: func(w string, _ time.Time) {
 			x.mu.Lock()
 			defer x.mu.Unlock()
@@ -402,3 +411,30 @@
 	assert.Equal(t, status, 200, "nothing was sent, so it may go elsewhere")
 	assert.Equal(t, body, "b")
 }
+
+// A prompt that would wait for longer than its target is refused at once, with the time to come back, and isn't sent; once the
+// servers have done their work it is let in.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	x := newFixture(t, signed(200, "ok"), signed(200, "ok"))
+	var busy []*roster.Visit
+	for _, m := range x.f.Roster.Serving("engines") {
+		busy = append(busy, m.Begin(200_000))
+	}
+	ask := func() (int, http.Header) {
+		req := x.request(t, http.MethodPost, "/chat/x", "prompt")
+		req.Header.Set("X-Prompt", "500")
+		status, _, h := x.do(t, req)
+		return status, h
+	}
+	status, h := ask()
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, x.arrived.Load(), int32(0))
+	after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after > 2 && after < 10, "%f", after)
+	for _, v := range busy {
+		v.End(roster.Left)
+	}
+	status, _ = ask()
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -30,6 +30,8 @@
 	Budget func(pool string) *attempt.Window
 	// Mix returns the mix of work of a pool.
 	Mix func(pool string) *place.Mix
+	// Reading returns how fast the engines of a pool read.
+	Reading func(pool string) *place.Reading
 	// Began is called once for each request that a backend server began to run.
 	Began func(workspace string, at time.Time)
 	// DataCentre is the instance's own.
@@ -89,7 +91,9 @@
 	// placement and fetched tell of the last choice of a server.
 	placement placement
 	fetched   string
-	status    int
+	// placedAt is when the server was chosen.
+	placedAt time.Time
+	status   int
 	// code is that of the instance's own answer; empty is none.
 	code    string
 	outcome Outcome
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -102,17 +102,22 @@
 	if len(members) == 0 {
 		return placed{}, c.giveUp(errors.New("no backend server is left"))
 	}
-	candidates := c.f.candidates(members, c.share())
+	candidates := c.f.candidates(members, c.share(len(members)))
 	var choice place.Choice
 	unread := 0
 	if c.pool.Engine != nil && c.ask.Prompt != nil {
 		choice = place.Engine(c.ask.Prompt, candidates)
 		unread = c.ask.Prompt.Tokens - c.ask.Prompt.Shared()
-		c.f.Mix(c.pool.Name).Add(c.ask.Prompt, unread)
+		if c.sends == 0 {
+			c.f.Mix(c.pool.Name).Add(c.ask.Prompt, unread)
+			if err := c.admit(&candidates[choice.Index]); err != nil {
+				return placed{}, err
+			}
+		}
 	} else {
 		choice = place.Service(c.ask.ID, candidates)
 	}
-	c.fetched = ""
+	c.fetched, c.placedAt = "", time.Now()
 	p := placed{visit: members[choice.Index].Begin(unread)}
 	if c.pool.Engine != nil && c.ask.Prompt != nil {
 		p.fetchFrom = c.source(members[choice.Index])
@@ -125,12 +130,34 @@
 	return p, nil
 }
 
+// admit refuses a request whose first event would come too late to be of use. A request that was sent before isn't refused.
+func (c *call) admit(chosen *place.Candidate) error {
+	limit := c.table.WaitLimit(c.route, c.pool.Name, c.rank)
+	refusal, ok := place.Admit(c.ask.Prompt, chosen, c.f.Reading(c.pool.Name).Rate(), limit)
+	if ok {
+		return nil
+	}
+	c.placement = placement{at: *chosen}
+	c.f.Log.Info("request_not_admitted",
+		zap.String("request_id", c.ask.ID),
+		zap.String("server", chosen.Name),
+		zap.Int("unread", chosen.Unread),
+		zap.Int("running", chosen.Running),
+		zap.Duration("wait", refusal.Wait),
+		zap.Duration("limit", limit),
+	)
+	return request.ErrAnswer{
+		Status: http.StatusServiceUnavailable, Code: request.CodeOverload, Message: "the backend servers have more work than they can do in time",
+		NotRun: true, RetryAfter: refusal.RetryAfter,
+	}
+}
+
 // share returns the part of the pool's servers that patient requests get.
-func (c *call) share() float64 {
+func (c *call) share(servers int) float64 {
 	if !c.table.Apart(c.pool.Name) {
 		return 0
 	}
-	return c.f.Mix(c.pool.Name).Share()
+	return c.f.Mix(c.pool.Name).Share(servers, c.f.Reading(c.pool.Name).Rate())
 }
 
 // youngFor is the age up to which an engine counts as new: parts of prompts are in use again within about this time.
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -57,6 +57,7 @@
 func (c *call) passEvent(v *roster.Visit, res *http.Response, event []byte, n int) error {
 	if n == 0 {
 		v.Read()
+		c.observeReading()
 		c.began()
 		if c.f.Placed != nil {
 			c.f.Placed()
@@ -79,6 +80,14 @@
 	return errCallerLeft
 }
 
+// observeReading notes how long the chosen engine took to read what stood before this prompt, and the prompt.
+func (c *call) observeReading() {
+	if c.ask.Prompt == nil || c.pool.Engine == nil {
+		return
+	}
+	c.f.Reading(c.pool.Name).Observe(c.placement.at.Unread+c.ask.Prompt.Tokens-c.ask.Prompt.Shared(), time.Since(c.placedAt))
+}
+
 // endStream ends a stream that its server ended.
 func (c *call) endStream(v *roster.Visit, res *http.Response) error {
 	v.End(roster.Answered)
--- /dev/null
+++ b/request/place/admit.go
@@ -0,0 +1,81 @@
+package place
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// readRateFirst is the reading rate of an engine that also generates, in tokens a millisecond, before any was observed: a
+	// step that reads a piece of 2,048 tokens takes 25 ms for it and 6 ms for the running streams.
+	readRateFirst = 0.8 * ReadRate
+	// readRateLeast bounds the observed rate: below it an observation rather shows a fault.
+	readRateLeast = ReadRate / 8
+	// weightOfReading is the weight of the newest observation.
+	weightOfReading = 0.02
+	// readingLeast is the work from which a wait is mostly reading and not the fixed cost of a request, in tokens.
+	readingLeast = 8192
+)
+
+// Reading follows how fast a pool's engines read prompts beside what else they do.
+type Reading struct {
+	mu   sync.Mutex
+	rate float64
+}
+
+// Observe takes the time until the first event of a prompt before which that many tokens were to be read, its own included.
+func (r *Reading) Observe(tokens int, took time.Duration) {
+	if tokens < readingLeast || took <= 0 {
+		return
+	}
+	seen := min(max(float64(tokens)/(float64(took)/float64(time.Millisecond)), readRateLeast), ReadRate)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rate == 0 {
+		r.rate = readRateFirst
+	}
+	r.rate += weightOfReading * (seen - r.rate)
+}
+
+// Rate returns the reading rate in tokens a millisecond.
+func (r *Reading) Rate() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rate == 0 {
+		return readRateFirst
+	}
+	return r.rate
+}
+
+// inTimeShare is the part of the limit that an expected wait may take: under more work than the servers can do, all waits are at
+// the limit, and an error of the expectation must not make all of them late.
+const inTimeShare = 0.75
+
+// Refusal tells when a request that isn't placed should come back.
+type Refusal struct {
+	// Wait is the expected time to its first event at the best server.
+	Wait time.Duration
+	// RetryAfter is the time in which the servers have done what they have now, and as much as they may hold.
+	RetryAfter time.Duration
+}
+
+// Admit tells whether a request may wait at the chosen server, by the expected time to its first event at the reading rate. The
+// limit is the longest wait that is of use, 0 is none.
+//
+// It answers more work than the servers can do: where all that comes is let in, all comes late; where what would come late is
+// refused at once, the servers do what they can in time.
+func Admit(p *Prompt, c *Candidate, rate float64, limit time.Duration) (Refusal, bool) {
+	tokens := float64(c.Unread + p.Tokens - p.Shared())
+	if c.Slots > 0 && c.Running >= c.Slots {
+		tokens += overfull * float64(c.Running-c.Slots+1)
+	}
+	wait := time.Duration(tokens / rate * float64(time.Millisecond))
+	if limit <= 0 || float64(wait) <= inTimeShare*float64(limit) || c.Unread <= idleWork {
+		return Refusal{}, true
+	}
+	return Refusal{Wait: wait, RetryAfter: wait + limit}, false
+}
+
+// idleWork is the unread work up to which a server counts as free, in tokens: what it reads in two steps. A prompt that is too
+// long to be in time anywhere isn't refused for that.
+const idleWork = 4096
--- a/request/place/mix.go
+++ b/request/place/mix.go
@@ -18,54 +18,125 @@
 	mixSlack = 0.75
 	// shareLeast bounds the share on both sides.
 	shareLeast = 0.25
+	// rateAge is the time in which the weight of work falls to a third in the rates that instances tell each other: they add up
+	// to many requests, so that it can be short.
+	rateAge = 3 * time.Second
+	// rateBelief is how long a told rate is believed: three intervals at which all is told.
+	rateBelief = 3 * time.Second
+	// outputWork is what an engine needs for one token of an answer beside its batch, in tokens of reading.
+	outputWork = 6
+	// hurriedUse is the part of a server's reading that requests which aren't patient may take up: an event of some tokens takes
+	// as many steps, and each that also reads takes several times as long.
+	hurriedUse = 0.5
 )
 
-// Mix follows how much of a pool's reading is for patient requests, and divides the pool's servers accordingly. It answers
-// bursts of long prompts beside streams whose tokens must keep coming.
+// Mix follows how much of a pool's work is for patient requests, and divides the pool's servers accordingly. It answers
+// bursts of long prompts beside streams whose tokens must keep coming, and more work than all servers can do: the patient
+// requests then get what the others leave.
 type Mix struct {
 	mu      sync.Mutex
 	patient float64
 	hurried float64
 	at      time.Time
-	step    int
+	// recent is this instance's work, fading with rateAge, and told holds the rates of the other instances.
+	recent Rates
+	told   map[string]toldRates
+	step   int
 	// last is the share before the last change, and changed is when that was.
 	last    float64
 	changed time.Time
 }
 
-// Add counts the reading of a request in tokens.
+// Rates are the work of a second in tokens of reading.
+type Rates struct {
+	Patient float64
+	Hurried float64
+}
+
+// toldRates are the rates of another instance.
+type toldRates struct {
+	Rates
+	at time.Time
+}
+
+// Add counts the work of a request that has that many tokens to be read.
 func (m *Mix) Add(p *Prompt, tokens int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fade(time.Now())
+	work := float64(tokens + outputWork*p.MaxOutput)
 	if p.Patient {
 		m.patient += float64(tokens)
+		m.recent.Patient += work
 	} else {
 		m.hurried += float64(tokens)
+		m.recent.Hurried += work
 	}
 }
 
+// Own returns this instance's rates.
+func (m *Mix) Own() Rates {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(time.Now())
+	return Rates{m.recent.Patient / rateAge.Seconds(), m.recent.Hurried / rateAge.Seconds()}
+}
+
+// Told takes another instance's rates.
+func (m *Mix) Told(instance string, r Rates) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.told == nil {
+		m.told = map[string]toldRates{}
+	}
+	m.told[instance] = toldRates{r, time.Now()}
+}
+
+// all returns the rates of all instances; the lock is held.
+func (m *Mix) all(now time.Time) Rates {
+	sum := Rates{m.recent.Patient / rateAge.Seconds(), m.recent.Hurried / rateAge.Seconds()}
+	for name, r := range m.told {
+		if now.Sub(r.at) > rateBelief {
+			delete(m.told, name)
+			continue
+		}
+		sum.Patient += r.Patient
+		sum.Hurried += r.Hurried
+	}
+	return sum
+}
+
 func (m *Mix) fade(now time.Time) {
 	if !m.at.IsZero() {
 		f := math.Exp(-float64(now.Sub(m.at)) / float64(mixAge))
 		m.patient *= f
 		m.hurried *= f
+		f = math.Exp(-float64(now.Sub(m.at)) / float64(rateAge))
+		m.recent.Patient *= f
+		m.recent.Hurried *= f
 	}
 	m.at = now
 }
 
-// Share returns the part of the servers that patient requests get, half before anything was counted.
-func (m *Mix) Share() float64 {
+// Share returns the part of the servers that patient requests get, half before anything was counted: by the mix of the work,
+// and no more than the others leave at the reading rate, in tokens a millisecond.
+func (m *Mix) Share(servers int, rate float64) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.step == 0 {
 		m.step = mixSteps / 2
 	}
+	now := time.Now()
+	m.fade(now)
 	if sum := m.patient + hurryWeight*m.hurried; sum > 0 {
 		at := m.patient / sum * mixSteps
+		if servers > 0 {
+			needed := m.all(now).Hurried / (hurriedUse * rate * 1000)
+			at = min(at, (1-needed/float64(servers))*mixSteps)
+		}
 		if math.Abs(at-float64(m.step)) > mixSlack {
-			m.last, m.changed = m.share(), time.Now()
-			m.step = int(math.Round(at))
+			m.last, m.changed = m.share(), now
+			m.step = max(int(math.Round(at)), 1)
 		}
 	}
 	return m.share()
--- a/request/place/model_test.go
+++ b/request/place/model_test.go
@@ -14,6 +14,12 @@
 	// reread counts the tokens of shared parts that an engine read although another had.
 	reread int
 	read   map[string]bool
+	// begun holds the runs whose prompts were read, in the order of their engines' steps.
+	begun []*modelRun
+	// stale is how old the known loads may be, as many instances that tell each other know them; 0 is exact.
+	stale time.Duration
+	known []Candidate
+	at    time.Duration
 }
 
 type modelEngine struct {
@@ -28,11 +34,13 @@
 type modelRun struct {
 	prompt  *Prompt
 	arrived time.Duration
-	unread  int
-	first   time.Duration
-	steps   int
-	last    time.Duration
-	gap     time.Duration
+	// before is what was to be read when it was placed, its own prompt included.
+	before int
+	unread int
+	first  time.Duration
+	steps  int
+	last   time.Duration
+	gap    time.Duration
 }
 
 const (
@@ -53,6 +61,13 @@
 
 // candidates returns what an instance knows of the engines that are up, and their indices.
 func (m *model) candidates(share float64) (list []Candidate, index []int) {
+	if m.stale > 0 && m.known != nil && m.now-m.at < m.stale {
+		for i := range m.engines {
+			index = append(index, i)
+		}
+		return slices.Clone(m.known), index
+	}
+	defer func() { m.known, m.at = slices.Clone(list), m.now }()
 	for i, e := range m.engines {
 		if e.down {
 			continue
@@ -84,6 +99,10 @@
 		}
 		e.kept[part.ID], m.read[part.ID] = true, true
 	}
+	for _, w := range e.waiting {
+		r.before += w.unread
+	}
+	r.before += r.unread
 	e.waiting = append(e.waiting, r)
 	return r
 }
@@ -92,14 +111,17 @@
 func (m *model) run(to time.Duration) {
 	for _, e := range m.engines {
 		for e.free < to && (len(e.waiting) > 0 || len(e.running) > 0) {
-			e.step()
+			if r := e.step(); r != nil {
+				m.begun = append(m.begun, r)
+			}
 		}
 		e.free = max(e.free, to)
 	}
 	m.now = to
 }
 
-func (e *modelEngine) step() {
+// step runs one batch and returns the run whose prompt was read with it.
+func (e *modelEngine) step() (read *modelRun) {
 	took := stepTime + time.Duration(len(e.running))*stepPerRun
 	if len(e.waiting) > 0 {
 		r := e.waiting[0]
@@ -110,6 +132,7 @@
 			r.first, r.last = e.free+took, e.free+took
 			e.running = append(e.running, r)
 			e.waiting = e.waiting[1:]
+			read = r
 		}
 	}
 	e.free += took
@@ -124,6 +147,7 @@
 		}
 		return r.steps <= 0
 	})
+	return read
 }
 
 // load is a stream of prompts: long ones about a few hundred subjects, and short ones whose streams must keep coming.
@@ -148,7 +172,7 @@
 	}
 }
 
-// play runs arrivals for a time; choose returns the index among the candidates.
+// play runs arrivals for a time; choose returns the index among the candidates, or -1 to refuse.
 func (m *model) play(l *load, seconds float64, longs, shorts float64, share float64, choose func(*Prompt, []Candidate) int) (long, short []*modelRun) {
 	end := m.now + time.Duration(seconds*float64(time.Second))
 	for m.now < end {
@@ -162,7 +186,10 @@
 		if share == 0 {
 			p.Patient = false
 		}
-		r := m.place(index[choose(p, list)], p)
+		r := &modelRun{prompt: p, arrived: m.now}
+		if i := choose(p, list); i >= 0 {
+			r = m.place(index[i], p)
+		}
 		if isLong {
 			long = append(long, r)
 		} else {
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -99,36 +99,114 @@
 	// the shortest usual target.
 	farCost = 2048
 	// misplaced is what it costs to put a patient request beside others or the other way round: reading a long prompt holds
-	// up each token of the streams that run along. It is a second's reading of an engine, so that it happens only where
+	// up each token of the streams that run along. It is half a second's reading of an engine, so that it happens only where
 	// the request's own kind of servers is far behind.
 	misplaced = 40000
+	// holdsUp is what it costs beside that to put a patient request on a server that isn't idle: more than any wait, so that it
+	// is only done where no other server is left. One after the other they would hold up each token of all streams there.
+	holdsUp = 1e7
+	// idleRuns is the number of running requests up to which a server counts as idle beside idleWork: few are held up then.
+	idleRuns = 4
+	// choices is the number of servers of all data centres, and of the instance's own, that are looked at first: with loads that
+	// are known late, more choices are worse.
+	choices = 2
+	// mostFailing is the share of failures from which more servers are looked at.
+	mostFailing = 0.3
+	// unusual is how many times the mean wait a server's wait must be for it to count as singled out, as by a hot subject.
+	unusual = 2
 	// failingCost multiplies a server's cost by up to 1 + failingCost.
 	failingCost = 8
 )
 
-// Engine chooses an engine for a prompt. Requests with the same shared parts go to the same server (rendezvous hashing), so
-// that they are read once, as long as that server is about as free as the others. It answers the load of many subjects
-// with long shared prompts, and of one subject that gets much of the traffic.
+// Engine chooses an engine for a prompt, among a few that a hash of its shared parts names (rendezvous hashing): the first of
+// these owns the parts, so that they are read once, and what spills over is kept by the same few. More are looked at only
+// where all of these have too much to do.
+//
+// It answers the load of many subjects with long shared prompts, of one subject that gets much of the traffic, and of many
+// instances that know each other's loads late: if all of them took the server that looks least loaded, it would be drowned.
 func Engine(p *Prompt, candidates []Candidate) Choice {
-	owner := p.owner(candidates, func(*Candidate) bool { return true })
+	order := p.order(candidates)
 	best := Choice{Index: -1, Owner: -1}
-	for i := range candidates {
-		cost := p.weigh(waitOf(&candidates[i])) + float64(p.Tokens-p.Shared())
-		if i != owner {
-			cost += rereadShare * float64(p.Shared())
+	if len(order) > 0 && candidates[order[0]].Patient == p.Patient {
+		best.Owner = order[0]
+	}
+	usual := p.meanWait(candidates)
+	seen, near := 0, 0
+	for n := choices; ; n *= 2 {
+		for _, i := range order[min(seen, len(order)):] {
+			if seen >= n && near >= n {
+				break
+			}
+			seen++
+			if candidates[i].Near {
+				near++
+			}
+			if cost := p.cost(&candidates[i], i == best.Owner); best.Index < 0 || cost < best.Cost {
+				best.Index, best.Cost = i, cost
+			}
 		}
-		if !candidates[i].Near {
-			cost += farCost
+		if seen >= len(order) || !p.tooMuch(&candidates[best.Index], usual) {
+			return best
 		}
-		if candidates[i].Patient != p.Patient {
-			cost += misplaced
+	}
+}
+
+// cost returns the expected work until the prompt is read at the server, and what else speaks against it, in tokens of reading.
+func (p *Prompt) cost(c *Candidate, owns bool) float64 {
+	cost := p.weigh(waitOf(c)) + float64(p.Tokens-p.Shared())
+	if !owns {
+		cost += rereadShare * float64(p.Shared())
+	}
+	if !c.Near {
+		cost += farCost
+	}
+	if c.Patient != p.Patient {
+		cost += misplaced
+		if p.Patient && (c.Unread > idleWork || c.Running > idleRuns) {
+			cost += holdsUp
 		}
-		cost *= 1 + failingCost*candidates[i].Failing
-		if best.Index < 0 || cost < best.Cost {
-			best = Choice{Index: i, Owner: owner, Cost: cost}
+	}
+	return cost * (1 + failingCost*c.Failing)
+}
+
+// tooMuch tells whether a server fails too often to settle for it, or has too much to do while the others have far less. Where
+// all have too much, looking further only spreads the shared parts, and reading them again makes it more.
+func (p *Prompt) tooMuch(c *Candidate, usual float64) bool {
+	limit := harmless * ReadRate * float64(p.Target.Milliseconds())
+	return c.Failing > mostFailing || c.Patient != p.Patient || waitOf(c) > max(limit, idleWork, unusual*usual)
+}
+
+// meanWait returns the mean work that stands before a new prompt at the servers of its kind, in tokens of reading.
+func (p *Prompt) meanWait(candidates []Candidate) float64 {
+	sum, n := 0.0, 0
+	for i := range candidates {
+		if candidates[i].Patient == p.Patient {
+			sum += waitOf(&candidates[i])
+			n++
 		}
 	}
-	return best
+	return sum / float64(max(n, 1))
+}
+
+// order returns the indices of the candidates by the hash of the prompt's subject and their names, those of the prompt's own
+// kind first.
+func (p *Prompt) order(candidates []Candidate) []int {
+	subject := xxhash.Sum64String(p.Subject())
+	hashes := make([]uint64, len(candidates))
+	order := make([]int, len(candidates))
+	for i := range candidates {
+		hashes[i], order[i] = mix(subject, candidates[i].Name), i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if own := candidates[a].Patient == p.Patient; own != (candidates[b].Patient == p.Patient) {
+			if own {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(hashes[b], hashes[a])
+	})
+	return order
 }
 
 // Source returns the index of the server that most likely keeps a prompt's shared parts: the owner among all that can still
--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -167,21 +167,44 @@
 func TestMixFollowsSlowly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &Mix{}
-		assert.Equal(t, m.Share(), 0.5)
+		assert.Equal(t, m.Share(0, 0), 0.5)
 		for range 600 {
 			m.Add(&Prompt{Patient: true}, 3000)
 			m.Add(&Prompt{}, 2000)
 			time.Sleep(50 * time.Millisecond)
 		}
-		assert.Equal(t, m.Share(), 0.5)
+		assert.Equal(t, m.Share(0, 0), 0.5)
 		for range 400 {
 			m.Add(&Prompt{Patient: true}, 12000)
 			m.Add(&Prompt{}, 1000)
 			time.Sleep(50 * time.Millisecond)
 		}
 		assert.Equal(t, m.Before(10*time.Second), 0.5, "the share before the change")
-		assert.Equal(t, m.Share(), 0.75, "the others keep a quarter")
+		assert.Equal(t, m.Share(0, 0), 0.75, "the others keep a quarter")
 		time.Sleep(11 * time.Second)
 		assert.Equal(t, m.Before(10*time.Second), 0.75)
 	})
 }
+
+// Work that must keep coming takes most of few servers, as all instances tell it: patient requests get what it leaves, and
+// their usual share again once there are servers enough.
+func TestHurriedWorkGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &Mix{}
+		for range 100 {
+			m.Add(&Prompt{Patient: true}, 5000)
+			m.Add(&Prompt{MaxOutput: 280}, 500)
+			time.Sleep(50 * time.Millisecond)
+		}
+		own := m.Own()
+		assert.Assert(t, own.Hurried > 35_000 && own.Hurried < 45_000, "%f", own.Hurried)
+		assert.Equal(t, m.Share(40, readRateFirst), 0.75)
+		for i := range 20 {
+			m.Told(fmt.Sprint("i", i), own)
+		}
+		assert.Equal(t, m.Share(40, readRateFirst), 0.375)
+		assert.Equal(t, m.Share(60, readRateFirst), 0.625)
+		time.Sleep(rateBelief + time.Second)
+		assert.Equal(t, m.Share(40, readRateFirst), 0.75, "what isn't told any more doesn't count")
+	})
+}
--- a/request/story/story.go
+++ b/request/story/story.go
@@ -251,6 +251,7 @@
 
 // codes are what the codes of the instance's own answers tell.
 var codes = map[string]string{
+	"overload":        "The backend servers had more work than they could do in time; it was refused before it was sent.",
 	"no_server":       "No backend server took the request.",
 	"deadline":        "The route's time limit was over.",
 	"outcome_unknown": "The request was sent and its answer was lost: it may have run.",
@@ -266,6 +267,8 @@
 		return fmt.Sprintf("The answer of server %s was lost: %s.", l.Get(keyServer), l.Get("error"))
 	case l.Event == "answer_not_used":
 		return fmt.Sprintf("The answer of server %s (status %s) wasn't used: %s.", l.Get(keyServer), l.Get("status"), l.Get("reason"))
+	case l.Event == "request_not_admitted":
+		return fmt.Sprintf("The expected wait was %s s, and %s s at most is of use.", l.Get("wait"), l.Get("limit"))
 	case l.Event == "request_refused":
 		return codes[l.Get("code")]
 	}
--- /dev/null
+++ b/version/hostroute/rank_test.go
@@ -0,0 +1,29 @@
+package hostroute
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The least urgent of those that share servers waits for its target at most; those that others yield to may be expected to wait
+// for longer, since engines read them first.
+func TestWaitLimit(t *testing.T) {
+	cfg := testConfig()
+	for i := range cfg.Routes {
+		cfg.Routes[i].Target = time.Duration(i+1) * 100 * time.Millisecond
+	}
+	cfg.Routes[3].Open, cfg.Routes[3].Tier = false, 3
+	table, err := NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, table.Apart("engines"))
+	rank := func(r, w int) int { return table.Rank(&cfg.Routes[r], &cfg.Workspaces[w]) }
+	const chat, long, open = 0, 2, 3
+	assert.Equal(t, table.WaitLimit(&cfg.Routes[open], "engines", rank(open, 1)), 400*time.Millisecond)
+	assert.Equal(t, table.WaitLimit(&cfg.Routes[open], "engines", rank(open, 0)), 1200*time.Millisecond)
+	assert.Equal(t, table.WaitLimit(&cfg.Routes[chat], "engines", rank(chat, 1)), 300*time.Millisecond)
+	// Long prompts have servers of their own, where they are the least urgent.
+	assert.Equal(t, table.WaitLimit(&cfg.Routes[long], "engines", rank(long, 1)), 300*time.Millisecond)
+	assert.Equal(t, table.WaitLimit(&cfg.Routes[long], "engines", rank(long, 0)), 900*time.Millisecond)
+}
--- a/version/hostroute/table.go
+++ b/version/hostroute/table.go
@@ -1,10 +1,8 @@
 package hostroute
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 )
@@ -31,6 +29,8 @@
 	ranks map[level]int
 	// gaps holds the shortest permitted pause of each pool's streams.
 	gaps map[string]time.Duration
+	// leastUrgent holds the highest rank of the requests that share servers.
+	leastUrgent map[sharing]int
 	// keys holds the owners of the keys by the keys' hashes.
 	keys map[[sha256.Size]byte]*Workspace
 }
@@ -59,6 +59,7 @@
 	}
 	t.rankLevels()
 	t.findGaps()
+	t.findLeastUrgent()
 	return t, nil
 }
 
@@ -130,41 +131,6 @@
 	return w, ok
 }
 
-// level is the urgency of a request: that of its workspace first, then that of its route.
-type level struct {
-	workspace, route int
-}
-
-func levelOf(r *Route, w *Workspace) level {
-	if w != nil && w.Tier != nil {
-		return level{*w.Tier, r.Tier}
-	}
-	return level{r.Tier, r.Tier}
-}
-
-// rankLevels numbers the levels that the configuration's routes and workspaces make.
-func (t *Table) rankLevels() {
-	var levels []level
-	for i := range t.cfg.Routes {
-		r := &t.cfg.Routes[i]
-		levels = append(levels, levelOf(r, nil))
-		for j := range t.cfg.Workspaces {
-			levels = append(levels, levelOf(r, &t.cfg.Workspaces[j]))
-		}
-	}
-	slices.SortFunc(levels, func(a, b level) int {
-		return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
-	})
-	levels = slices.Compact(levels)
-	t.ranks = make(map[level]int, len(levels))
-	for i, l := range levels {
-		t.ranks[l] = i
-		if len(levels) > Ranks {
-			t.ranks[l] = i * Ranks / len(levels)
-		}
-	}
-}
-
 // findGaps finds the shortest permitted pause of each pool's streams.
 func (t *Table) findGaps() {
 	t.gaps = map[string]time.Duration{}
@@ -202,10 +168,3 @@
 func (t *Table) Patient(r *Route, pool string) bool {
 	return r.Kind == Stream && t.gaps[pool] > 0 && r.Gap >= patientFactor*t.gaps[pool]
 }
-
-// Ranks is the number of ranks that engines tell apart.
-const Ranks = 10
-
-// Rank returns the rank of a request of the workspace on the route, from 0 for the most urgent to Ranks - 1; the workspace
-// may be nil. A workspace's tier goes before the routes' tiers, which order the requests of equal workspaces.
-func (t *Table) Rank(r *Route, w *Workspace) int { return t.ranks[levelOf(r, w)] }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -170,6 +170,10 @@
 	// Loads that changed since the last news.
 	Loads []NewsLoad `json:"loads,omitempty,omitzero"`
 
+	// Work of the pools whose requests have servers of their own by how long they may
+	// pause.
+	Mix []NewsMix `json:"mix,omitempty,omitzero"`
+
 	// The instance reads the store for others of its data centre.
 	Reads bool `json:"reads,omitempty,omitzero"`
 
@@ -199,6 +203,18 @@
 	U int `json:"u"`
 }
 
+// NewsMix is the work that one instance's requests have brought to a pool lately.
+type NewsMix struct {
+	// Tokens of reading a second for the others.
+	H int `json:"h"`
+
+	// Tokens of reading a second for requests that may pause for long.
+	P int `json:"p"`
+
+	// Pool.
+	S string `json:"s"`
+}
+
 // NewsWindow is the requests that began in one window.
 type NewsWindow struct {
 	// Counts corresponds to the JSON schema field "counts".
