Call a store that is out less often; hold fewer servers for streams, by the usual reading rate

Now four instances of a data centre try it at most, and the retries of lease and counts back off to one and two seconds. TestFewTryAStoreThatIsOut, TestUnreadableLeaseIsAskedSeldom.

The work of answers was counted at the permitted length, three times the usual, and the observed reading rate, which falls with each backlog, made it more.

--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -37,6 +37,8 @@
 	retryDelay = 200 * time.Millisecond
 	// pollInterval is how often a candidate reads a lease that another holds.
 	pollInterval = time.Second
+	// mostDoublings bounds the growth of that delay while the lease can't be read.
+	mostDoublings = 4
 	// releaseTimeout bounds the release on a graceful stop.
 	releaseTimeout = time.Second
 )
@@ -95,6 +97,8 @@
 	// sighted is the highest version of the object that a holder told of, and sightedAt when that was first heard.
 	sighted   int
 	sightedAt time.Duration
+	// unreadable counts the failed reads in a row; it belongs to Run's goroutine.
+	unreadable int
 	// inFlight is the number of Do calls that are under way; idle is closed when it falls to 0, and nil while it is 0.
 	inFlight int
 	idle     chan struct{}
@@ -245,8 +249,10 @@
 	}
 	if err := l.observe(ctx); err != nil {
 		l.Log.Warn("lease_unreadable", l.fields(zap.Error(err))...)
-		return retryDelay
+		l.unreadable++
+		return min(retryDelay<<min(l.unreadable-1, mostDoublings), pollInterval)
 	}
+	l.unreadable = 0
 	if wait := max(l.waitToTake(), l.untilArrival()); wait > 0 {
 		return min(wait, poll)
 	}
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// A store that is out for long is asked once a second and not five times.
+func TestUnreadableLeaseIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &platformtest.Objects{}
+		calls := 0
+		api.Decide = func(platformtest.Call) platformtest.Fault {
+			calls++
+			return platformtest.Fault{Outcome: platformtest.OutcomeDown}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		newLease(api, "a").Run(ctx)
+		assert.Assert(t, calls >= 10 && calls <= 14, "%d", calls)
+	})
+}
+
 func TestLostAnswersKeepTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
--- a/process/mesh/mesh_test.go
+++ b/process/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -232,6 +233,44 @@
 	})
 }
 
+// While the store is out for all, four instances of a data centre try it at most, however many there are; where it turns only
+// the first two away, others take their place.
+func TestFewTryAStoreThatIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &net{nodes: map[netip.AddrPort]*Mesh{}}
+		objects := &platformtest.Objects{}
+		var meshes []*Mesh
+		var told []*events
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for i := range 8 {
+			m, e := add(n, objects, fmt.Sprint("a", i), "a", fmt.Sprintf("10.0.0.%d:1", i+1))
+			meshes, told = append(meshes, m), append(told, e)
+			wg.Go(func() { m.Execute(ctx) })
+		}
+		readers := func() (count int) {
+			time.Sleep(3 * time.Second)
+			for _, m := range meshes {
+				if m.IsReader() {
+					count++
+				}
+			}
+			return count
+		}
+		assert.Equal(t, readers(), Readers)
+		told[0].out.Store(true)
+		told[1].out.Store(true)
+		assert.Equal(t, readers(), 2+Readers)
+		for _, e := range told {
+			e.out.Store(true)
+		}
+		assert.Equal(t, readers(), outMost)
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestReaderIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, meshes, _, stop := started(t)
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -26,18 +26,27 @@
 	return append(near, far...)
 }
 
+// outMost is the number of instances of a data centre that try a store which is out of reach: more would cost calls and reach it
+// no sooner. Where it turns just these away, the readers of other data centres are asked.
+const outMost = 2 * Readers
+
 // IsReader tells whether this instance reads and writes the store for its data centre: the first ones there by name that are
 // heard and reach the store.
 func (m *Mesh) IsReader() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := 0
+	before, out := 0, 0
 	for name, p := range m.peers {
-		if name < m.Instance && p.dataCentre == m.DataCentre && time.Since(p.heard) <= m.silence() && !p.storeOut && !p.leaving {
-			before++
+		if name > m.Instance || p.dataCentre != m.DataCentre || time.Since(p.heard) > m.silence() || p.leaving {
+			continue
+		}
+		if p.storeOut {
+			out++
+			continue
 		}
+		before++
 	}
-	return before < Readers
+	return before < Readers && out < outMost
 }
 
 // ReaderAddresses returns the addresses of the instances that read the store, those of the own data centre first.
--- a/process/tally/tally.go
+++ b/process/tally/tally.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/pause"
@@ -37,8 +38,10 @@
 	// settle is how long after a window's end its counts are written: copies of other runs' counts are told every half
 	// second.
 	settle = 900 * time.Millisecond
-	// writeRetry is the delay before a failed write is tried again.
-	writeRetry = 250 * time.Millisecond
+	// writeRetry is the delay before a failed write is tried again; it doubles up to writeRetryMost, a small part of the usual
+	// time until a report is due.
+	writeRetry     = 250 * time.Millisecond
+	writeRetryMost = 2 * time.Second
 	// copiedWindows is the number of windows that are told to other instances: the running one and the last.
 	copiedWindows = 2
 )
@@ -136,8 +139,9 @@
 		now := time.Now()
 		next := Start(now, c.Window).Add(c.Window + settle)
 		pause.For(ctx, next.Sub(now))
+		delays := &backoff.ExponentialBackOff{InitialInterval: writeRetry, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: writeRetryMost}
 		for ctx.Err() == nil && c.Writes() && c.Write(ctx) != nil {
-			pause.For(ctx, writeRetry)
+			pause.For(ctx, delays.NextBackOff())
 		}
 	}
 }
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -157,7 +157,7 @@
 	if !c.table.Apart(c.pool.Name) {
 		return 0
 	}
-	return c.f.Mix(c.pool.Name).Share(servers, c.f.Reading(c.pool.Name).Rate())
+	return c.f.Mix(c.pool.Name).Share(servers)
 }
 
 // youngFor is the age up to which an engine counts as new: parts of prompts are in use again within about this time.
--- a/request/place/admit.go
+++ b/request/place/admit.go
@@ -12,7 +12,7 @@
 	// readRateLeast bounds the observed rate: below it an observation rather shows a fault.
 	readRateLeast = ReadRate / 8
 	// weightOfReading is the weight of the newest observation.
-	weightOfReading = 0.02
+	weightOfReading = 0.1
 	// readingLeast is the work from which a wait is mostly reading and not the fixed cost of a request, in tokens.
 	readingLeast = 8192
 )
--- a/request/place/mix.go
+++ b/request/place/mix.go
@@ -23,11 +23,12 @@
 	rateAge = 3 * time.Second
 	// rateBelief is how long a told rate is believed: three intervals at which all is told.
 	rateBelief = 3 * time.Second
-	// outputWork is what an engine needs for one token of an answer beside its batch, in tokens of reading.
-	outputWork = 6
+	// outputWork is what an engine needs for a permitted token of an answer, in tokens of reading: one that is made takes about
+	// 6 beside a batch, and answers have about a third of the permitted length.
+	outputWork = 2
 	// hurriedUse is the part of a server's reading that requests which aren't patient may take up: an event of some tokens takes
 	// as many steps, and each that also reads takes several times as long.
-	hurriedUse = 0.5
+	hurriedUse = 0.8
 )
 
 // Mix follows how much of a pool's work is for patient requests, and divides the pool's servers accordingly. It answers
@@ -119,8 +120,9 @@
 }
 
 // Share returns the part of the servers that patient requests get, half before anything was counted: by the mix of the work,
-// and no more than the others leave at the reading rate, in tokens a millisecond.
-func (m *Mix) Share(servers int, rate float64) float64 {
+// and no more than the others leave of the servers. That counts on the usual reading rate: the observed one falls with each
+// backlog, and would take servers away where the backlog is.
+func (m *Mix) Share(servers int) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.step == 0 {
@@ -131,7 +133,7 @@
 	if sum := m.patient + hurryWeight*m.hurried; sum > 0 {
 		at := m.patient / sum * mixSteps
 		if servers > 0 {
-			needed := m.all(now).Hurried / (hurriedUse * rate * 1000)
+			needed := m.all(now).Hurried / (hurriedUse * readRateFirst * 1000)
 			at = min(at, (1-needed/float64(servers))*mixSteps)
 		}
 		if math.Abs(at-float64(m.step)) > mixSlack {
