Send nothing more to a server whose address another has

Connecting to them succeeded, so that suspicion ended, and as they answered at once they looked idle and drew requests until the budget of further attempts was used up.

Change: a 421 sets the server aside until its entry changes.

--- a/process/roster/member.go
+++ b/process/roster/member.go
@@ -58,6 +58,9 @@
 	// pace is the mean time of the server's steps in milliseconds; 0 is unknown.
 	pace float64
 
+	// replaced is set when another server answered at the address. Connecting proves nothing then: the server gets no requests
+	// until its entry changes.
+	replaced bool
 	// suspect is true while the server is believed to be unreachable; it then gets no requests. suspectFor is the time
 	// until it is tried again.
 	suspect    bool
@@ -110,6 +113,8 @@
 	Unreached
 	// Left is that the caller left, which says nothing of the server.
 	Left
+	// Replaced is that another server answered at the address.
+	Replaced
 )
 
 // Visit is one request at a server.
@@ -201,6 +206,11 @@
 	case Unreached:
 		v.m.outcome(1, now)
 		v.m.doubt()
+	case Replaced:
+		if !v.m.replaced {
+			v.m.replaced = true
+			v.m.log.Info("server_replaced", append(fields(v.m.entry), zap.Int("running", v.m.running))...)
+		}
 	case Left:
 	}
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -71,6 +71,9 @@
 	if e.Draining != m.entry.Draining {
 		r.Log.Info("server_draining", append(fields(e), zap.Bool("draining", e.Draining), zap.Duration("leaves_in", e.LeavesIn))...)
 	}
+	if e != m.entry {
+		m.replaced = false
+	}
 	m.entry = e
 	m.lapsed = time.Time{}
 	switch {
@@ -204,7 +207,7 @@
 	usable := make([]*Member, 0, len(serving))
 	for _, m := range serving {
 		m.mu.Lock()
-		ok := !m.gone && !m.suspect && !skip[m.entry.ID]
+		ok := !m.gone && !m.suspect && !m.replaced && !skip[m.entry.ID]
 		m.mu.Unlock()
 		if ok {
 			usable = append(usable, m)
@@ -214,7 +217,10 @@
 		return usable
 	}
 	for _, m := range serving {
-		if !skip[m.Entry().ID] {
+		m.mu.Lock()
+		ok := !m.replaced && !skip[m.entry.ID]
+		m.mu.Unlock()
+		if ok {
 			usable = append(usable, m)
 		}
 	}
@@ -230,7 +236,7 @@
 	for _, m := range r.members {
 		m.mu.Lock()
 		leaving := !m.drainingSince.IsZero() && now.Sub(m.drainingSince) > sourceFor
-		if m.entry.Pool == pool && !leaving && !m.suspect {
+		if m.entry.Pool == pool && !leaving && !m.suspect && !m.replaced {
 			list = append(list, m)
 		}
 		m.mu.Unlock()
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -196,3 +196,26 @@
 		assert.Assert(t, m.State(time.Now()).Failing > 0.9)
 	})
 }
+
+// A server whose address another has gets nothing, though it takes connections, until its entry changes; a list that tells the
+// same as before changes nothing.
+func TestReplacedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRoster(entry("a"), entry("b"))
+		r.Reach = func(string) error { return nil }
+		for _, m := range r.Serving("p") {
+			if m.Entry().ID == "a" {
+				m.Begin(0).End(Replaced)
+			}
+		}
+		only := map[string]bool{"b": true}
+		time.Sleep(time.Minute)
+		assert.DeepEqual(t, ids(r.Usable("p", nil)), only)
+		assert.DeepEqual(t, ids(r.Sources("p")), only)
+		assert.Equal(t, len(r.Usable("p", only)), 0, "not even where no other is left")
+		r.Reset([]Entry{entry("a"), entry("b")}, false)
+		assert.DeepEqual(t, ids(r.Usable("p", nil)), only)
+		r.Put(entry("a", func(e *Entry) { e.ColdFor = time.Second }))
+		assert.Equal(t, len(r.Usable("p", nil)), 2)
+	})
+}
--- a/request/forward/answer.go
+++ b/request/forward/answer.go
@@ -28,7 +28,7 @@
 		v.Told(*mark.Load)
 	}
 	if mark.NotRun {
-		v.End(roster.Refused)
+		v.End(refusal(mark))
 		c.logAnswer(res.StatusCode, "not_run")
 		readOver(res)
 		return errRefused
@@ -51,6 +51,14 @@
 	return c.plain(ctx, v, res)
 }
 
+// refusal returns the outcome of a visit that wasn't run.
+func refusal(m Mark) roster.Outcome {
+	if m.Elsewhere {
+		return roster.Replaced
+	}
+	return roster.Refused
+}
+
 func isEvents(res *http.Response) bool {
 	return isSuccess(res) && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/request/forward/ask.go
+++ b/request/forward/ask.go
@@ -49,6 +49,8 @@
 	Signed bool
 	// NotRun tells that the server didn't run the request.
 	NotRun bool
+	// Elsewhere tells that another server answered: the one that the request is meant for isn't at its address any more.
+	Elsewhere bool
 	// Load is nil where the server doesn't tell it.
 	Load *roster.Load
 }
--- a/request/place/mix.go
+++ b/request/place/mix.go
@@ -24,11 +24,11 @@
 	// rateBelief is how long a told rate is believed: three intervals at which all is told.
 	rateBelief = 3 * time.Second
 	// outputWork is what an engine needs for a permitted token of an answer, in tokens of reading: one that is made takes about
-	// 6 beside a batch, and answers have about a third of the permitted length.
-	outputWork = 2
+	// 10 beside few others, and answers have less than half of the permitted length.
+	outputWork = 4
 	// hurriedUse is the part of a server's reading that requests which aren't patient may take up: an event of some tokens takes
 	// as many steps, and each that also reads takes several times as long.
-	hurriedUse = 0.8
+	hurriedUse = 0.7
 )
 
 // Mix follows how much of a pool's work is for patient requests, and divides the pool's servers accordingly. It answers
--- a/request/story/story.go
+++ b/request/story/story.go
@@ -240,6 +240,7 @@
 var reasons = map[string]string{
 	"server_suspected":   "Server %s couldn't be reached.",
 	"server_mute":        "Server %s took connections and answered nothing.",
+	"server_replaced":    "Another server answered at the address of server %s.",
 	"server_draining":    "Server %s was leaving.",
 	"server_out":         "Server %s was gone.",
 	"data_centre_silent": "Data centre %s couldn't be heard.",
