--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 # test is the whole check: build, vet, linter, unit tests with the race detector, scenarios.
 test: build lint unit
 
-# soak harms the real daemons from outside by schedules that the seeds draw; `make soak SEEDS=50 FIRST=1000`.
+# soak (docs/PROOF.md) harms the real daemons from outside by schedules that the seeds draw; `make soak SEEDS=50 FIRST=1000`.
 SEEDS ?= 5
 FIRST ?= 1
 soak:
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -85,16 +85,20 @@
 	})
 }
 
+// losing returns an object API that no longer serves instance a once the flag is set.
+func losing() (*platformtest.Objects, *atomic.Bool) {
+	lost := &atomic.Bool{}
+	return &platformtest.Objects{Decide: func(c platformtest.Call) platformtest.Fault {
+		if lost.Load() && c.Instance == "a" {
+			return platformtest.Fault{Outcome: platformtest.OutcomeDown}
+		}
+		return platformtest.Fault{}
+	}}, lost
+}
+
 func TestTakerWaitsOutALostHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		api := &platformtest.Objects{}
-		var lost atomic.Bool
-		api.Decide = func(c platformtest.Call) platformtest.Fault {
-			if lost.Load() && c.Instance == "a" {
-				return platformtest.Fault{Outcome: platformtest.OutcomeDown}
-			}
-			return platformtest.Fault{}
-		}
+		api, lost := losing()
 		a, b := newLease(api, "a"), newLease(api, "b")
 		go a.Run(t.Context())
 		waitHeld(t, a, time.Second)
@@ -114,14 +118,7 @@
 func TestTakerCountsFromNews(t *testing.T) {
 	for _, told := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			api := &platformtest.Objects{}
-			var lost atomic.Bool
-			api.Decide = func(c platformtest.Call) platformtest.Fault {
-				if lost.Load() && c.Instance == "a" {
-					return platformtest.Fault{Outcome: platformtest.OutcomeDown}
-				}
-				return platformtest.Fault{}
-			}
+			api, lost := losing()
 			a, b := newLease(api, "a"), newLease(api, "b")
 			go a.Run(t.Context())
 			waitHeld(t, a, time.Second)
