Look at few servers also where few are near; order servers for what is refused

Cause: to find two servers of the own data centre, Engine looked at all that stood before them in the hash's order, six of three data centres in expectation, and at all of them where none was near. TestFewAreLookedAt fails on the loop before.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -152,7 +152,8 @@
 	if p.Engine == nil || len(members) == 0 {
 		return false
 	}
-	now, unread := time.Now(), 0
+	// What was refused in the last second is work that the servers should have had.
+	now, unread := time.Now(), int(f.g.mix(p.Name).All().Refused)
 	for _, m := range members {
 		unread += m.State(now).Unread
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -58,7 +58,7 @@
 	list := make([]wire.NewsMix, 0, len(g.mixes))
 	for pool, m := range g.mixes {
 		r := m.Own()
-		list = append(list, wire.NewsMix{S: pool, P: int(r.Patient), H: int(r.Hurried)})
+		list = append(list, wire.NewsMix{S: pool, P: int(r.Patient), H: int(r.Hurried), R: int(r.Refused)})
 	}
 	return list
 }
@@ -66,8 +66,12 @@
 // heardMix takes in the work of another instance's requests.
 func (g *Gateway) heardMix(instance string, mix []wire.NewsMix) {
 	for _, n := range mix {
-		if t := g.table.Load(); t != nil && t.Apart(n.S) {
-			g.mix(n.S).Told(instance, place.Rates{Patient: float64(n.P), Hurried: float64(n.H)})
+		t := g.table.Load()
+		if t == nil {
+			return
+		}
+		if _, ok := t.Pool(n.S); ok {
+			g.mix(n.S).Told(instance, place.Rates{Patient: float64(n.P), Hurried: float64(n.H), Refused: float64(n.R)})
 		}
 	}
 }
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -46,7 +46,7 @@
 	// strainedTotal and strainedLeast take the places of totalShare and leastShare while the servers are strained: a burst
 	// of one kind of request asks for about twice the usual.
 	strainedTotal = 1.8
-	strainedLeast = 1.4
+	strainedLeast = 1.8
 	// settled is the part of the ordered cheap servers that must serve before regular ones are given up.
 	settled = 0.75
 )
--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -137,6 +137,7 @@
 	if ok {
 		return nil
 	}
+	c.f.Mix(c.pool.Name).Refused(c.ask.Prompt.Tokens - c.ask.Prompt.Shared())
 	c.placement = placement{at: *chosen}
 	c.f.Log.Info("request_not_admitted",
 		zap.String("request_id", c.ask.ID),
--- a/request/place/mix.go
+++ b/request/place/mix.go
@@ -52,6 +52,14 @@
 type Rates struct {
 	Patient float64
 	Hurried float64
+	// Refused is the part of both that wasn't let in.
+	Refused float64
+}
+
+// perSecond returns the rates of work that has faded with rateAge.
+func (r Rates) perSecond() Rates {
+	s := rateAge.Seconds()
+	return Rates{r.Patient / s, r.Hurried / s, r.Refused / s}
 }
 
 // toldRates are the rates of another instance.
@@ -80,7 +88,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fade(time.Now())
-	return Rates{m.recent.Patient / rateAge.Seconds(), m.recent.Hurried / rateAge.Seconds()}
+	return m.recent.perSecond()
+}
+
+// Refused counts the reading of a request that wasn't let in.
+func (m *Mix) Refused(tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fade(time.Now())
+	m.recent.Refused += float64(tokens)
+}
+
+// All returns the rates of all instances.
+func (m *Mix) All() Rates {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.fade(now)
+	return m.all(now)
 }
 
 // Told takes another instance's rates.
@@ -95,7 +120,7 @@
 
 // all returns the rates of all instances; the lock is held.
 func (m *Mix) all(now time.Time) Rates {
-	sum := Rates{m.recent.Patient / rateAge.Seconds(), m.recent.Hurried / rateAge.Seconds()}
+	sum := m.recent.perSecond()
 	for name, r := range m.told {
 		if now.Sub(r.at) > rateBelief {
 			delete(m.told, name)
@@ -103,6 +128,7 @@
 		}
 		sum.Patient += r.Patient
 		sum.Hurried += r.Hurried
+		sum.Refused += r.Refused
 	}
 	return sum
 }
@@ -115,6 +141,7 @@
 		f = math.Exp(-float64(now.Sub(m.at)) / float64(rateAge))
 		m.recent.Patient *= f
 		m.recent.Hurried *= f
+		m.recent.Refused *= f
 	}
 	m.at = now
 }
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -131,21 +131,20 @@
 		best.Owner = order[0]
 	}
 	usual := p.meanWait(candidates)
-	seen, near := 0, 0
 	for n := choices; ; n *= 2 {
-		for _, i := range order[min(seen, len(order)):] {
-			if seen >= n && near >= n {
-				break
-			}
-			seen++
+		near := 0
+		for seen, i := range order {
 			if candidates[i].Near {
 				near++
 			}
+			if seen >= n && (!candidates[i].Near || near > n) {
+				continue
+			}
 			if cost := p.cost(&candidates[i], i == best.Owner); best.Index < 0 || cost < best.Cost {
 				best.Index, best.Cost = i, cost
 			}
 		}
-		if seen >= len(order) || !p.tooMuch(&candidates[best.Index], usual) {
+		if n >= len(order) || !p.tooMuch(&candidates[best.Index], usual) {
 			return best
 		}
 	}
--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -204,6 +204,9 @@
 		}
 		assert.Equal(t, m.Share(20), 0.375)
 		assert.Equal(t, m.Share(32), 0.625)
+		m.Refused(9000)
+		m.Told("i0", Rates{Refused: 7000})
+		assert.Equal(t, m.All().Refused, 10_000.0)
 		time.Sleep(rateBelief + time.Second)
 		assert.Equal(t, m.Share(20), 0.75, "what isn't told any more doesn't count")
 	})
--- a/request/place/stale_test.go
+++ b/request/place/stale_test.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,3 +23,22 @@
 	assert.Assert(t, late(long, time.Second) < 0.05)
 	assert.Assert(t, late(short, 200*time.Millisecond) < 0.05)
 }
+
+// A server of another data centre is looked at only where the hash names it among the first, also where none is near.
+func TestFewAreLookedAt(t *testing.T) {
+	for _, near := range []int{0, 10, 30} {
+		var list []Candidate
+		for i := range 30 {
+			list = append(list, Candidate{Name: fmt.Sprint("s", i), Near: i < near, Running: 1 + i%7, Slots: 64})
+		}
+		chosen := map[int]bool{}
+		p := &Prompt{Parts: []Part{{"subject", 300}, {"own", 500}}, Tokens: 800, Target: time.Second}
+		for i := range list {
+			// Each server in turn looks idle to all.
+			at := slices.Clone(list)
+			at[i].Running = 0
+			chosen[Engine(p, at).Index] = true
+		}
+		assert.Assert(t, len(chosen) <= 2*choices, "%d of 30 with %d near", len(chosen), near)
+	}
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -170,8 +170,7 @@
 	// Loads that changed since the last news.
 	Loads []NewsLoad `json:"loads,omitempty,omitzero"`
 
-	// Work of the pools whose requests have servers of their own by how long they may
-	// pause.
+	// Work that the instance's requests brought to the pools.
 	Mix []NewsMix `json:"mix,omitempty,omitzero"`
 
 	// The instance reads the store for others of its data centre.
@@ -211,6 +210,9 @@
 	// Tokens of reading a second for requests that may pause for long.
 	P int `json:"p"`
 
+	// Tokens of reading a second of requests that were not let in.
+	R int `json:"r,omitempty,omitzero"`
+
 	// Pool.
 	S string `json:"s"`
 }
