Keep the servers that the present work needs

Change: sizing takes the number of servers that the work told by all instances needs as a floor beside the share of the base. TestWorkKeepsServers.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -137,7 +137,7 @@
 		return
 	}
 	sites := f.sites(p)
-	counts := sizing.Counts(sites, sizing.Bounds{Min: p.Scaling.Min, Max: p.Scaling.Max}, f.strained(p))
+	counts := sizing.Counts(sites, sizing.Bounds{Min: p.Scaling.Min, Max: p.Scaling.Max}, f.strained(p), f.g.mix(p.Name).Servers())
 	for i, s := range sites {
 		f.order(ctx, p, orderKey{p.Name, s.DataCentre, true}, counts[i].Cheap, s.Cheap)
 		if learned {
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -54,17 +54,19 @@
 // Counts returns the number of servers of each kind for each site, in their order. It answers a steady load, a data
 // centre that loses its cheap servers at once, and cheap servers that can't be had.
 //
-// Where the servers are strained, cheap and regular ones are ordered up to what a burst needs.
-func Counts(sites []Site, b Bounds, strained bool) []Count {
+// Where the servers are strained, cheap and regular ones are ordered up to what a burst needs. Servers that the present work
+// needs aren't given up, and stand in where the cheap kind can't be had; 0 is that the work isn't known.
+func Counts(sites []Site, b Bounds, strained bool, needed int) []Count {
 	counts := make([]Count, len(sites))
 	total, least := totalShare, leastShare
 	if strained {
 		total, least = strainedTotal, strainedLeast
 	}
-	missing := 0
+	floor, served := 0, 0
 	for i, s := range sites {
 		counts[i] = usual(s, b, total)
-		missing += int(math.Ceil(least*float64(s.Base))) - counts[i].Regular - s.Cheap
+		floor += int(math.Ceil(least * float64(s.Base)))
+		served += counts[i].Regular + s.Cheap
 	}
 	for i, s := range sites {
 		if !s.CheapMissing && s.Cheap < int(math.Ceil(settled*float64(counts[i].Cheap))) && s.Regular > counts[i].Regular {
@@ -72,7 +74,7 @@
 			counts[i].Regular = min(max(s.Regular, counts[i].Regular), b.Max-counts[i].Cheap)
 		}
 	}
-	fill(sites, counts, b, missing)
+	fill(sites, counts, b, max(floor, needed)-served)
 	return counts
 }
 
--- a/process/sizing/sizing_test.go
+++ b/process/sizing/sizing_test.go
@@ -22,18 +22,18 @@
 }
 
 func TestSteadyLoad(t *testing.T) {
-	for _, c := range Counts(sites(func(int, *Site) {}), bounds, false) {
+	for _, c := range Counts(sites(func(int, *Site) {}), bounds, false, 0) {
 		assert.Equal(t, c, Count{Regular: 1, Cheap: 8})
 	}
 }
 
 // Regular servers stay until the cheap ones that take their place serve.
 func TestCheapOnesAreStarting(t *testing.T) {
-	counts := Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 6, 0 }), bounds, false)
+	counts := Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 6, 0 }), bounds, false, 0)
 	for _, c := range counts {
 		assert.Equal(t, c, Count{Regular: 4, Cheap: 8}, "no more than both kinds may be together")
 	}
-	counts = Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 4, 6 }), bounds, false)
+	counts = Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap = 4, 6 }), bounds, false, 0)
 	for _, c := range counts {
 		assert.Equal(t, c, Count{Regular: 1, Cheap: 8})
 	}
@@ -50,7 +50,7 @@
 			if i == 1 {
 				s.Regular = regular
 			}
-		}), bounds, false)
+		}), bounds, false, 0)
 	}
 	first := lost(1)
 	assert.Equal(t, first[1].Regular, 5)
@@ -60,10 +60,10 @@
 
 func TestBoundsHold(t *testing.T) {
 	tight := Bounds{Min: 2, Max: 3}
-	for _, c := range Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap, s.CheapMissing = 0, 0, true }), tight, false) {
+	for _, c := range Counts(sites(func(_ int, s *Site) { s.Regular, s.Cheap, s.CheapMissing = 0, 0, true }), tight, false, 0) {
 		assert.Assert(t, c.Regular >= 1 && c.Regular <= 3)
 	}
-	one := Counts([]Site{{DataCentre: "a", Base: 1, Regular: 1}}, bounds, false)
+	one := Counts([]Site{{DataCentre: "a", Base: 1, Regular: 1}}, bounds, false, 0)
 	assert.Assert(t, one[0].Regular >= 1)
 }
 
@@ -74,7 +74,7 @@
 			s.Cheap, s.CheapMissing = 0, true
 		}
 	})
-	counts := Counts(list, bounds, true)
+	counts := Counts(list, bounds, true, 0)
 	assert.Equal(t, counts[0].Cheap, 10)
 	total := 0
 	for i, c := range counts {
@@ -104,3 +104,27 @@
 	assert.Assert(t, observe(10*time.Millisecond, 5))
 	assert.Assert(t, !observe(10*time.Millisecond, 8))
 }
+
+// A burst goes on while the servers of a data centre that were reclaimed are starting again: regular ones that the work needs
+// stay, and are given up once it has ended.
+func TestWorkKeepsServers(t *testing.T) {
+	list := sites(func(i int, s *Site) {
+		if i == 1 {
+			s.Cheap, s.CheapMissing, s.Regular = 0, true, 10
+		}
+	})
+	served := func(counts []Count) (n int) {
+		for i, c := range counts {
+			n += c.Regular + list[i].Cheap
+		}
+		return n
+	}
+	idle, busy := Counts(list, bounds, false, 8), Counts(list, bounds, false, 24)
+	assert.Assert(t, served(idle) < 24)
+	assert.Assert(t, served(busy) >= 24)
+	for i, c := range busy {
+		assert.Assert(t, c.Regular+list[i].Cheap <= bounds.Max)
+	}
+	all := sites(func(int, *Site) {})
+	assert.DeepEqual(t, Counts(all, bounds, false, 1000), Counts(all, bounds, false, 0))
+}
--- a/request/place/mix.go
+++ b/request/place/mix.go
@@ -29,6 +29,8 @@
 	// hurriedUse is the part of a server's reading that requests which aren't patient may take up: an event of some tokens takes
 	// as many steps, and each that also reads takes several times as long.
 	hurriedUse = 0.7
+	// patientUse is the same for patient requests, whose wait may be long against the gaps between them.
+	patientUse = 0.8
 )
 
 // Mix follows how much of a pool's work is for patient requests, and divides the pool's servers accordingly. It answers
@@ -108,6 +110,12 @@
 	return m.all(now)
 }
 
+// Servers returns the number of servers that the work of all instances needs.
+func (m *Mix) Servers() int {
+	r := m.All()
+	return int(math.Ceil((r.Patient/patientUse + r.Hurried/hurriedUse) / (readRateFirst * 1000)))
+}
+
 // Told takes another instance's rates.
 func (m *Mix) Told(instance string, r Rates) {
 	m.mu.Lock()
--- a/request/place/place_test.go
+++ b/request/place/place_test.go
@@ -202,6 +202,7 @@
 		for i := range 20 {
 			m.Told(fmt.Sprint("i", i), own)
 		}
+		assert.Equal(t, m.Servers(), 46)
 		assert.Equal(t, m.Share(20), 0.375)
 		assert.Equal(t, m.Share(32), 0.625)
 		m.Refused(9000)
