--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -133,7 +133,7 @@
 // admit refuses a request whose first event would come too late to be of use. A request that was sent before isn't refused.
 func (c *call) admit(chosen *place.Candidate) error {
 	limit := c.table.WaitLimit(c.route, c.pool.Name, c.rank)
-	refusal, ok := place.Admit(c.ask.Prompt, chosen, c.f.Reading(c.pool.Name).Rate(), limit)
+	refusal, ok := place.Admit(chosen, c.f.Reading(c.pool.Name).Rate(), limit)
 	if ok {
 		return nil
 	}
--- a/request/place/admit.go
+++ b/request/place/admit.go
@@ -53,19 +53,20 @@
 
 // Refusal tells when a request that isn't placed should come back.
 type Refusal struct {
-	// Wait is the expected time to its first event at the best server.
+	// Wait is the expected time at the best server until its prompt is read.
 	Wait time.Duration
 	// RetryAfter is the time in which the servers have done what they have now, and as much as they may hold.
 	RetryAfter time.Duration
 }
 
-// Admit tells whether a request may wait at the chosen server, by the expected time to its first event at the reading rate. The
-// limit is the longest wait that is of use, 0 is none.
+// Admit tells whether a request may wait at the chosen server, by the expected time until its own prompt is read at the reading
+// rate. The limit is the longest wait that is of use, 0 is none. The prompt's own length doesn't count: long prompts would be
+// refused far more often than short ones, though they wait no longer.
 //
 // It answers more work than the servers can do: where all that comes is let in, all comes late; where what would come late is
 // refused at once, the servers do what they can in time.
-func Admit(p *Prompt, c *Candidate, rate float64, limit time.Duration) (Refusal, bool) {
-	tokens := float64(c.Unread + p.Tokens - p.Shared())
+func Admit(c *Candidate, rate float64, limit time.Duration) (Refusal, bool) {
+	tokens := float64(c.Unread)
 	if c.Slots > 0 && c.Running >= c.Slots {
 		tokens += overfull * float64(c.Running-c.Slots+1)
 	}
@@ -76,6 +77,6 @@
 	return Refusal{Wait: wait, RetryAfter: wait + limit}, false
 }
 
-// idleWork is the unread work up to which a server counts as free, in tokens: what it reads in two steps. A prompt that is too
-// long to be in time anywhere isn't refused for that.
+// idleWork is the unread work up to which a server counts as free, in tokens: what it reads in two steps. Nothing is refused
+// there, however slow the engines have been.
 const idleWork = 4096
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -113,7 +113,7 @@
 	// mostFailing is the share of failures from which more servers are looked at.
 	mostFailing = 0.3
 	// unusual is how many times the mean wait a server's wait must be for it to count as singled out, as by a hot subject.
-	unusual = 2
+	unusual = 1.5
 	// failingCost multiplies a server's cost by up to 1 + failingCost.
 	failingCost = 8
 )
