Let urgent requests displace patient ones before they are refused

Both kinds have servers of their own, patient requests keep a quarter at least, and each kind was refused by the backlog of its own. Ruled out: the engines' order, which is by rank.

Change: a request that finds no room at its own kind of servers is placed among the patient ones, which the engine reads after it and which are refused in its stead; there it may wait for twice the time of a request that others yield to. TestUrgentRequestsDisplacePatientOnes.

--- a/request/forward/run.go
+++ b/request/forward/run.go
@@ -14,6 +14,7 @@
 	"github.com/toucanroute/toucanroute/process/roster"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/request/place"
+	"github.com/toucanroute/toucanroute/version/hostroute"
 )
 
 // maxUnsent bounds the servers that a request is offered to without a byte leaving: connecting to them fails.
@@ -110,7 +111,8 @@
 		unread = c.ask.Prompt.Tokens - c.ask.Prompt.Shared()
 		if c.sends == 0 {
 			c.f.Mix(c.pool.Name).Add(c.ask.Prompt, unread)
-			if err := c.admit(&candidates[choice.Index]); err != nil {
+			var err error
+			if choice, err = c.admit(choice, candidates); err != nil {
 				return placed{}, err
 			}
 		}
@@ -130,13 +132,24 @@
 	return p, nil
 }
 
-// admit refuses a request whose first event would come too late to be of use. A request that was sent before isn't refused.
-func (c *call) admit(chosen *place.Candidate) error {
-	limit := c.table.WaitLimit(c.route, c.pool.Name, c.rank)
-	refusal, ok := place.Admit(chosen, c.f.Reading(c.pool.Name).Rate(), limit)
+// admit returns the choice if the request may wait there, or else one where it displaces less urgent ones. It refuses a request
+// whose first event would come too late to be of use; one that was sent before isn't refused.
+func (c *call) admit(choice place.Choice, candidates []place.Candidate) (place.Choice, error) {
+	limit, rate := c.table.WaitLimit(c.route, c.pool.Name, c.rank), c.f.Reading(c.pool.Name).Rate()
+	refusal, ok := place.Admit(&candidates[choice.Index], rate, limit)
 	if ok {
-		return nil
+		return choice, nil
 	}
+	if other, found := place.Displace(c.ask.Prompt, candidates); found {
+		if _, ok := place.Admit(&candidates[other.Index], rate, place.DisplacedWaits*hostroute.YieldedLimit(c.route)); ok {
+			return other, nil
+		}
+	}
+	return choice, c.notAdmitted(&candidates[choice.Index], refusal, limit)
+}
+
+// notAdmitted returns the answer of a request that isn't let in.
+func (c *call) notAdmitted(chosen *place.Candidate, refusal place.Refusal, limit time.Duration) error {
 	c.f.Mix(c.pool.Name).Refused(c.ask.Prompt.Tokens - c.ask.Prompt.Shared())
 	c.placement = placement{at: *chosen}
 	c.f.Log.Info("request_not_admitted",
--- a/request/place/admit.go
+++ b/request/place/admit.go
@@ -77,6 +77,39 @@
 	return Refusal{Wait: wait, RetryAfter: wait + limit}, false
 }
 
+// DisplacedWaits is how many times its limit a request may be expected to wait at a server of patient requests: these are let in
+// up to their own limit only, and engines read the more urgent prompt before theirs.
+const DisplacedWaits = 2
+
+// Displace chooses among the servers of patient requests for one that isn't patient and finds no room at its own kind: it takes
+// the place of less urgent ones, which are then refused in its stead. It tells false where there is no such server.
+//
+// It answers more urgent work than its share of the servers can do, while less urgent work still finds room.
+func Displace(p *Prompt, candidates []Candidate) (Choice, bool) {
+	none := Choice{Index: -1, Owner: -1}
+	if p.Patient {
+		return none, false
+	}
+	index := make([]int, 0, len(candidates))
+	list := make([]Candidate, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Patient {
+			index, list = append(index, i), append(list, candidates[i])
+		}
+	}
+	if len(list) == 0 {
+		return none, false
+	}
+	displaced := *p
+	displaced.Patient = true
+	choice := Engine(&displaced, list)
+	owner := -1
+	if choice.Owner >= 0 {
+		owner = index[choice.Owner]
+	}
+	return Choice{Index: index[choice.Index], Owner: owner, Cost: choice.Cost}, true
+}
+
 // idleWork is the unread work up to which a server counts as free, in tokens: what it reads in two steps. Nothing is refused
 // there, however slow the engines have been.
 const idleWork = 4096
--- a/request/place/admit_test.go
+++ b/request/place/admit_test.go
@@ -136,3 +136,34 @@
 	assert.Assert(t, let[0]/asked[0] < 0.7, "there is more than can be done")
 	assert.Assert(t, let[1]/asked[1] > 0.8*let[0]/asked[0])
 }
+
+// What finds no room at its own servers takes that of less urgent requests, as long as there is any.
+func TestUrgentRequestsDisplacePatientOnes(t *testing.T) {
+	list := []Candidate{
+		{Name: "own", Unread: 60_000, Near: true},
+		{Name: "a", Patient: true, Unread: 50_000, Near: true},
+		{Name: "b", Patient: true, Unread: 55_000, Near: true},
+	}
+	p := &Prompt{Parts: []Part{{"s", 500}, {"own", 1800}}, Tokens: 2300, Target: 400 * time.Millisecond}
+	const urgentWaits = 3
+	limit := urgentWaits * p.Target
+	own := Engine(p, list)
+	assert.Equal(t, own.Index, 0)
+	_, ok := Admit(&list[own.Index], readRateFirst, limit)
+	assert.Assert(t, !ok)
+	other, found := Displace(p, list)
+	assert.Assert(t, found && list[other.Index].Patient)
+	_, ok = Admit(&list[other.Index], readRateFirst, DisplacedWaits*limit)
+	assert.Assert(t, ok)
+
+	list[1].Unread, list[2].Unread = 200_000, 200_000
+	other, _ = Displace(p, list)
+	_, ok = Admit(&list[other.Index], readRateFirst, DisplacedWaits*limit)
+	assert.Assert(t, !ok, "nobody waits without bound")
+
+	_, found = Displace(p, list[:1])
+	assert.Assert(t, !found)
+	p.Patient = true
+	_, found = Displace(p, list)
+	assert.Assert(t, !found)
+}
--- a/version/hostroute/rank.go
+++ b/version/hostroute/rank.go
@@ -85,7 +85,10 @@
 // WaitLimit returns the longest expected wait at which a request of the rank is let in; 0 is none.
 func (t *Table) WaitLimit(r *Route, pool string, rank int) time.Duration {
 	if rank < t.leastUrgent[t.sharingOf(r, pool)] {
-		return urgentWaits * r.Target
+		return YieldedLimit(r)
 	}
 	return r.Target
 }
+
+// YieldedLimit returns the same for a request that all others at its server yield to.
+func YieldedLimit(r *Route) time.Duration { return urgentWaits * r.Target }
