--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -240,39 +240,32 @@
 
 // budget returns the budget of further attempts of a pool.
 func (g *Gateway) budget(pool string) *attempt.Window {
-	set := g.Settings.Forwarding
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[pool]
-	if b == nil {
-		b = &attempt.Window{Length: seconds(set.RetryWindowS), Ratio: set.RetryRatio * ratioShare, Extra: g.extraShare}
-		g.budgets[pool] = b
-	}
-	return b
+	return ofPool(g, g.budgets, pool, func() *attempt.Window {
+		set := g.Settings.Forwarding
+		return &attempt.Window{Length: seconds(set.RetryWindowS), Ratio: set.RetryRatio * ratioShare, Extra: g.extraShare}
+	})
 }
 
 // mix returns the mix of a pool's work.
 func (g *Gateway) mix(pool string) *place.Mix {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	m := g.mixes[pool]
-	if m == nil {
-		m = &place.Mix{}
-		g.mixes[pool] = m
-	}
-	return m
+	return ofPool(g, g.mixes, pool, func() *place.Mix { return &place.Mix{} })
 }
 
 // reading returns how fast a pool's engines read.
 func (g *Gateway) reading(pool string) *place.Reading {
+	return ofPool(g, g.readings, pool, func() *place.Reading { return &place.Reading{} })
+}
+
+// ofPool returns the value that is kept for a pool, which is made at its first use.
+func ofPool[T any](g *Gateway, kept map[string]*T, pool string, first func() *T) *T {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.readings[pool]
-	if r == nil {
-		r = &place.Reading{}
-		g.readings[pool] = r
+	v := kept[pool]
+	if v == nil {
+		v = first()
+		kept[pool] = v
 	}
-	return r
+	return v
 }
 
 const (
--- a/process/pool/policybench/policybench_test.go
+++ b/process/pool/policybench/policybench_test.go
@@ -197,7 +197,7 @@
 	return d
 }
 
-// measures are the brief's figures of one run.
+// measures are the figures of one run that are compared.
 type measures struct {
 	attainment map[int]float64
 	goodput    int
--- a/request/place/place.go
+++ b/request/place/place.go
@@ -171,8 +171,7 @@
 // tooMuch tells whether a server fails too often to settle for it, or has too much to do while the others have far less. Where
 // all have too much, looking further only spreads the shared parts, and reading them again makes it more.
 func (p *Prompt) tooMuch(c *Candidate, usual float64) bool {
-	limit := harmless * ReadRate * float64(p.Target.Milliseconds())
-	return c.Failing > mostFailing || c.Patient != p.Patient || waitOf(c) > max(limit, idleWork, unusual*usual)
+	return c.Failing > mostFailing || c.Patient != p.Patient || waitOf(c) > max(p.harmlessWait(), idleWork, unusual*usual)
 }
 
 // meanWait returns the mean work that stands before a new prompt at the servers of its kind, in tokens of reading.
@@ -228,10 +227,15 @@
 	harmless = 0.3
 )
 
+// harmlessWait returns the wait below which work done twice matters more, in tokens of reading; 0 is none.
+func (p *Prompt) harmlessWait() float64 {
+	return harmless * ReadRate * float64(p.Target.Milliseconds())
+}
+
 // weigh returns what a wait costs the request: little while it is short against the request's target, so that a patient
 // request stays where its shared parts are kept.
 func (p *Prompt) weigh(wait float64) float64 {
-	limit := harmless * ReadRate * float64(p.Target.Milliseconds())
+	limit := p.harmlessWait()
 	if limit <= 0 || wait >= limit {
 		return wait
 	}
--- a/tools/bench/cases.go
+++ b/tools/bench/cases.go
@@ -40,7 +40,7 @@
 	faults []fault
 }
 
-// cases are all cases, by the brief's failures.
+// cases are all cases, by the failures that they bring.
 func cases() []benchCase {
 	return []benchCase{
 		{
