scenario: keep race reports apart from the logs of the processes

Cause: standard output, standard error and the race detector's reports of a started process shared one buffer.

The detector now writes to files of its own (log_path). Ruled out: filtering log lines out of reports, which would need to know every log format.

The check of the reports is unchanged.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -30,9 +30,13 @@
 // crashPattern matches the first line of a Go crash in the log of a process.
 var crashPattern = regexp.MustCompile(`(?m)^(panic: |fatal error: )`)
 
-// raceOptions is the environment variable with the options of the race detector in each started process. A data race
-// doesn't change the exit code: instead, firstRace finds the reports of races in the log, and ignores false positives.
-const raceOptions = "GORACE=atexit_sleep_ms=0 exitcode=0"
+// raceOptions returns the environment variable with the options of the race detector in a started process. A data race
+// doesn't change the exit code: instead, firstRace finds the reports of races and ignores false positives. The detector
+// writes the reports to files whose names begin with raceLog, apart from the process's own output, since a log line
+// could otherwise appear within a report.
+func raceOptions(raceLog string) string {
+	return "GORACE=atexit_sleep_ms=0 exitcode=0 log_path=" + raceLog
+}
 
 // signals maps the names of the signals that a script can send to their values.
 var signals = map[string]syscall.Signal{
@@ -65,6 +69,8 @@
 type process struct {
 	cmd *exec.Cmd
 	out *output
+	// raceLog is the path to whose end the race detector adds a dot and the process id; see raceOptions.
+	raceLog string
 	// done is closed when the process has ended.
 	done chan struct{}
 }
@@ -80,13 +86,13 @@
 	if old := s.processes[name]; old != nil && !old.hasEnded() {
 		return fmt.Errorf("process %s is already running", name)
 	}
-	p := &process{out: &output{}, done: make(chan struct{})}
+	p := &process{out: &output{}, done: make(chan struct{}), raceLog: filepath.Join(s.env.WorkDir, name+".race")}
 	if old := s.processes[name]; old != nil {
 		p.out = old.out
 	}
 	p.cmd = exec.CommandContext(context.Background(), args[1], args[2:]...)
 	p.cmd.Dir = s.dir
-	p.cmd.Env = append(slices.Clone(s.env.Vars), raceOptions)
+	p.cmd.Env = append(slices.Clone(s.env.Vars), raceOptions(p.raceLog))
 	p.cmd.Stdout = p.out
 	p.cmd.Stderr = p.out
 	if err := p.cmd.Start(); err != nil {
@@ -109,6 +115,23 @@
 	}
 }
 
+// raceReports returns the reports of the race detector in the process and in earlier processes of the same name.
+func (p *process) raceReports() (string, error) {
+	files, err := filepath.Glob(p.raceLog + ".*")
+	if err != nil {
+		return "", err
+	}
+	var reports strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return "", err
+		}
+		reports.Write(data)
+	}
+	return reports.String(), nil
+}
+
 // waitFor waits for the end of the process, at most for d.
 func (p *process) waitFor(d time.Duration) error {
 	t := time.NewTimer(d)
@@ -273,8 +296,12 @@
 		if crashPattern.MatchString(text) {
 			s.env.T().Fatal("crash in the log of " + name + ":\n" + text)
 		}
-		if race, ok := firstRace(text); ok {
-			s.env.T().Fatal("data race in the log of " + name + ":\n" + race)
+		reports, err := p.raceReports()
+		if err != nil {
+			s.env.T().Fatal(err)
+		}
+		if race, ok := firstRace(reports); ok {
+			s.env.T().Fatal("data race in " + name + ":\n" + race)
 		}
 	}
 }
--- a/scenario/race_test.go
+++ b/scenario/race_test.go
@@ -1,10 +1,16 @@
 package scenario
 
 import (
+	"context"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
+	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
 )
 
@@ -97,3 +103,25 @@
 		})
 	}
 }
+
+// TestRaceReportsAreApart checks that the report of a process that writes log lines meanwhile contains none of them, and
+// that its log contains no report.
+func TestRaceReportsAreApart(t *testing.T) {
+	racer := filepath.Join(t.TempDir(), "racer")
+	ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, "go", "build", "-race", "-o", racer, "./testdata/racer")
+	cmd.Stderr = os.Stderr
+	assert.NilError(t, cmd.Run())
+	s := newSession(&testscript.Env{WorkDir: t.TempDir(), Vars: os.Environ()})
+	assert.NilError(t, s.start([]string{"racer", racer}, io.Discard))
+	p, err := s.process("racer")
+	assert.NilError(t, err)
+	assert.NilError(t, p.waitFor(terminateTimeout))
+	reports, err := p.raceReports()
+	assert.NilError(t, err)
+	report, found := firstRace(reports)
+	assert.Assert(t, found && strings.Contains(report, "Previous "), reports)
+	assert.Assert(t, !strings.Contains(reports, "msg=log"), reports)
+	assert.Assert(t, !strings.Contains(p.out.String(), raceTitle))
+}
