upstream: reset the connection of a request that is given up

Cause: an attempt that was given up behind a cut closed its connection, and the kernel kept the unacknowledged bytes.

Incomplete exchanges now end with a reset, which drops the bytes, for every reason: context ended, foreign answer, unfinished answer, end of the process. The transport knows its connections in use for that. Complete answers of servers that close are closed as before. Ruled out: a shorter user timeout, which loses requests on links that only drop packets.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -37,6 +37,16 @@
 	return &conn{Conn: c, address: address, r: bufio.NewReaderSize(c, readBufferBytes)}
 }
 
+// abort resets the connection. Unlike Close, it discards the bytes that the server hasn't acknowledged: after a request
+// was given up, a network that recovers must not deliver it.
+func (c *conn) abort() error {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// An error means that the connection is already closed.
+		_ = l.SetLinger(0)
+	}
+	return c.Close()
+}
+
 var errNotReusable = errors.New("idle connection is closed or has unexpected data")
 
 // checkIdle returns an error unless the idle connection is open and has no unread data.
@@ -91,13 +101,18 @@
 	return n, err
 }
 
-// Close makes the connection available for reuse, or closes it if the request or response is incomplete.
+// Close makes the connection available for reuse, closes it if the server doesn't keep it open, or resets it if the
+// request or response is incomplete.
 func (b *body) Close() error {
 	if b.closed {
 		return nil
 	}
 	b.closed = true
-	if !b.stop() || !b.reachedEnd || !b.reusable || !b.conn.writeFinished() {
+	b.transport.release(b.conn)
+	if !b.stop() || !b.reachedEnd || !b.conn.writeFinished() {
+		return b.conn.abort()
+	}
+	if !b.reusable {
 		return b.conn.Close()
 	}
 	b.transport.putIdle(b.conn)
--- a/connection/upstream/transport.go
+++ b/connection/upstream/transport.go
@@ -74,16 +74,26 @@
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*conn
+	// inUse holds the connections whose response hasn't been closed yet.
+	inUse map[*conn]struct{}
+	// closed is set by Close; nothing is sent afterwards.
+	closed bool
 	// echoesID holds the addresses of the servers whose last response echoed the request id.
 	echoesID map[string]bool
 	// sweepTimer runs sweep; nil while there are no idle connections.
 	sweepTimer *time.Timer
 }
 
-// Close closes the idle connections.
+var errClosed = errors.New("transport is closed")
+
+// Close closes the idle connections and resets those in use. No request can be sent afterwards.
 func (t *Transport) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closed = true
+	for c := range t.inUse {
+		_ = c.abort()
+	}
 	if t.sweepTimer != nil {
 		t.sweepTimer.Stop()
 		t.sweepTimer = nil
@@ -101,11 +111,16 @@
 	if err != nil {
 		return nil, request.ErrAttempt{Err: contextCause(ctx, err)}
 	}
+	if !t.acquire(c) {
+		_ = c.Close()
+		return nil, request.ErrAttempt{Err: errClosed}
+	}
 	stop := c.interruptWhenDone(ctx)
 	res, err := t.exchange(c, req, id)
 	if err != nil {
 		stop()
-		_ = c.Close()
+		t.release(c)
+		_ = c.abort()
 		return nil, err
 	}
 	res.Body = &body{
@@ -203,6 +218,26 @@
 	return newConn(c, address), nil
 }
 
+// acquire adds a connection to those in use, unless the transport is closed; release removes it.
+func (t *Transport) acquire(c *conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	if t.inUse == nil {
+		t.inUse = make(map[*conn]struct{})
+	}
+	t.inUse[c] = struct{}{}
+	return true
+}
+
+func (t *Transport) release(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inUse, c)
+}
+
 // takeIdle removes the most recently used idle connection to the address and returns it. It returns nil if there is
 // none, or if the server doesn't echo request ids.
 func (t *Transport) takeIdle(address string) *conn {
