registry: servers that announce their shutdown or close for a while

A backend server that leaves says so in its answers, and one that turns a request away may state for how long it wants nothing more.

Both are now kept for each start of a server: leaving until the next start, closed until the stated time (at most a minute; a malformed time is a second), for first attempts, repetitions and resumptions, and as last resort. Draining is final for a start too, since an older copy of an entry must not end it. If all servers of a pool are closed, requests are refused at once with the time of the first opening, spread over a quarter of the wait.

Ruled out: telling other instances. Datagrams name servers by a hash of the id, so a late one could close the next start under the same id; the entry tells them.

--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -72,6 +72,10 @@
 		r.Log.Info("server_entry_old", logFields(e)...)
 		return
 	}
+	if srv.entry.Draining && e.StartedMs != 0 {
+		// A server doesn't come back from draining before its next start, so the entry is from an older copy of the store.
+		e.Draining, e.TimeToExit = true, srv.entry.TimeToExit
+	}
 	if e.Draining != srv.entry.Draining {
 		r.Log.Info("server_draining", append(logFields(e), zap.Bool("draining", e.Draining), zap.Duration("leaves_in", e.TimeToExit))...)
 	}
@@ -81,7 +85,7 @@
 	srv.entry = e
 	srv.missingSince = time.Time{}
 	switch {
-	case !e.Draining:
+	case !e.Draining && !srv.leaving:
 		srv.drainingSince = time.Time{}
 	case srv.drainingSince.IsZero():
 		srv.drainingSince = time.Now()
@@ -207,13 +211,13 @@
 }
 
 // Usable returns the serving servers of a pool that count as reachable, or all serving ones if none does. Servers in
-// skip and servers whose address belongs to another server are never included.
+// skip, servers whose address belongs to another server and those that accept nothing are never included.
 func (r *Registry) Usable(pool string, skip map[string]bool) []*Server {
-	serving := r.Serving(pool)
+	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := !srv.removed && !srv.suspect && !srv.addressTaken && !skip[srv.entry.ID]
+		ok := !srv.removed && !srv.suspect && srv.accepts(now) && !skip[srv.entry.ID]
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
@@ -224,7 +228,7 @@
 	}
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := !srv.addressTaken && !skip[srv.entry.ID]
+		ok := srv.accepts(now) && !skip[srv.entry.ID]
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -36,6 +36,10 @@
 	drainingSince time.Time
 	// missingSince is the time when the entry was found missing after an outage of the store; zero if it isn't missing.
 	missingSince time.Time
+	// leaving is set once a response of the server announced its shutdown.
+	leaving bool
+	// closedUntil is the end of the time for which the server wants no new requests.
+	closedUntil time.Time
 
 	// running is the number of this instance's requests at the server, and pendingPrefill the number of their prompt
 	// tokens that the server hasn't processed yet.
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -105,7 +105,7 @@
 func (c *call) place() (assignment, error) {
 	servers := c.f.Registry.Usable(c.pool.Name, c.triedServers)
 	if len(servers) == 0 {
-		return assignment{}, c.finalError(errors.New("no backend server is left"))
+		return assignment{}, c.noServerLeftError()
 	}
 	candidates := c.f.candidates(servers, c.tolerantShare(len(servers)))
 	var choice placement.Choice
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -64,6 +65,24 @@
 	}
 }
 
+// closedSpread is the share of the time until a server opens again over which the returns of the callers are spread.
+const closedSpread = 0.25
+
+// noServerLeftError returns the error of a request for which no server is left to try. If servers of the pool have only
+// closed themselves for a while, a caller whose request has not run is told when the first of them opens again.
+func (c *call) noServerLeftError() error {
+	err := c.finalError(errors.New("no backend server is left"))
+	opensAt, ok := c.f.Registry.NextOpening(c.pool.Name, c.triedServers)
+	var response request.ErrResponse
+	if !ok || !errors.As(err, &response) || !response.NotRun {
+		return err
+	}
+	wait := time.Until(opensAt)
+	response.Code, response.Message = request.CodeOverload, "the backend servers accept no requests for a while"
+	response.RetryAfter = max(response.RetryAfter, wait+time.Duration(closedSpread*rand.Float64()*float64(wait)))
+	return response
+}
+
 // contextError returns the error of a request whose context was cancelled with the cause.
 func (c *call) contextError(cause error) error {
 	if !errors.Is(cause, errTimeout) {
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -49,7 +49,12 @@
 			}
 		},
 		ReadResponse: func(_ int, h http.Header) ResponseMeta {
-			return ResponseMeta{Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", WrongServer: h.Get("X-Not-Run") == "elsewhere"}
+			meta := ResponseMeta{
+				Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", WrongServer: h.Get("X-Not-Run") == "elsewhere",
+				Leaving: h.Get("X-Leaving") != "", RetryAfter: h.Get("X-Close-For"),
+			}
+			meta.CloseFor, _ = time.ParseDuration(meta.RetryAfter)
+			return meta
 		},
 		StripResponse: func(http.Header) {},
 	}
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -55,6 +55,12 @@
 	WrongServer bool
 	// Load is the load that the server reports; nil if it reports none.
 	Load *registry.Load
+	// Leaving is true if the server announces its shutdown.
+	Leaving bool
+	// CloseFor is the time for which a server that rejected the request wants no more, and RetryAfter the text in which
+	// the server stated it; RetryAfter is empty if there is no such time.
+	CloseFor   time.Duration
+	RetryAfter string
 }
 
 // Headers reads and writes the headers whose names and formats the deployment defines. All fields must be set.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -28,6 +28,12 @@
 	if responseMeta.Load != nil {
 		attempt.RecordLoad(*responseMeta.Load)
 	}
+	if responseMeta.Leaving {
+		attempt.MarkLeaving()
+	}
+	if responseMeta.RetryAfter != "" {
+		attempt.CloseFor(responseMeta.CloseFor, responseMeta.RetryAfter)
+	}
 	if responseMeta.NotRun {
 		attempt.End(notRunOutcome(responseMeta))
 		c.logUnusedResponse(resp.StatusCode, "not_run")
