Follow a store that comes back from an older copy of itself

Versions were plain revisions: peers taught the lost world back, a conditional write could match another change, a released lease of the copy was taken beside its holder with the same fencing token, and a window could be reported with other counts.

A version is now the pair of era and revision, in one integer, so that each comparison orders lost changes below later ones.

Ruled out: dropping all state at a new era (reverts the configuration), and remembering the highest token (lost if all instances start meanwhile).

--- a/cmd/toucanrouted/gateway.go
+++ b/cmd/toucanrouted/gateway.go
@@ -24,7 +24,7 @@
 
 // newGateway returns a gateway that forwards requests and takes its configuration from the users' platform.
 func newGateway(conf *settings.Settings, log *zap.Logger) *gateway.Gateway {
-	store := &platform.Store{Client: &client.Client{BaseURL: "http://" + conf.Platform.Objects, Timeout: storeTimeout, Transport: client.KeepaliveTransport(storeTimeout, storeAckTimeout)}}
+	store := &platform.Store{Log: log, Client: &client.Client{BaseURL: "http://" + conf.Platform.Objects, Timeout: storeTimeout, Transport: client.KeepaliveTransport(storeTimeout, storeAckTimeout)}}
 	duties := &platform.DutyClient{
 		Client:   &client.Client{BaseURL: "http://" + conf.Platform.Usage, Timeout: dutyTimeout},
 		Instance: conf.Instance,
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -1,5 +1,6 @@
 // Package feed keeps a copy of all objects of one kind in the platform's store. It lists the objects, then watches for
-// changes, and lists them again if the store has discarded the needed history or after a failed call.
+// changes, and lists them again if the store has discarded the needed history, has come back from an older copy of
+// itself, or after a failed call.
 package feed
 
 import (
@@ -36,11 +37,13 @@
 	// the store is reachable.
 	WatchTimeout func() time.Duration
 	Log          *zap.Logger
-	// OnList is called with the complete list of objects. If afterOutage is set, objects that expire without heartbeats
-	// may be missing from the list for a while.
-	OnList func(items []wire.Object, afterOutage bool)
+	// OnList is called with the complete list of objects and with what may be wrong about it for a while.
+	OnList func(items []wire.Object, gap Gap)
 	// OnEvent is called with each change.
 	OnEvent func(wire.ObjectEvent)
+	// OnPeerList is called with the objects of another instance whose list is not newer than the known one; it may be
+	// nil. After the store came back from an older copy, another instance may know an object that the store has lost.
+	OnPeerList func(items []wire.Object)
 	// NewerElsewhere signals that another instance knows newer objects; it may be nil.
 	NewerElsewhere <-chan struct{}
 	// BatchDelay is the delay between a response with changes and the next watch, so that consecutive changes arrive in
@@ -70,6 +73,20 @@
 	storeDown bool
 }
 
+// Gap says how a list may differ from the objects of the writers that are alive.
+type Gap int
+
+const (
+	// NoGap means that the list is complete and up to date.
+	NoGap Gap = iota
+	// Outage means that objects that expire without heartbeats may be missing, since their writers couldn't reach the
+	// store.
+	Outage
+	// Rewind means that the store came back from an older copy: until the writers have written again, objects may be
+	// missing or old, and removed objects may be listed.
+	Rewind
+)
+
 // watchResponseSlack is the time by which the response of a watch may exceed its timeout while the objects still count
 // as fresh.
 const watchResponseSlack = time.Second
@@ -161,7 +178,15 @@
 
 // replaceAll replaces all objects by the list.
 func (f *Feed) replaceAll(list wire.ObjectList, afterOutage bool) {
+	gap := NoGap
+	if afterOutage {
+		gap = Outage
+	}
 	f.mu.Lock()
+	if f.version > 0 && platform.Era(list.Version) > platform.Era(f.version) {
+		gap = Rewind
+		f.Log.Warn("store_rewound", zap.String("kind", f.Kind), platform.VersionField("version", list.Version), platform.VersionField("own", f.version))
+	}
 	if f.version == 0 || f.differs(list.Items) {
 		f.changedVersion = list.Version
 	}
@@ -171,7 +196,7 @@
 	}
 	f.version = list.Version
 	f.mu.Unlock()
-	f.OnList(list.Items, afterOutage)
+	f.OnList(list.Items, gap)
 }
 
 // updateFromPeer replaces the objects by those of another instance if they are newer, and reports whether an instance
@@ -189,9 +214,12 @@
 	notNewer := list.Version <= f.version
 	f.mu.Unlock()
 	if notNewer {
+		if f.OnPeerList != nil {
+			f.OnPeerList(list.Items)
+		}
 		return true
 	}
-	f.Log.Info("objects_from_peer", zap.String("kind", f.Kind), zap.Int("version", list.Version), zap.Int("objects", len(list.Items)))
+	f.Log.Info("objects_from_peer", zap.String("kind", f.Kind), platform.VersionField("version", list.Version), zap.Int("objects", len(list.Items)))
 	f.replaceAll(list, f.RecentOutage != nil && f.RecentOutage())
 	return true
 }
@@ -279,7 +307,7 @@
 	f.storeDown = false
 	f.mu.Unlock()
 	afterOutage = wasDown && sinceLastResponse > minOutage
-	f.Log.Info("store_reached", zap.String("kind", f.Kind), zap.Int("version", version), zap.Duration("away", sinceLastResponse), zap.Bool("after_outage", afterOutage))
+	f.Log.Info("store_reached", zap.String("kind", f.Kind), platform.VersionField("version", version), zap.Duration("away", sinceLastResponse), zap.Bool("after_outage", afterOutage))
 	return afterOutage
 }
 
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -25,6 +25,8 @@
 	listCount int
 	// listsAfterOutage is the number of calls of OnList with afterOutage.
 	listsAfterOutage int
+	// gaps are the gaps of all lists, oldest first.
+	gaps []Gap
 }
 
 func (r *recorder) hasObject(name string) bool {
@@ -38,11 +40,12 @@
 	f := &Feed{
 		Kind: kind, Store: objects.Store("a"), WatchTimeout: func() time.Duration { return time.Second }, Log: zap.NewNop(),
 		NewerElsewhere: make(chan struct{}, 1),
-		OnList: func(items []wire.Object, afterOutage bool) {
+		OnList: func(items []wire.Object, gap Gap) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.listCount++
-			if afterOutage {
+			r.gaps = append(r.gaps, gap)
+			if gap == Outage {
 				r.listsAfterOutage++
 			}
 			clear(r.names)
--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/feed"
+	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 	"github.com/toucanroute/toucanroute/wire"
@@ -26,11 +27,8 @@
 	return &feed.Feed{
 		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, WatchTimeout: g.watchTimeout, Log: g.Log, NewerElsewhere: g.newerConfig, ReadsStore: g.mesh.IsReader,
 		ListFromPeer: func(ctx context.Context) (wire.ObjectList, error) { return g.fetchFromPeer(ctx, g.Platform.ConfigKind) },
-		OnList: func(items []wire.Object, _ bool) {
-			for _, o := range items {
-				g.applyConfig(o)
-			}
-		},
+		OnList:       func(items []wire.Object, _ feed.Gap) { g.applyConfigs(items) },
+		OnPeerList:   g.applyConfigs,
 		OnEvent: func(e wire.ObjectEvent) {
 			if e.Type == wire.ObjectEventTypePut {
 				g.applyConfig(e.Object)
@@ -39,14 +37,22 @@
 	}
 }
 
-// applyConfig puts the configuration of an object in force unless the same or a newer version is already in force.
+// applyConfigs applies each object of a list of configurations.
+func (g *Gateway) applyConfigs(items []wire.Object) {
+	for _, o := range items {
+		g.applyConfig(o)
+	}
+}
+
+// applyConfig puts the configuration of an object in force unless the same or a newer version is already in force. The
+// versions are the operator's and order the configurations, whichever copy of the store an object is from.
 func (g *Gateway) applyConfig(o wire.Object) {
 	if o.Name != g.Platform.ConfigName {
 		return
 	}
 	cfg, err := g.Platform.Config(o)
 	if err != nil {
-		g.Log.Warn("config_rejected", zap.Int("revision", o.Version), zap.Error(err))
+		g.Log.Warn("config_rejected", platform.VersionField("revision", o.Version), zap.Error(err))
 		return
 	}
 	current := g.table.Load()
@@ -58,8 +64,9 @@
 		g.Log.Warn("config_rejected", zap.Int("version", cfg.Version), zap.Error(err))
 		return
 	}
+	g.configObject.Store(&o)
 	g.table.Store(table)
-	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), zap.Int("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
+	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), platform.VersionField("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
 	if current == nil {
 		close(g.configured)
 	}
@@ -71,14 +78,18 @@
 		Kind: g.Platform.ServerKind, Store: g.Platform.Store, WatchTimeout: g.watchTimeout, Log: g.Log, BatchDelay: serverWatchPause, NewerElsewhere: g.newerServers,
 		ReadsStore: g.mesh.IsReader, RecentOutage: func() bool { return g.mesh.StoreOutageWithin(storeRecoveryTime) },
 		ListFromPeer: func(ctx context.Context) (wire.ObjectList, error) { return g.fetchFromPeer(ctx, g.Platform.ServerKind) },
-		OnList: func(items []wire.Object, afterOutage bool) {
+		OnList: func(items []wire.Object, gap feed.Gap) {
 			entries := make([]registry.Entry, 0, len(items))
 			for _, o := range items {
 				if e, ok := g.serverEntry(o); ok {
 					entries = append(entries, e)
 				}
 			}
-			g.registry.Reset(entries, afterOutage)
+			if gap == feed.Rewind {
+				g.registry.Rewind(entries)
+				return
+			}
+			g.registry.Reset(entries, gap == feed.Outage)
 		},
 		OnEvent: func(e wire.ObjectEvent) {
 			if e.Type == wire.ObjectEventTypeDelete {
@@ -97,7 +108,7 @@
 func (g *Gateway) serverEntry(o wire.Object) (registry.Entry, bool) {
 	e, err := g.Platform.ParseServerEntry(o)
 	if err != nil {
-		g.Log.Info("server_entry_rejected", zap.String("server", o.Name), zap.Int("version", o.Version), zap.Error(err))
+		g.Log.Info("server_entry_rejected", zap.String("server", o.Name), platform.VersionField("version", o.Version), zap.Error(err))
 		return e, false
 	}
 	return e, true
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -63,6 +63,8 @@
 // It is used by one goroutine only.
 type fleetSizer struct {
 	g *Gateway
+	// era is the era of the store in which the base sizes were last stored or read.
+	era int
 	// fence is the fencing token of the lease under which baseSizes, lastOrders and baseSizeMissing were filled.
 	fence int
 	// baseSizes holds the base size (see kindSize) by pool and data centre.
@@ -89,6 +91,9 @@
 		if ok && fence != f.fence {
 			f.resetForFence(fence)
 		}
+		if ok {
+			f.restoreBaseSizes(ctx)
+		}
 		f.observeServers()
 		if table := f.g.table.Load(); ok && table != nil {
 			for i := range table.Pools() {
@@ -211,11 +216,7 @@
 // whether it was stored.
 func (f *fleetSizer) record(ctx context.Context, poolConfig *hostroute.Pool) bool {
 	baseSizes := f.countRegularServers(poolConfig)
-	record := wire.SizeRecord{Pool: poolConfig.Name}
-	for _, dc := range f.g.Settings.Forwarding.DataCentres {
-		record.Sites = append(record.Sites, wire.SizeSite{DataCentre: dc, Base: baseSizes[dc]})
-	}
-	if _, err := f.g.Platform.Store.Create(ctx, kindSize, poolConfig.Name, record); err != nil {
+	if err := f.storeBaseSizes(ctx, poolConfig.Name, baseSizes); err != nil {
 		f.g.Log.Info("size_not_recorded", zap.String("pool", poolConfig.Name), zap.Error(err))
 		return false
 	}
@@ -224,6 +225,33 @@
 	return true
 }
 
+// storeBaseSizes creates the object with the base sizes of a pool.
+func (f *fleetSizer) storeBaseSizes(ctx context.Context, pool string, baseSizes map[string]int) error {
+	record := wire.SizeRecord{Pool: pool}
+	for _, dc := range f.g.Settings.Forwarding.DataCentres {
+		record.Sites = append(record.Sites, wire.SizeSite{DataCentre: dc, Base: baseSizes[dc]})
+	}
+	_, err := f.g.Platform.Store.Create(ctx, kindSize, pool, record)
+	return err
+}
+
+// restoreBaseSizes stores the known base sizes again after the store came back from an older copy, which may lack them.
+// Without them, a later holder of the lease would take the servers that were ordered for those that the operator set up.
+func (f *fleetSizer) restoreBaseSizes(ctx context.Context) {
+	era := f.g.Platform.Store.CurrentEra()
+	if era == f.era {
+		return
+	}
+	for pool, baseSizes := range f.baseSizes {
+		err := f.storeBaseSizes(ctx, pool, baseSizes)
+		if err != nil && !platform.IsErrConflict(err) {
+			f.g.Log.Info("size_not_recorded", zap.String("pool", pool), zap.Error(err))
+			return
+		}
+	}
+	f.era = era
+}
+
 // countRegularServers returns the number of regular servers by data centre. Before the first order, these are the
 // servers that the operator set up.
 func (f *fleetSizer) countRegularServers(poolConfig *hostroute.Pool) map[string]int {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -68,7 +68,9 @@
 	// run identifies this process; the next process of the same instance has another one.
 	run string
 	// table holds the configuration in force; nil until the first one.
-	table            atomic.Pointer[hostroute.Table]
+	table atomic.Pointer[hostroute.Table]
+	// configObject is the object of the configuration in force.
+	configObject     atomic.Pointer[wire.Object]
 	registry         *registry.Registry
 	transport        *upstream.Transport
 	forwarder        *forward.Forwarder
@@ -76,6 +78,7 @@
 	metrics          *metrics.Metrics
 	usageCounter     *requestcount.Counter
 	usageReporter    *requestcount.Reporter
+	sentWindows      requestcount.SentWindows
 	configFeed       *feed.Feed
 	serverFeed       *feed.Feed
 	mesh             *mesh.Mesh
@@ -194,6 +197,7 @@
 		Window: seconds(forwarding.UsageWindowS), Delay: seconds(forwarding.UsageDelayS), Store: g.Platform.Store, Log: g.Log,
 		Held:   g.held,
 		Report: g.reportUsage,
+		Sent:   &g.sentWindows, StartedAt: time.Now(),
 	}
 	g.forwarder = &forward.Forwarder{
 		Headers:      g.Platform.Headers,
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/connection/gossip"
 	"github.com/toucanroute/toucanroute/process/mesh"
+	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/request/placement"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -49,6 +51,7 @@
 	message.Reads = g.mesh.IsReader()
 	message.StoreOut = g.configFeed.StoreDown() || g.serverFeed.StoreDown()
 	message.Lease = g.lease.HeldVersion()
+	message.ReportedMs = int(g.sentWindows.NewestMs())
 }
 
 // ownWorkloads returns the work that this instance's own requests cause in each pool to which it has sent requests. The
@@ -90,6 +93,7 @@
 // configuration or the server list, it has this instance read it again.
 func (g *Gateway) receiveStatus(message wire.News) {
 	g.lease.ObserveVersion(message.Lease)
+	g.sentWindows.Observe(int64(message.ReportedMs))
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
@@ -115,7 +119,7 @@
 	}
 	if time.Since(g.serverListStaleSince) >= tolerance && notify(g.newerServers) {
 		g.serverListStaleSince, g.serverListReadAt = time.Time{}, time.Now()
-		g.Log.Info("servers_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Servers), zap.Int("own", ownVersion))
+		g.Log.Info("servers_newer_elsewhere", zap.String("peer", message.From), platform.VersionField("version", message.Servers), platform.VersionField("own", ownVersion))
 	}
 }
 
@@ -149,13 +153,26 @@
 func (g *Gateway) freshObjects(kind string) (wire.ObjectList, bool) {
 	switch kind {
 	case g.Platform.ConfigKind:
-		return g.configFeed.Objects()
+		return g.configObjects()
 	case g.Platform.ServerKind:
 		return g.serverFeed.Objects()
 	}
 	return wire.ObjectList{}, false
 }
 
+// configObjects returns the configuration as an object of the store, and whether it is up to date. A store that came back
+// from an older copy may have lost the configuration in force, which this instance keeps and passes on to others.
+func (g *Gateway) configObjects() (wire.ObjectList, bool) {
+	list, fresh := g.configFeed.Objects()
+	inForce := g.configObject.Load()
+	if inForce == nil {
+		return list, fresh
+	}
+	list.Items = slices.DeleteFunc(list.Items, func(o wire.Object) bool { return o.Name == inForce.Name })
+	list.Items = append(list.Items, *inForce)
+	return list, fresh
+}
+
 // maxPeersAsked is the maximum number of instances that fetchFromPeer asks one after another.
 const maxPeersAsked = 3
 
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -7,6 +7,8 @@
 // never overlap as long as clocks drift by less than two margins per duration and the process isn't suspended between
 // Check and the send. The fencing token covers the latter case if the receiver checks it.
 //
+// If the store comes back from an older copy, see era.go.
+//
 // Lease has one mutex, which isn't held during calls to the store or to callbacks.
 package lease
 
@@ -79,6 +81,8 @@
 	record wire.LeaseRecord
 	// unchangedSince is the time on the Now clock when this process first learned of the present version of the object.
 	unchangedSince time.Duration
+	// era is the era of the store at the last observation of the object.
+	era int
 	// announcedVersion is the highest object version that a holder announced to this instance; announcedAt is the time on
 	// the Now clock when the announcement arrived.
 	announcedVersion int
@@ -290,7 +294,7 @@
 	now := l.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if obj.Version != l.object.Version || l.unchangedSince == 0 {
+	if eraChanged := l.observeEra(obj); eraChanged || obj.Version != l.object.Version || l.unchangedSince == 0 {
 		l.unchangedSince = now
 		if obj.Version == l.announcedVersion && l.announcedAt != 0 {
 			l.unchangedSince = l.announcedAt
@@ -309,7 +313,7 @@
 func (l *Lease) takeoverWait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.object.Version == 0 || l.record.Released || l.isOwn(l.record) {
+	if free := l.object.Version == 0 || l.record.Released || l.isOwn(l.record); free && !l.isRewound() {
 		return 0
 	}
 	duration := max(l.Duration, time.Duration(l.record.DurationMs)*time.Millisecond)
@@ -337,13 +341,18 @@
 	l.mu.Lock()
 	object, previous, lastChange := l.object, l.record, l.unchangedSince
 	l.mu.Unlock()
-	record := l.newRecord(previous.Fence+1, 1)
+	era := l.Objects.CurrentEra()
+	record := l.newRecord(l.nextFence(previous.Fence, era), 1)
+	record.Era = era
 	sentAt := l.Now()
 	obj, err := l.write(ctx, object, record)
 	if err != nil {
 		l.Log.Info("lease_not_taken", l.logFields(zap.Error(err))...)
 		return retryDelay
 	}
+	if platform.Era(obj.Version) != era {
+		return l.dropRewound(obj, record)
+	}
 	l.setObserved(obj, record)
 	l.mu.Lock()
 	l.fence = record.Fence
@@ -391,8 +400,12 @@
 	object, record := l.object, l.record
 	l.mu.Unlock()
 	record.Renewal++
+	record.Era = l.Objects.CurrentEra()
 	sentAt := l.Now()
 	obj, err := l.write(ctx, object, record)
+	if err == nil && platform.Era(obj.Version) != platform.Era(object.Version) {
+		return l.dropRewound(obj, record)
+	}
 	if err == nil {
 		l.setObserved(obj, record)
 		l.extend(record.Fence, sentAt+l.Duration-l.Margin)
@@ -446,44 +459,6 @@
 	return min(retryDelay, max(expiry-l.Now(), 0))
 }
 
-// release marks the stored lease as released, so that the next holder needn't wait for its expiry.
-func (l *Lease) release(ctx context.Context) {
-	l.mu.Lock()
-	wasHeld := l.expiry != 0
-	object, record := l.object, l.record
-	l.expiry = 0
-	l.mu.Unlock()
-	if !wasHeld {
-		return
-	}
-	l.OnChange(record.Fence, false)
-	if !l.awaitInFlight() {
-		l.Log.Warn("lease_not_released", l.logFields(zap.Int("fence", record.Fence))...)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-	defer cancel()
-	record.Released = true
-	obj, err := l.write(ctx, object, record)
-	var conflict platform.ErrConflict
-	if errors.As(err, &conflict) && l.isOwnRenewal(conflict.Current, record.Fence) {
-		obj, err = l.write(ctx, conflict.Current, record)
-	}
-	if err != nil {
-		l.Log.Warn("lease_release_failed", l.logFields(zap.Int("fence", record.Fence), zap.Error(err))...)
-		return
-	}
-	l.setObserved(obj, record)
-	l.Log.Info("lease_released", l.logFields(zap.Int("fence", record.Fence))...)
-}
-
-// isOwnRenewal reports whether the stored object is a renewal by this process whose response was lost because the
-// process was stopped.
-func (l *Lease) isOwnRenewal(stored wire.Object, fence int) bool {
-	record, err := platform.Decode[wire.LeaseRecord](stored)
-	return err == nil && l.isOwn(record) && record.Fence == fence && !record.Released
-}
-
 func (l *Lease) logFields(more ...zap.Field) []zap.Field {
 	return append([]zap.Field{zap.String("data_centre", l.DataCentre), zap.String("job", l.Job), zap.String("holder", l.Holder)}, more...)
 }
--- a/process/mesh/discover.go
+++ b/process/mesh/discover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,10 @@
 	for ctx.Err() == nil {
 		if list, err := m.Store.List(ctx, KindInstance, ""); err == nil {
 			m.addListed(list.Items)
+			if !slices.ContainsFunc(list.Items, func(o wire.Object) bool { return o.Name == m.Instance }) {
+				// The store came back from a copy that is older than the record.
+				m.record(ctx)
+			}
 			if m.RemovesRecords != nil && m.RemovesRecords() {
 				m.removeGoneRecords(ctx, list.Items)
 			}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -209,6 +209,10 @@
 	if withMix && m.LocalMix != nil {
 		datagram.Mix = m.LocalMix()
 	}
+	if !withMix {
+		// The newest reported window changes seldom and is sent with the token rates.
+		datagram.ReportedMs = 0
+	}
 	for heartbeat := true; heartbeat || len(loads) > 0; heartbeat = false {
 		n := min(len(loads), loadsPerDatagram)
 		datagram.Loads, loads = loads[:n], loads[n:]
--- a/process/platform/adapter.go
+++ b/process/platform/adapter.go
@@ -56,6 +56,12 @@
 	return statusError(r.call, rawResponse{status: r.Status, header: r.header, body: r.Body})
 }
 
+// Header returns the value of a header of the response; empty if there is none.
+func (r Response) Header(name string) string { return r.header.Get(name) }
+
+// Failed returns the error of a call whose response can't be used: the outcome of a write is unknown then.
+func (r Response) Failed(cause error) error { return callError(r.call, cause) }
+
 // Decode decodes the JSON body of the response.
 func (r Response) Decode(v any) error {
 	return decode(r.call, rawResponse{status: r.Status, body: r.Body}, v)
--- a/process/platform/platformtest/objects.go
+++ b/process/platform/platformtest/objects.go
@@ -75,7 +75,7 @@
 	History int
 
 	mu sync.Mutex
-	// version is the version of the newest change; each change of any object has the next version.
+	// version is the version of the newest change; each change of any object has the next version of the era.
 	version int
 	// objects holds the stored objects under "kind/name".
 	objects map[string]wire.Object
@@ -111,6 +111,7 @@
 		Watch: func(ctx context.Context, kind string, from int, wait time.Duration) (wire.ObjectEvents, error) {
 			return o.watch(ctx, Call{instance, "watch", kind, ""}, from, wait)
 		},
+		Era: o.era,
 	}
 }
 
--- a/process/platform/store.go
+++ b/process/platform/store.go
@@ -19,6 +19,8 @@
 	Delete func(ctx context.Context, kind, name string, version int) error
 	// Watch returns the events after the version from, or no events if there are none within the duration wait.
 	Watch func(ctx context.Context, kind string, from int, wait time.Duration) (wire.ObjectEvents, error)
+	// Era returns the newest era that is known of the store; nil means a store without eras. Call CurrentEra instead.
+	Era func() int
 }
 
 // Kinds of objects in the object API.
--- a/process/registry/closed.go
+++ b/process/registry/closed.go
@@ -47,7 +47,7 @@
 
 // accepts reports whether the server may get new requests, reachable or not. The caller holds mu.
 func (srv *Server) accepts(now time.Time) bool {
-	return !srv.addressTaken && !srv.leaving && !srv.closedUntil.After(now)
+	return !srv.addressTaken && !srv.leaving && !srv.closedUntil.After(now) && !srv.unconfirmedUntil.After(now)
 }
 
 // NextOpening returns the earliest time at which a server of the pool that closed itself for a while accepts requests
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -32,6 +32,10 @@
 	pools map[string][]*Server
 	// byHash holds the servers by the hash that instances use in datagrams; see hashID.
 	byHash map[int]*Server
+	// removedStarts holds the starts of the servers that were removed lately, by id.
+	removedStarts map[string]removedStart
+	// lenientUntil is the time until which a list may lack entries, because the store came back from an older copy.
+	lenientUntil time.Time
 	// hasList is set after the first list of entries was received.
 	hasList bool
 }
@@ -48,6 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.putEntry(e)
+	r.servers[e.ID].confirm()
 	r.rebuildIndex()
 }
 
@@ -117,6 +122,7 @@
 	srv.removed = true
 	srv.mu.Unlock()
 	delete(r.servers, id)
+	r.rememberRemoved(srv)
 	r.Log.Info("server_out", append(logFields(srv.entry), zap.String("reason", reason))...)
 }
 
@@ -125,6 +131,11 @@
 func (r *Registry) Reset(entries []Entry, afterOutage bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reset(entries, afterOutage || time.Now().Before(r.lenientUntil))
+}
+
+// reset replaces all servers by a list of entries. The caller holds mu.
+func (r *Registry) reset(entries []Entry, afterOutage bool) {
 	r.hasList = true
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -40,6 +40,9 @@
 	leaving bool
 	// closedUntil is the end of the time for which the server wants no new requests.
 	closedUntil time.Time
+	// unconfirmedUntil is set for a removed server that an older copy of the store lists again: the time until which it
+	// gets no requests unless it writes its entry again.
+	unconfirmedUntil time.Time
 
 	// running is the number of this instance's requests at the server, and pendingPrefill the number of their prompt
 	// tokens that the server hasn't processed yet.
--- a/process/requestcount/counter.go
+++ b/process/requestcount/counter.go
@@ -145,8 +145,7 @@
 func (c *Counter) Execute(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := time.Now()
-		next := WindowStart(now, c.Window).Add(c.Window + writeAfter)
-		sleep.For(ctx, next.Sub(now))
+		c.waitForWrite(ctx, WindowStart(now, c.Window).Add(c.Window+writeAfter))
 		delays := &backoff.ExponentialBackOff{InitialInterval: minWriteRetryDelay, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: maxWriteRetryDelay}
 		for ctx.Err() == nil && c.IsWriter() && c.Write(ctx) != nil {
 			sleep.For(ctx, delays.NextBackOff())
@@ -154,6 +153,23 @@
 	}
 }
 
+// eraCheckInterval is the interval at which it is checked whether the store has lost the last write.
+const eraCheckInterval = 500 * time.Millisecond
+
+// waitForWrite waits until the next write. It returns early if the store came back from an older copy of itself since
+// the last write, which is then lost.
+func (c *Counter) waitForWrite(ctx context.Context, next time.Time) {
+	for ctx.Err() == nil && time.Now().Before(next) {
+		c.mu.Lock()
+		isLost := c.objectVersion != 0 && platform.Era(c.objectVersion) < c.Store.CurrentEra()
+		c.mu.Unlock()
+		if isLost && c.IsWriter() {
+			return
+		}
+		sleep.For(ctx, min(eraCheckInterval, time.Until(next)))
+	}
+}
+
 // Write stores the currently known counts. Only this run writes its object, so on a version conflict the stored version
 // comes from an earlier write of this run and is used for the next write.
 func (c *Counter) Write(ctx context.Context) error {
@@ -174,11 +190,12 @@
 	return nil
 }
 
-// handleWriteError logs a failed write and, on a conflict, adopts the stored version for the next one. It returns err.
+// handleWriteError logs a failed write and, on a conflict, adopts the stored version for the next one. A missing object
+// is created next time. It returns err.
 func (c *Counter) handleWriteError(err error) error {
 	c.Log.Info("counts_not_written", zap.String("run", c.Run), zap.Error(err))
 	var conflict platform.ErrConflict
-	if errors.As(err, &conflict) {
+	if errors.As(err, &conflict) || platform.IsErrNotFound(err) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.objectVersion = conflict.Current.Version
--- a/process/requestcount/counter_test.go
+++ b/process/requestcount/counter_test.go
@@ -58,6 +58,7 @@
 		Window: window, Delay: reportDelay, Store: store, Log: zap.NewNop(),
 		Held:   func() (int, bool) { return fence, true },
 		Report: receiver.report,
+		Sent:   &SentWindows{},
 	}
 }
 
--- a/process/requestcount/reporter.go
+++ b/process/requestcount/reporter.go
@@ -42,19 +42,31 @@
 	Held func() (fence int, ok bool)
 	// Report sends the counts of the window that begins at start. A repeated report has the same counts.
 	Report func(ctx context.Context, fence int, start time.Time, counts map[string]int) error
+	// Sent holds the newest window that any instance has reported.
+	Sent *SentWindows
+	// StartedAt is the time at which this process started to hear of the reports of other instances.
+	StartedAt time.Time
 
 	// fence is the fencing token under which sums was read; 0 if it must be read again.
 	fence int
 	// sums and sumsVersion are the stored sums and the version of their object; sumsVersion is 0 if it isn't stored yet.
 	sums        wire.SumsRecord
 	sumsVersion int
+	// era is the era of the store in which sums was read.
+	era int
+	// doubtfulThroughMs is the start of the newest window that may have been reported although the store, which came back
+	// from an older copy, lacks its sum; 0 if there is none.
+	doubtfulThroughMs int64
+	// sent holds the counts of the windows whose report this process sent, accepted or not, by the start in Unix
+	// milliseconds.
+	sent map[int64]map[string]int
 	// reported holds the starts, in Unix milliseconds, of the windows whose report from this process was accepted.
 	reported map[int64]bool
 }
 
 // Execute sums and reports windows until ctx is done.
 func (r *Reporter) Execute(ctx context.Context) {
-	r.reported = map[int64]bool{}
+	r.reported, r.sent = map[int64]bool{}, map[int64]map[string]int{}
 	for ctx.Err() == nil {
 		if fence, ok := r.Held(); ok {
 			if err := r.step(ctx, fence, time.Now()); err != nil {
@@ -67,8 +79,8 @@
 
 // step sums the windows that are due and reports those that aren't reported yet.
 func (r *Reporter) step(ctx context.Context, fence int, now time.Time) error {
-	if fence != r.fence {
-		if err := r.readSums(ctx); err != nil {
+	if fence != r.fence || r.Store.CurrentEra() != r.era {
+		if err := r.readSums(ctx, now); err != nil {
 			return err
 		}
 		r.fence = fence
@@ -80,10 +92,11 @@
 }
 
 // readSums loads the stored sums.
-func (r *Reporter) readSums(ctx context.Context) error {
+func (r *Reporter) readSums(ctx context.Context, now time.Time) error {
 	o, err := r.Store.Get(ctx, KindSums, sumsName)
 	if platform.IsErrNotFound(err) {
 		r.sums, r.sumsVersion = wire.SumsRecord{}, 0
+		r.noteRewind(false, 0, now)
 		return nil
 	}
 	if err != nil {
@@ -94,9 +107,15 @@
 		return err
 	}
 	r.sums, r.sumsVersion = sums, o.Version
+	r.noteRewind(true, o.Version, now)
 	return nil
 }
 
+// newestDue returns the start of the newest window that may be summed.
+func (r *Reporter) newestDue(now time.Time) time.Time {
+	return WindowStart(now.Add(-r.Window-r.shareOfDelay(sumAfterShare)), r.Window)
+}
+
 // shareOfDelay returns the given fraction of the report delay.
 func (r *Reporter) shareOfDelay(share float64) time.Duration {
 	return time.Duration(share * float64(r.Delay))
@@ -104,7 +123,7 @@
 
 // sumDueWindows sums and stores the recent windows that aren't summed yet.
 func (r *Reporter) sumDueWindows(ctx context.Context, now time.Time) error {
-	newest := WindowStart(now.Add(-r.Window-r.shareOfDelay(sumAfterShare)), r.Window)
+	newest := r.newestDue(now)
 	oldest := WindowStart(now.Add(-r.Window-r.Delay), r.Window)
 	var due []time.Time
 	for start := oldest; !start.After(newest); start = start.Add(r.Window) {
@@ -122,6 +141,10 @@
 	sums := r.sums
 	sums.Windows = slices.Clone(sums.Windows)
 	for _, start := range due {
+		if counts, ok := r.settled(start); ok {
+			sums.Windows = append(sums.Windows, wire.CountsWindow{StartMs: int(start.UnixMilli()), Counts: counts})
+			continue
+		}
 		counts, waiting := r.sumWindow(list.Items, start, now)
 		if waiting && now.Before(start.Add(r.Window+r.shareOfDelay(sumDeadlineShare))) {
 			continue
@@ -188,6 +211,7 @@
 func (r *Reporter) storeSums(ctx context.Context, sums wire.SumsRecord, now time.Time) error {
 	oldest := now.Add(-r.Window - 2*r.Delay).UnixMilli()
 	sums.Windows = slices.DeleteFunc(sums.Windows, func(w wire.CountsWindow) bool { return int64(w.StartMs) < oldest })
+	sums.Era = r.era
 	var o wire.Object
 	var err error
 	if r.sumsVersion == 0 {
@@ -200,7 +224,7 @@
 		return err
 	}
 	r.sums, r.sumsVersion = sums, o.Version
-	r.Log.Info("usage_summed", zap.Int("version", o.Version), zap.Int("windows", len(sums.Windows)))
+	r.Log.Info("usage_summed", platform.VersionField("version", o.Version), zap.Int("windows", len(sums.Windows)))
 	return nil
 }
 
@@ -215,6 +239,8 @@
 		if len(w.Counts) == 0 {
 			continue
 		}
+		r.sent[start.UnixMilli()] = w.Counts
+		r.Sent.Observe(start.UnixMilli())
 		if err := r.Report(ctx, fence, start, maps.Clone(w.Counts)); err != nil {
 			errs = errors.Join(errs, err)
 			continue
@@ -222,11 +248,9 @@
 		r.reported[start.UnixMilli()] = true
 		r.Log.Info("usage_reported", zap.Time("window", start), zap.Int("fence", fence), zap.Int("workspaces", len(w.Counts)))
 	}
-	for start := range r.reported {
-		if time.UnixMilli(start).Before(now.Add(-r.Window - 2*r.Delay)) {
-			delete(r.reported, start)
-		}
-	}
+	oldest := now.Add(-r.Window - 2*r.Delay).UnixMilli()
+	maps.DeleteFunc(r.reported, func(start int64, _ bool) bool { return start < oldest })
+	maps.DeleteFunc(r.sent, func(start int64, _ map[string]int) bool { return start < oldest })
 	return errs
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -179,6 +179,10 @@
 	// The sender reads the store on behalf of other instances of its data centre.
 	Reads bool `json:"reads,omitempty,omitzero"`
 
+	// Start, in Unix milliseconds, of the newest window whose usage report the sender
+	// knows to have been sent; 0 means none.
+	ReportedMs int `json:"reported_ms,omitempty,omitzero"`
+
 	// Id of the sending process; it changes when the instance restarts.
 	Run string `json:"run"`
 
--- a/wire/records.go
+++ b/wire/records.go
@@ -225,6 +225,9 @@
 	// Time for which a renewal is valid, in milliseconds.
 	DurationMs int `json:"duration_ms"`
 
+	// Era of the store in which the record was written.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Fencing token, which each new holder increases.
 	Fence int `json:"fence"`
 
@@ -344,6 +347,9 @@
 
 // SumsRecord fixes the figures of the single report of each of the newest windows.
 type SumsRecord struct {
+	// Era of the store in which the record was written.
+	Era int `json:"era,omitempty,omitzero"`
+
 	// Windows corresponds to the JSON schema field "windows".
 	Windows []CountsWindow `json:"windows"`
 }
