--- a/process/feed/rewind_test.go
+++ b/process/feed/rewind_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,11 +55,12 @@
 		f, recorded := newFeed(objects)
 		newer := make(chan struct{}, 1)
 		f.NewerElsewhere = newer
-		peerList := wire.ObjectList{Version: platform.Version(1, 1), Items: []wire.Object{{Kind: kind, Name: "peer's", Version: platform.Version(1, 1)}}}
-		f.ListFromPeer = func(context.Context) (wire.ObjectList, error) { return peerList, nil }
+		var peerList atomic.Pointer[wire.ObjectList]
+		peerList.Store(&wire.ObjectList{Version: platform.Version(1, 1), Items: []wire.Object{{Kind: kind, Name: "peer's", Version: platform.Version(1, 1)}}})
+		f.ListFromPeer = func(context.Context) (wire.ObjectList, error) { return *peerList.Load(), nil }
 		f.ReadsStore = func() bool { return false }
-		var older []wire.Object
-		f.OnPeerList = func(items []wire.Object) { older = items }
+		var olderLists atomic.Int32
+		f.OnPeerList = func([]wire.Object) { olderLists.Add(1) }
 		stop := runFeed(t, f)
 		time.Sleep(10 * time.Millisecond)
 		assert.Assert(t, recorded.hasObject("one"))
@@ -66,11 +68,11 @@
 		time.Sleep(10 * time.Millisecond)
 		assert.Assert(t, recorded.hasObject("peer's") && !recorded.hasObject("one"))
 		assert.Equal(t, recorded.gaps[len(recorded.gaps)-1], Rewind)
-		peerList = wire.ObjectList{Version: platform.Version(0, 900), Items: []wire.Object{{Kind: kind, Name: "lost"}}}
+		peerList.Store(&wire.ObjectList{Version: platform.Version(0, 900), Items: []wire.Object{{Kind: kind, Name: "lost"}}})
 		newer <- struct{}{}
 		time.Sleep(10 * time.Millisecond)
 		assert.Assert(t, recorded.hasObject("peer's") && !recorded.hasObject("lost"))
-		assert.Equal(t, len(older), 1)
+		assert.Equal(t, olderLists.Load(), int32(1))
 		stop()
 	})
 }
--- a/process/lease/rewind_test.go
+++ b/process/lease/rewind_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,9 +126,9 @@
 	for seed := range uint64(150) {
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 0))
-			cutOff := map[string]bool{}
+			cutOff := map[string]*atomic.Bool{"a": {}, "b": {}, "c": {}, "d": {}}
 			api := &platformtest.Objects{ChooseFault: func(c platformtest.Call) platformtest.Fault {
-				if cutOff[c.Instance] {
+				if cutOff[c.Instance].Load() {
 					return platformtest.Fault{Outcome: platformtest.OutcomeUnavailable}
 				}
 				return platformtest.Fault{}
@@ -148,14 +149,16 @@
 						stops[name] = nil
 					}
 				case 3:
-					cutOff[name] = !cutOff[name]
+					cutOff[name].Store(!cutOff[name].Load())
 				default:
 					api.Rewind(copies[max(0, len(copies)-1-rng.IntN(3))])
 				}
 				copies = append(copies, api.Copy())
 				h.watch(time.Duration(rng.Int64N(int64(3 * time.Second))))
 			}
-			clear(cutOff)
+			for _, isCutOff := range cutOff {
+				isCutOff.Store(false)
+			}
 			for _, name := range []string{"a", "b"} {
 				if stops[name] == nil {
 					stops[name] = h.start(api, name, 1000)
