--- a/cmd/toucanrouted/log_test.go
+++ b/cmd/toucanrouted/log_test.go
@@ -20,7 +20,7 @@
 		zap.String("request_id", "fa3bbccb3300013d"), zap.String("outcome", "served"), zap.Int("status", 200),
 		zap.Duration("total", 1234567890), zap.String("route", "r-vyigubv"), zap.String("workspace", "nyti663"),
 		zap.Int("rank", 5), zap.Int("config", 2), zap.Int("sends", 1), zap.String("server", "i-a317b1ec53"), zap.Int("servers", 21),
-		zap.Int("cost", 54690), zap.Int("running", 34), zap.Int("unread", 40422), zap.Bool("owner", false),
+		zap.Int("cost", 54690), zap.Int("running", 34), zap.Int("unread", 40422), zap.Bool("owner", false), zap.String("framing", "chunked"),
 		zap.String("fetched", "10.1.64.33:8384"), zap.Int("prompt", 12908), zap.Int("shared", 3764),
 		zap.Duration("first", 234567890), zap.Duration("gap", 34567890))
 }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -100,6 +100,8 @@
 	cacheSource  string
 	// placedAt is the time at which the last server was chosen.
 	placedAt time.Time
+	// framing is the framing of the last server response; empty if there was none.
+	framing request.Framing
 	// status is the HTTP status of the response to the caller; 0 if none was sent.
 	status int
 	// errorCode is the code of the instance's own error response; empty if it sent none.
@@ -301,6 +303,9 @@
 				zap.String("fetched", c.cacheSource),
 			)
 		}
+		if c.framing != "" {
+			fields = append(fields, zap.String("framing", string(c.framing)))
+		}
 		if prompt := c.meta.Prompt; prompt != nil {
 			fields = append(fields, zap.Int("prompt", prompt.Tokens), zap.Int("shared", prompt.SharedTokens()))
 		}
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -24,6 +24,7 @@
 
 // handleResponse forwards a server's response to the caller, or returns the reason why the response can't be used.
 func (c *call) handleResponse(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
+	c.framing = request.FramingOf(resp)
 	responseMeta := c.f.Headers.ReadResponse(resp.StatusCode, resp.Header)
 	if responseMeta.Load != nil {
 		attempt.RecordLoad(*responseMeta.Load)
