forward: failing tests of responses that end with their connection

- A response without a length or chunks reaches the caller with one of them, and one that is broken off ends as a whole one does: TestUnframedResponse…, TestInterruptedUnframedResponse…, TestUnframedEndOfChunkedResponse….

--- /dev/null
+++ b/request/forward/framing_test.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// rawResponse returns a handler that sends the text with the request's id in its head, and then closes the connection,
+// or resets it.
+func rawResponse(text string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, strings.Replace(text, "\r\n", "\r\nX-Signed: 1\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n", 1))
+		if reset {
+			time.Sleep(50 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Heads of responses that differ in their framing.
+const (
+	unframedHead       = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	unframedStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	chunkedStreamHead  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+const firstTwoEvents = "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+
+// inChunks returns the text as a chunked body of one chunk.
+func inChunks(text string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text) }
+
+// streamsCutInsideEvent are responses of servers that broke off after two events, inside the third.
+var streamsCutInsideEvent = map[string]http.HandlerFunc{
+	"end of the connection": rawResponse(unframedStreamHead+firstTwoEvents+"id: 3\nda", false),
+	"line without an end":   rawResponse(unframedStreamHead+firstTwoEvents+"id: 3\ndata: t3", false),
+	"event without an end":  rawResponse(unframedStreamHead+firstTwoEvents+"id: 3\ndata: t3\n", false),
+	"proper last chunk":     rawResponse(chunkedStreamHead+inChunks(firstTwoEvents+"id: 3\nda"), false),
+	"reset":                 rawResponse(unframedStreamHead+firstTwoEvents+"id: 3\nda", true),
+}
+
+func TestStreamCutInsideEventIsResumed(t *testing.T) {
+	for name, server := range streamsCutInsideEvent {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, server, func(w http.ResponseWriter, r *http.Request) {
+				assert.Check(t, r.Header.Get("Last-Event-Id") == "2", r.Header.Get("Last-Event-Id"))
+				eventStream(3, 4, true)(w, r)
+			})
+			status, body, _ := f.do(t, f.request(t, "POST", "/stream/", "b"))
+			assert.Equal(t, status, 200)
+			assert.Equal(t, body, firstTwoEvents+"id: 3\ndata: t3\n\nid: 4\ndata: t4\n\n")
+		})
+	}
+}
+
+func TestStreamCutInsideEventIsNotComplete(t *testing.T) {
+	for name, server := range streamsCutInsideEvent {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, server)
+			_, body, _ := f.do(t, f.request(t, "POST", "/fixed/", "b"))
+			events, err, interrupted := strings.Cut(body, "|")
+			assert.Assert(t, interrupted, body)
+			assert.Equal(t, events, firstTwoEvents, err)
+		})
+	}
+}
+
+// A stream without a length, chunks or an event may have been broken off before its first event.
+func TestUnframedStreamWithoutEventIsNotComplete(t *testing.T) {
+	f := newFixture(t, rawResponse(unframedStreamHead, false))
+	status, _, _ := f.do(t, f.request(t, "POST", "/fixed/", "b"))
+	assert.Equal(t, status, http.StatusBadGateway)
+	f = newFixture(t, rawResponse(unframedStreamHead, false), eventStream(1, 2, true))
+	status, body, _ := f.do(t, f.request(t, "POST", "/stream/", "b"))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, firstTwoEvents)
+}
+
+// rawExchange sends a request with the protocol version on a connection of its own. It returns the response, its body
+// and the error with which the body ended; nil stands for the end of the connection or of the framed body.
+func (f *fixture) rawExchange(t *testing.T, path, version string) (*http.Response, string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.proxy.URL, "http://"))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "POST "+path+" "+version+"\r\nHost: h\r\nX-Id: r1\r\nX-Key: k\r\nContent-Length: 1\r\n\r\nb")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// A response that ends with its server's connection ends with the caller's connection too: a length or a last chunk
+// would vouch for its completeness.
+func TestUnframedResponseStaysUnframed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, text, want string
+	}{
+		"plain":       {"/once/", unframedHead + "answer", "answer"},
+		"repeatable":  {"/repeat/", unframedHead + "answer", "answer"},
+		"failure":     {"/once/", strings.Replace(unframedHead, "200 OK", "500 No", 1) + "answer", "answer"},
+		"large plain": {"/once/", unframedHead + strings.Repeat("a", 2*maxBufferedBytes), strings.Repeat("a", 2*maxBufferedBytes)},
+		"stream":      {"/fixed/", unframedStreamHead + firstTwoEvents, firstTwoEvents},
+		"resumable":   {"/stream/", unframedStreamHead + firstTwoEvents, firstTwoEvents},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, rawResponse(tc.text, false))
+			resp, body, err := f.rawExchange(t, tc.path, "HTTP/1.1")
+			assert.NilError(t, err)
+			assert.Equal(t, body, tc.want)
+			assert.Assert(t, isUnframed(resp), "length %d, encoding %v", resp.ContentLength, resp.TransferEncoding)
+			assert.Equal(t, resp.Header.Get("Connection"), "close")
+			assert.Equal(t, resp.Header.Get("X-Signed"), "1")
+		})
+	}
+}
+
+// When a response without framing is broken off, the caller's connection is reset: its end would complete the response.
+func TestInterruptedUnframedResponseIsReset(t *testing.T) {
+	largePart := unframedHead + strings.Repeat("a", 2*maxBufferedBytes)
+	for name, tc := range map[string]struct {
+		path, version string
+		server        http.HandlerFunc
+	}{
+		"stream inside an event": {"/fixed/", "HTTP/1.1", streamsCutInsideEvent["end of the connection"]},
+		"stream by a reset":      {"/fixed/", "HTTP/1.1", rawResponse(unframedStreamHead+firstTwoEvents, true)},
+		"large plain":            {"/once/", "HTTP/1.1", rawResponse(largePart, true)},
+		"HTTP/1.0":               {"/fixed/", "HTTP/1.0", eventStream(1, 2, false)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, tc.server)
+			resp, _, err := f.rawExchange(t, tc.path, tc.version)
+			assert.Assert(t, isUnframed(resp), "length %d, encoding %v", resp.ContentLength, resp.TransferEncoding)
+			var opErr *net.OpError
+			assert.Assert(t, errors.As(err, &opErr), "the body ended with %v", err)
+		})
+	}
+}
+
+// A response that began in chunks is not ended by a last chunk when the server that took the stream up only closed its
+// connection.
+func TestUnframedEndOfChunkedResponseIsNotComplete(t *testing.T) {
+	f := newFixture(t, eventStream(1, 2, false), rawResponse(unframedStreamHead+"id: 3\ndata: t3\n\n", false))
+	resp, body, err := f.rawExchange(t, "/stream/", "HTTP/1.1")
+	assert.DeepEqual(t, resp.TransferEncoding, []string{"chunked"})
+	assert.Equal(t, body, firstTwoEvents+"id: 3\ndata: t3\n\n")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// A response that began without framing is completed by whichever server ends it properly.
+func TestUnframedResponseIsResumed(t *testing.T) {
+	f := newFixture(t, streamsCutInsideEvent["end of the connection"], eventStream(3, 3, true))
+	resp, body, err := f.rawExchange(t, "/stream/", "HTTP/1.1")
+	assert.NilError(t, err)
+	assert.Assert(t, isUnframed(resp))
+	assert.Equal(t, body, firstTwoEvents+"id: 3\ndata: t3\n\n")
+}
