forward: a stream that ends inside an event was passed on as complete

Cause: readEvent returned the rest of the stream with io.EOF, and forwardStream sent that rest as an event and completed the response. It relied on the framing to report a stream that was broken off. A body that ends with its connection has no framing, and a body in chunks may end properly inside an event.

Why it works: the end of the body counts only after a whole event. Inside an event, or before the first event of a body that ends with its connection, it is an error like a reset: the part is dropped, and another server goes on after the last whole event, or the caller's response is broken off.

--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/request"
 )
 
 // streamBufferBytes is the size of a stream's read buffer; events usually have some hundred bytes.
@@ -23,13 +24,14 @@
 // maxEventBytes is the largest size of one event.
 const maxEventBytes = 1 << 20
 
-// forwardStream forwards an event stream (server-sent events), one event at a time.
+// forwardStream forwards an event stream (server-sent events), one event at a time. A stream that ends inside an event,
+// or with its connection before its first event, has been broken off.
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	events := bufio.NewReaderSize(resp.Body, streamBufferBytes)
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
 		event, id, err := readEvent(events)
-		if err == nil || errors.Is(err, io.EOF) && len(event) > 0 {
+		if err == nil {
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
 			}
@@ -43,7 +45,7 @@
 				c.meta.LastEventID = id
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
 			return c.endStream(attempt, resp)
 		}
 		if err != nil {
@@ -121,8 +123,8 @@
 
 var idFieldPrefix = []byte("id:")
 
-// readEvent reads one event including its final empty line, and the value of its id field. At the end of the stream it
-// returns the remaining bytes with io.EOF.
+// readEvent reads one event including its final empty line, and the value of its id field. It returns io.EOF at the end
+// of a stream that ends after a whole event, and io.ErrUnexpectedEOF if the stream ends inside an event.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
 	lineStart := 0
 	for {
@@ -134,8 +136,11 @@
 			}
 			continue
 		}
+		if errors.Is(err, io.EOF) && len(event) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
-			return event, id, err
+			return nil, "", err
 		}
 		fullLine := bytes.TrimRight(event[lineStart:], "\r\n")
 		lineStart = len(event)
