forward: a response that ends with its connection got a framing of its own

Seen by callers: a response whose server sent neither a length nor chunks arrived with a length or a last chunk. What such a server had broken off between two events, or anywhere in a plain body, looked whole.

Cause: the instance took the end of the server's connection for the end of the body and framed what it had. And where a response to a caller ends with the connection (HTTP/1.0 until now), one that was broken off ended like a whole one, since the connection was only closed.

One check of the first read 'Connection: close' from a header that net/http removes; it now reads the raw head, for all unframed responses.

Why it works: the caller's response ends as the server's did, so it promises no more. A broken-off one is reset there, as RFC 9112 tells incomplete from complete. A response that began in chunks gets no last chunk from a server that only closed its connection. Ruled out: chunks and a reset on doubt, as the instance can't see the doubt.

--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -102,6 +102,8 @@
 	placedAt time.Time
 	// framing is the framing of the last server response; empty if there was none.
 	framing request.Framing
+	// endsWithConnection is set if the response to the caller has started and only the end of the connection ends it.
+	endsWithConnection bool
 	// status is the HTTP status of the response to the caller; 0 if none was sent.
 	status int
 	// errorCode is the code of the instance's own error response; empty if it sent none.
@@ -133,9 +135,7 @@
 	}
 	c.logRequest()
 	if c.outcome == OutcomeInterrupted {
-		// Closes the connection without a proper end, so that the caller can't take the partial response for a complete
-		// one.
-		panic(http.ErrAbortHandler)
+		c.abortResponse()
 	}
 }
 
--- a/request/forward/framing_test.go
+++ b/request/forward/framing_test.go
@@ -99,9 +99,14 @@
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
 	_, err = io.WriteString(conn, "POST "+path+" "+version+"\r\nHost: h\r\nX-Id: r1\r\nX-Key: k\r\nContent-Length: 1\r\n\r\nb")
 	assert.NilError(t, err)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	var raw strings.Builder
+	resp, err := http.ReadResponse(bufio.NewReader(io.TeeReader(conn, &raw)), nil)
 	assert.NilError(t, err)
 	body, err := io.ReadAll(resp.Body)
+	if isUnframed(resp) && resp.ProtoAtLeast(1, 1) {
+		head, _, _ := strings.Cut(raw.String(), "\r\n\r\n")
+		assert.Assert(t, strings.Contains(head+"\r\n", "\r\nConnection: close\r\n"), head)
+	}
 	return resp, string(body), err
 }
 
@@ -128,7 +133,6 @@
 			assert.NilError(t, err)
 			assert.Equal(t, body, tc.want)
 			assert.Assert(t, isUnframed(resp), "length %d, encoding %v", resp.ContentLength, resp.TransferEncoding)
-			assert.Equal(t, resp.Header.Get("Connection"), "close")
 			assert.Equal(t, resp.Header.Get("X-Signed"), "1")
 		})
 	}
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -107,7 +107,7 @@
 	c.beginResponse(resp)
 	h := c.w.Header()
 	complete := int64(len(body)) < maxBufferedBytes
-	if complete && !hasNoBody(resp) {
+	if complete && !hasNoBody(resp) && !c.endsWithConnection {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	c.w.WriteHeader(resp.StatusCode)
@@ -149,7 +149,8 @@
 	return nil
 }
 
-// beginResponse copies the headers of the response to the caller's and stops the timeout.
+// beginResponse copies the headers of the response to the caller's and stops the timeout. If the server's response ends
+// with its connection, so does the caller's: a length or a last chunk would vouch for its completeness.
 func (c *call) beginResponse(resp *http.Response) {
 	if c.timeoutTimer != nil {
 		c.timeoutTimer.Stop()
@@ -160,6 +161,11 @@
 	for name, values := range resp.Header {
 		h[name] = values
 	}
+	if c.framing == request.FramingConnection {
+		// net/http's server then sends neither a length nor chunks and closes the connection after the response.
+		h.Set("Transfer-Encoding", "identity")
+	}
+	c.endsWithConnection = c.framing == request.FramingConnection || !c.r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == ""
 	c.status = resp.StatusCode
 	c.firstByteAt = time.Now()
 	c.outcome = OutcomeServed
@@ -168,6 +174,29 @@
 	}
 }
 
+// abortResponse closes the caller's connection so that the caller can't take the partial response for a complete one. It
+// doesn't return.
+func (c *call) abortResponse() {
+	if c.endsWithConnection {
+		c.resetConnection()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection resets the caller's connection.
+func (c *call) resetConnection() {
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		c.f.Log.Warn("connection_not_reset", zap.String("request_id", c.meta.ID), zap.Error(err))
+		return
+	}
+	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		// An error means that the connection is already closed.
+		_ = l.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // recordLostResponse records a response that ended before it was complete.
 func (c *call) recordLostResponse(ctx context.Context, attempt *registry.Attempt, err error) {
 	switch {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -90,9 +90,18 @@
 	c.f.PrefillRate(c.pool.Name).Observe(c.serverChoice.server.PendingPrefill+c.meta.Prompt.Tokens-c.meta.Prompt.SharedTokens(), time.Since(c.placedAt))
 }
 
+// errEndNotProven is the error of a stream that ended with its server's connection, while the caller expects a last chunk
+// or a length.
+var errEndNotProven = errors.New("the stream ended with its connection, so that its end isn't certain")
+
 // endStream completes a stream that its server ended regularly.
 func (c *call) endStream(attempt *registry.Attempt, resp *http.Response) error {
 	attempt.End(registry.OutcomeAnswered)
+	if c.framing == request.FramingConnection && !c.endsWithConnection {
+		c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Error(errEndNotProven))
+		c.outcome = OutcomeInterrupted
+		return errEndNotProven
+	}
 	if c.firstByteAt.IsZero() {
 		c.reportStarted()
 		c.beginResponse(resp)
