forward: an instance that ended completed its unframed responses

Seen by callers: when an instance stops, is killed or closes its connections while it passes on a response without a length or chunks, the caller gets a part of it and a proper end.

Cause: the kernel ends the connections of a process properly, and the end of the connection is the only end of such a response.

Evidence: TestUnframedResponseIsResetWhenInstanceEnds failed on the commit before with the error <nil> in both cases.

Why it works: the connection is set to be reset when it closes from the head of such a response on until its last byte is written, so every end in between, also that of the process, is a reset. This replaces the hijacking of the connection when a response is broken off.

A kill of the process itself has no test.

--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -53,6 +53,7 @@
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes,
+		ConnContext:       WithConn,
 		ErrorLog:          log.New(logWriter{s.Log}, "", 0),
 	}
 	s.Log.Info("callers_listening", zap.String("addr", s.Listen))
@@ -65,6 +66,32 @@
 	return nil
 }
 
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// WithConn returns a context for the requests of a connection, for ResetOnClose. It is a ConnContext of net/http's
+// server.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// errNoLinger reports that a request's connection is unknown or has no linger option.
+var errNoLinger = errors.New("the connection has no linger option")
+
+// ResetOnClose sets whether the connection of the request with the context ctx is reset when it closes, also by the end
+// of the process, instead of being ended properly.
+func ResetOnClose(ctx context.Context, reset bool) error {
+	c, ok := ctx.Value(connKey{}).(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errNoLinger
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	return c.SetLinger(seconds)
+}
+
 // ServeHTTP serves one request. While the server drains, it sets "Connection: close" on each response.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -211,6 +211,7 @@
 		OnStarted:    g.usageCounter.CountRequest,
 		DataCentre:   g.Settings.DataCentre,
 		OnLoadChange: g.mesh.NotifyLoadChanged,
+		ResetOnClose: entry.ResetOnClose,
 		Observe:      g.observeRequest,
 	}
 }
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/request/attempt"
@@ -127,13 +128,17 @@
 		RetryBudget: func(string) *attempt.WindowBudget { return budget },
 		WorkloadMix: func(string) *placement.WorkloadMix { return &placement.WorkloadMix{} },
 		PrefillRate: func(string) *placement.PrefillRate { return &placement.PrefillRate{} },
+
+		ResetOnClose: entry.ResetOnClose,
 		OnStarted: func(w string, _ time.Time) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.started[w]++
 		},
 	}
-	f.proxy = httptest.NewServer(f.forwarder)
+	f.proxy = httptest.NewUnstartedServer(f.forwarder)
+	f.proxy.Config.ConnContext = entry.WithConn
+	f.proxy.Start()
 	t.Cleanup(f.proxy.Close)
 	return f
 }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -39,6 +39,9 @@
 	DataCentre string
 	// OnLoadChange is called when this instance's load on a server has changed; it may be nil.
 	OnLoadChange func()
+	// ResetOnClose sets whether the caller's connection of a request, given by its context, is reset when it closes, also
+	// by the end of the process.
+	ResetOnClose func(ctx context.Context, reset bool) error
 	// Observe records the summary of each finished request in the metrics; it may be nil.
 	Observe func(Summary)
 }
@@ -135,8 +138,11 @@
 	}
 	c.logRequest()
 	if c.outcome == OutcomeInterrupted {
-		c.abortResponse()
+		// Closes the connection without a proper end, so that the caller can't take the partial response for a complete
+		// one.
+		panic(http.ErrAbortHandler)
 	}
+	c.completeResponse()
 }
 
 // Outcome classifies how a request ended.
--- a/request/forward/framing_test.go
+++ b/request/forward/framing_test.go
@@ -178,3 +178,33 @@
 	assert.Assert(t, isUnframed(resp))
 	assert.Equal(t, body, firstTwoEvents+"id: 3\ndata: t3\n\n")
 }
+
+// The end of the connection completes a response without framing. So it must be a reset if the instance stops or ends
+// while the server still sends.
+func TestUnframedResponseIsResetWhenInstanceEnds(t *testing.T) {
+	for name, end := range map[string]func(*fixture){
+		"server closed":      func(f *fixture) { _ = f.proxy.Config.Close() },
+		"connections closed": func(f *fixture) { f.proxy.CloseClientConnections() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			var f *fixture
+			f = newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				head := strings.Replace(unframedStreamHead, "\r\n", "\r\nX-Signed: 1\r\nX-Id: "+r.Header.Get("X-Id")+"\r\n", 1)
+				_, _ = io.WriteString(conn, head+firstTwoEvents)
+				time.AfterFunc(100*time.Millisecond, func() { end(f) })
+				<-release
+				_ = conn.Close()
+			})
+			resp, body, err := f.rawExchange(t, "/fixed/", "HTTP/1.1")
+			assert.Assert(t, isUnframed(resp))
+			var opErr *net.OpError
+			assert.Assert(t, errors.As(err, &opErr), "the body %q ended with %v", body, err)
+		})
+	}
+}
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -165,7 +165,9 @@
 		// net/http's server then sends neither a length nor chunks and closes the connection after the response.
 		h.Set("Transfer-Encoding", "identity")
 	}
-	c.endsWithConnection = c.framing == request.FramingConnection || !c.r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == ""
+	if c.endsWithConnection = c.framing == request.FramingConnection || !c.r.ProtoAtLeast(1, 1) && h.Get("Content-Length") == ""; c.endsWithConnection {
+		c.resetOnClose(true)
+	}
 	c.status = resp.StatusCode
 	c.firstByteAt = time.Now()
 	c.outcome = OutcomeServed
@@ -174,27 +176,22 @@
 	}
 }
 
-// abortResponse closes the caller's connection so that the caller can't take the partial response for a complete one. It
-// doesn't return.
-func (c *call) abortResponse() {
-	if c.endsWithConnection {
-		c.resetConnection()
+// resetOnClose makes the end of the caller's connection reset it, or end it properly.
+func (c *call) resetOnClose(reset bool) {
+	if err := c.f.ResetOnClose(c.r.Context(), reset); err != nil {
+		c.f.Log.Info("connection_option_not_set", zap.String("request_id", c.meta.ID), zap.Bool("reset", reset), zap.Error(err))
 	}
-	panic(http.ErrAbortHandler)
 }
 
-// resetConnection resets the caller's connection.
-func (c *call) resetConnection() {
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		c.f.Log.Warn("connection_not_reset", zap.String("request_id", c.meta.ID), zap.Error(err))
+// completeResponse lets the end of the caller's connection end the response properly if nothing else ends it.
+func (c *call) completeResponse() {
+	if !c.endsWithConnection {
 		return
 	}
-	if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		// An error means that the connection is already closed.
-		_ = l.SetLinger(0)
+	// What isn't written yet would be missing if the process ended after the change of the option.
+	if err := http.NewResponseController(c.w).Flush(); err == nil {
+		c.resetOnClose(false)
 	}
-	_ = conn.Close()
 }
 
 // recordLostResponse records a response that ended before it was complete.
