caller: a service's response that ended with its connection got a length

Cause: the dispatcher frames the body that the client of services read up to the end of the connection, and nbhttp's responses have a length or chunks only.

Evidence: TestUnframedServiceResponseStaysUnframed failed before in its four cases ('length 6, encoding []' …). TestUnreadUnframedResponseIsReset passed before, by the length, and guards the reset that replaces it.

Why it works: such a response is written by the instance itself, without framing, and its connection is closed once all of it is written; until then every end of the connection is a reset.

Looked at without a finding: completion streams end with [DONE], error bodies, load reports, cache events and the platform's answers are JSON, of which a part doesn't parse.

--- a/connection/caller/call.go
+++ b/connection/caller/call.go
@@ -76,6 +76,9 @@
 	if err := s.serve(c); err != nil {
 		s.sendError(c, err)
 	}
+	if c.w.unframed != nil {
+		c.w.unframed.finish(s.StallTimeout)
+	}
 }
 
 // startCall registers a request that has arrived completely and returns its state.
--- a/connection/caller/writer.go
+++ b/connection/caller/writer.go
@@ -47,14 +47,21 @@
 	responseStarted bool
 	// unflushedBytes is the number of bytes written since the last flush.
 	unflushedBytes int
+	// unframed is the connection of a response without a length or chunks; nil for other responses.
+	unframed *unframedWriter
 }
 
 // Header returns the response headers.
 func (w *writer) Header() http.Header { return w.res.Header() }
 
-// WriteHeader sets the response status.
+// WriteHeader sets the response status. The transfer encoding "identity" stands for a response that ends with its
+// connection.
 func (w *writer) WriteHeader(status int) {
 	w.responseStarted = true
+	if w.Header().Get(headerTransferEncoding) == encodingIdentity {
+		w.unframed = beginUnframed(w, status)
+		return
+	}
 	w.res.WriteHeader(status)
 }
 
@@ -85,6 +92,9 @@
 	}
 	w.unflushedBytes += len(data) + chunkOverheadBytes
 	w.connGuard.pendingBytes.Add(int64(len(data) + chunkOverheadBytes))
+	if w.unframed != nil {
+		return w.unframed.write(data)
+	}
 	_, err := w.res.Write(data)
 	return err
 }
@@ -92,6 +102,9 @@
 // Flush sends the bytes written since the last flush.
 func (w *writer) Flush() {
 	w.unflushedBytes = 0
+	if w.unframed != nil {
+		return
+	}
 	w.res.Flush()
 }
 
--- a/connection/service/client.go
+++ b/connection/service/client.go
@@ -47,7 +47,7 @@
 		return request.ServiceResponse{}, request.ErrAttempt{Sent: true, Status: res.StatusCode, Err: err}
 	}
 	request.StripHopHeaders(res.Header)
-	return request.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+	return request.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: body, Framing: request.FramingOf(res)}, nil
 }
 
 func (c *Client) readAll(r io.Reader) ([]byte, error) {
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -61,12 +61,14 @@
 	Idempotent bool
 }
 
-// ServiceResponse is the complete response of a plain service.
+// ServiceResponse is the response of a plain service.
 type ServiceResponse struct {
 	// Status is the HTTP status.
 	Status int
 	// Header holds the end-to-end headers.
 	Header http.Header
-	// Body is the complete body.
+	// Body is the body. Whether it is complete isn't certain if Framing is FramingConnection.
 	Body []byte
+	// Framing is how the service stated where the body ends.
+	Framing Framing
 }
--- a/request/dispatch/service.go
+++ b/request/dispatch/service.go
@@ -109,6 +109,8 @@
 	return response, nil
 }
 
+// writeServiceResponse writes the response of a service. If it ended with its connection, so does the caller's: a length
+// would vouch for its completeness. As in net/http, the transfer encoding "identity" stands for that.
 func writeServiceResponse(w http.ResponseWriter, response request.ServiceResponse) {
 	h := w.Header()
 	for name, values := range response.Header {
@@ -116,7 +118,11 @@
 			h[name] = values
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	if response.Framing == request.FramingConnection {
+		h.Set("Transfer-Encoding", "identity")
+	} else {
+		h.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	}
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 }
