registry: log the software version of each server

The lines of servers (server_in, server_out, …) now tell which software version a server has, so that a stream's servers can be compared by the logs alone.

--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -284,5 +284,6 @@
 		zap.String("address", e.Address),
 		zap.String("pool", e.Pool),
 		zap.String("data_centre", e.DataCentre),
+		zap.String("version", e.Version),
 	}
 }
