forward: a stream went on at a server of another software version

Cause: when a server breaks a stream off, another one of the pool is chosen by load and cached prompts alone; registry.Entry.Version was decoded and read nowhere. Ruled out: an entry that is out of date.

Why it works: the first event fixes the version, as of the entry by which its server was chosen, and later attempts are placed among the servers of that version only. Where none is left, the response is broken off, so that the caller knows, instead of being continued wrongly. Before the first event any version may begin the stream.

--- a/process/registry/closed.go
+++ b/process/registry/closed.go
@@ -50,14 +50,14 @@
 	return !srv.addressTaken && !srv.leaving && !srv.closedUntil.After(now) && !srv.unconfirmedUntil.After(now)
 }
 
-// NextOpening returns the earliest time at which a server of the pool that closed itself for a while accepts requests
-// again; false if no server did. Servers in skip are not considered.
-func (r *Registry) NextOpening(pool string, skip map[string]bool) (time.Time, bool) {
+// NextOpening returns the earliest time at which a selected server of the pool that closed itself for a while accepts
+// requests again; false if no such server did.
+func (r *Registry) NextOpening(pool string, selection Selection) (time.Time, bool) {
 	var earliest time.Time
 	now := time.Now()
 	for _, srv := range r.Serving(pool) {
 		srv.mu.Lock()
-		closed := srv.closedUntil.After(now) && srv.accepts(srv.closedUntil) && !skip[srv.entry.ID]
+		closed := srv.closedUntil.After(now) && srv.accepts(srv.closedUntil) && selection.admits(&srv.entry)
 		if closed && (earliest.IsZero() || srv.closedUntil.Before(earliest)) {
 			earliest = srv.closedUntil
 		}
--- a/process/registry/closed_test.go
+++ b/process/registry/closed_test.go
@@ -9,7 +9,7 @@
 )
 
 // usableIDs returns the ids of the usable servers of the test pool.
-func usableIDs(r *Registry) map[string]bool { return idSet(r.Usable("p", nil)) }
+func usableIDs(r *Registry) map[string]bool { return idSet(r.Usable("p", Selection{})) }
 
 func server(r *Registry, id string) *Server {
 	for _, srv := range r.Servers() {
@@ -51,14 +51,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRegistry(newEntry("a"), newEntry("b"))
 		a := server(r, "a").Begin(0)
-		_, closed := r.NextOpening("p", nil)
+		_, closed := r.NextOpening("p", Selection{})
 		assert.Assert(t, !closed)
 		a.CloseFor(5*time.Second, "5")
 		a.CloseFor(time.Second, "1")
 		a.End(OutcomeRefused)
 		time.Sleep(4900 * time.Millisecond)
 		assert.DeepEqual(t, usableIDs(r), map[string]bool{"b": true})
-		opensAt, closed := r.NextOpening("p", nil)
+		opensAt, closed := r.NextOpening("p", Selection{})
 		assert.Assert(t, closed)
 		assert.Equal(t, time.Until(opensAt), 100*time.Millisecond)
 		time.Sleep(100 * time.Millisecond)
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -221,14 +221,26 @@
 	return r.pools[pool]
 }
 
-// Usable returns the serving servers of a pool that count as reachable, or all serving ones if none does. Servers in
-// skip, servers whose address belongs to another server and those that accept nothing are never included.
-func (r *Registry) Usable(pool string, skip map[string]bool) []*Server {
+// Selection restricts the servers of a pool from which one is chosen. The zero value admits all.
+type Selection struct {
+	// Skip holds the ids of servers that are not admitted.
+	Skip map[string]bool
+	// Version is the only software version that is admitted; empty admits all.
+	Version string
+}
+
+func (s Selection) admits(e *Entry) bool {
+	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version)
+}
+
+// Usable returns the selected serving servers of a pool that count as reachable, or all selected serving ones if none
+// does. Servers whose address belongs to another server and those that accept nothing are never included.
+func (r *Registry) Usable(pool string, selection Selection) []*Server {
 	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := !srv.removed && !srv.suspect && srv.accepts(now) && !skip[srv.entry.ID]
+		ok := !srv.removed && !srv.suspect && srv.accepts(now) && selection.admits(&srv.entry)
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
@@ -239,7 +251,7 @@
 	}
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := srv.accepts(now) && !skip[srv.entry.ID]
+		ok := srv.accepts(now) && selection.admits(&srv.entry)
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
--- a/process/registry/registry_test.go
+++ b/process/registry/registry_test.go
@@ -43,10 +43,10 @@
 func TestDrainingServersGetNothing(t *testing.T) {
 	r := newTestRegistry(newEntry("a"), newEntry("b"))
 	r.Put(newEntry("a", draining))
-	assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"b": true})
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"b": true})
 	assert.DeepEqual(t, idSet(r.CacheSources("p")), map[string]bool{"a": true, "b": true})
 	r.Remove("b")
-	assert.Equal(t, len(r.Usable("p", nil)), 0)
+	assert.Equal(t, len(r.Usable("p", Selection{})), 0)
 }
 
 // After an outage of the store, a missing entry may only have expired, so its server is kept for two seconds.
@@ -54,19 +54,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newTestRegistry(newEntry("a"), newEntry("b"), newEntry("c"))
 		r.Reset([]Entry{newEntry("a")}, true)
-		assert.Equal(t, len(r.Usable("p", nil)), 3)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 3)
 		time.Sleep(time.Second)
 		r.Put(newEntry("b"))
 		time.Sleep(1100 * time.Millisecond)
 		synctest.Wait()
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"a": true, "b": true})
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"a": true, "b": true})
 	})
 }
 
 func TestMissingEntryWithoutOutageIsRemoved(t *testing.T) {
 	r := newTestRegistry(newEntry("a"), newEntry("b"))
 	r.Reset([]Entry{newEntry("a")}, false)
-	assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"a": true})
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"a": true})
 }
 
 // A server that restarts under the same id starts with an empty state. An entry of its earlier start is ignored.
@@ -106,12 +106,12 @@
 		default:
 			t.Fatal("the channel for waiting requests isn't closed")
 		}
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"b": true})
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"b": true})
 		time.Sleep(10 * time.Second)
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"b": true})
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"b": true})
 		reachable.Store(true)
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, len(r.Usable("p", nil)), 2)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
 	})
 }
 
@@ -128,9 +128,9 @@
 			}
 		}
 		r.SuspectDataCentre("y")
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), map[string]bool{"a": true, "c": true})
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"a": true, "c": true})
 		r.TrustDataCentre("y")
-		assert.Equal(t, len(r.Usable("p", nil)), 3)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 3)
 	})
 }
 
@@ -139,8 +139,8 @@
 	for _, srv := range r.Serving("p") {
 		srv.Begin(0).End(OutcomeUnreachable)
 	}
-	assert.Equal(t, len(r.Usable("p", nil)), 2)
-	assert.DeepEqual(t, idSet(r.Usable("p", map[string]bool{"a": true})), map[string]bool{"b": true})
+	assert.Equal(t, len(r.Usable("p", Selection{})), 2)
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{Skip: map[string]bool{"a": true}})), map[string]bool{"b": true})
 }
 
 // The loads of all instances are added up. The load of an instance that became silent is dropped after a while.
@@ -215,12 +215,32 @@
 		}
 		onlyB := map[string]bool{"b": true}
 		time.Sleep(time.Minute)
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), onlyB)
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), onlyB)
 		assert.DeepEqual(t, idSet(r.CacheSources("p")), onlyB)
-		assert.Equal(t, len(r.Usable("p", onlyB)), 0, "a replaced server must not be used even if no other is left")
+		assert.Equal(t, len(r.Usable("p", Selection{Skip: onlyB})), 0, "a replaced server must not be used even if no other is left")
 		r.Reset([]Entry{newEntry("a"), newEntry("b")}, false)
-		assert.DeepEqual(t, idSet(r.Usable("p", nil)), onlyB)
+		assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), onlyB)
 		r.Put(newEntry("a", func(e *Entry) { e.WarmupTime = time.Second }))
-		assert.Equal(t, len(r.Usable("p", nil)), 2)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
 	})
 }
+
+// Only servers of the selected software version are usable, and an unreachable one of that version comes before a
+// reachable one of another.
+func TestSelectionOfSoftwareVersion(t *testing.T) {
+	r := &Registry{Log: zap.NewNop()}
+	entry := func(id, version string) Entry {
+		return Entry{ID: id, Address: "10.0.0.1:1", Pool: "p", Version: version, Slots: 4}
+	}
+	r.Reset([]Entry{entry("a", "v1"), entry("b", "v1"), entry("c", "v2")}, false)
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{Version: "v1"})), map[string]bool{"a": true, "b": true})
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{Version: "v1", Skip: map[string]bool{"a": true}})), map[string]bool{"b": true})
+	assert.Equal(t, len(r.Usable("p", Selection{Version: "v3"})), 0)
+	for _, srv := range r.Servers() {
+		if srv.Entry().Version == "v1" {
+			srv.Begin(0).End(OutcomeUnreachable)
+		}
+	}
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{})), map[string]bool{"c": true})
+	assert.DeepEqual(t, idSet(r.Usable("p", Selection{Version: "v1"})), map[string]bool{"a": true, "b": true})
+}
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -100,10 +100,16 @@
 	fetchFrom string
 }
 
+// selection returns the servers that may be tried: those that weren't, and for a stream that has begun, those of the
+// software version that began it.
+func (c *call) selection() registry.Selection {
+	return registry.Selection{Skip: c.triedServers, Version: c.origin.Version}
+}
+
 // place chooses a server for the next attempt and counts the request as running there. Before the first attempt
 // at an engine it may refuse the request for overload.
 func (c *call) place() (assignment, error) {
-	servers := c.f.Registry.Usable(c.pool.Name, c.triedServers)
+	servers := c.f.Registry.Usable(c.pool.Name, c.selection())
 	if len(servers) == 0 {
 		return assignment{}, c.noServerLeftError()
 	}
@@ -242,7 +248,7 @@
 	server := serverAttempt.Server()
 	entry := server.Entry()
 	c.triedServers[entry.ID] = true
-	c.serverID = entry.ID
+	c.serverID, c.serverVersion = entry.ID, entry.Version
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	if c.route.MayRepeat() {
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -72,7 +72,7 @@
 // closed themselves for a while, a caller whose request has not run is told when the first of them opens again.
 func (c *call) noServerLeftError() error {
 	err := c.finalError(errors.New("no backend server is left"))
-	opensAt, ok := c.f.Registry.NextOpening(c.pool.Name, c.triedServers)
+	opensAt, ok := c.f.Registry.NextOpening(c.pool.Name, c.selection())
 	var response request.ErrResponse
 	if !ok || !errors.As(err, &response) || !response.NotRun {
 		return err
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/request/placement"
@@ -96,8 +97,10 @@
 	maxEventGap time.Duration
 	// firstByteAt is the time at which the response to the caller started.
 	firstByteAt time.Time
-	// serverID is the id of the last server that was tried.
-	serverID string
+	// serverID is the id of the last server that was tried, and serverVersion the version of its software.
+	serverID, serverVersion string
+	// origin is what began the stream; zero before its first event.
+	origin streamorigin.Origin
 	// serverChoice and cacheSource describe the last choice of a server; see logRequest.
 	serverChoice serverChoice
 	cacheSource  string
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -128,7 +128,7 @@
 	if c.possibleRuns >= c.route.MaxAttempts {
 		return false
 	}
-	if len(c.f.Registry.Usable(c.pool.Name, c.triedServers)) == 0 {
+	if len(c.f.Registry.Usable(c.pool.Name, c.selection())) == 0 {
 		return false
 	}
 	return c.f.RetryBudget(c.pool.Name).Remaining() >= 1
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request"
 )
 
@@ -65,6 +66,9 @@
 			c.f.OnLoadChange()
 		}
 	}
+	if c.origin.IsZero() {
+		c.origin = streamorigin.Origin{Pool: c.pool.Name, Version: c.serverVersion}
+	}
 	if c.firstByteAt.IsZero() {
 		c.beginResponse(resp)
 		c.w.WriteHeader(resp.StatusCode)
@@ -126,7 +130,8 @@
 		return err
 	}
 	c.f.Log.Info("stream_interrupted",
-		zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.String("last_event", c.meta.LastEventID), zap.Error(err))
+		zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.String("last_event", c.meta.LastEventID),
+		zap.String("version", c.origin.Version), zap.Error(err))
 	return err
 }
 
