forward: a caller's next try took a stream up at another software version

Cause: an instance that a caller asks for the rest knew nothing of the stream, and no code read Resumes, which names the request that brought its first event.

Why it works: the instance that sends a first event remembers pool and version by the request's id, and tells up to four others, chosen by rendezvous hashing in its own and other data centres, so that the cost per stream doesn't grow with the fleet. The instance that is asked for the rest looks there and restricts the request to that pool and version. What nobody knows is refused as not run, with 503 and stream_not_resumable: a guess from the servers now listed can be wrong at an instance that is cut off. A caller that names no request goes on only where the pool has had a single version for two minutes.

--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -16,8 +16,12 @@
 const (
 	// methodObjects is the JSON-RPC method that returns all objects of a kind.
 	methodObjects = "objects"
+	// methodStream is the JSON-RPC method that returns what began a stream.
+	methodStream = "stream"
 	// codeOutdated is the error code of an instance whose own objects may be out of date.
 	codeOutdated = 1
+	// codeUnknownStream is the error code of an instance that doesn't know what began a stream.
+	codeUnknownStream = 2
 	// fetchTimeout bounds one call to a peer. It is much longer than a round trip and much shorter than the time in
 	// which a new configuration must take effect.
 	fetchTimeout = 500 * time.Millisecond
@@ -28,14 +32,16 @@
 	Kind string `json:"kind"`
 }
 
-// Server serves the objects of the platform's store to instances that can't reach the store. Set its exported fields
-// before Run.
+// Server serves the objects of the platform's store to instances that can't reach the store, and tells other instances
+// what began a stream. Set its exported fields before Run.
 type Server struct {
 	// Listen is the IP address and port to listen on.
 	Listen string
 	Log    *zap.Logger
 	// ListObjects returns the objects of a kind, and false if they may be out of date.
 	ListObjects func(kind string) (wire.ObjectList, bool)
+	// FindStream returns what began the stream with the id, and false if that isn't known.
+	FindStream func(id string) (wire.NewsStream, bool)
 }
 
 // Run serves until ctx ends.
@@ -63,15 +69,13 @@
 // serve handles the calls of one peer until the peer closes the connection or ctx ends.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
-		var params objectsParams
-		if req.Method != methodObjects || req.Params == nil || json.Unmarshal(*req.Params, &params) != nil {
-			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "want objects with a kind"}
+		switch req.Method {
+		case methodObjects:
+			return s.serveObjects(req.Params)
+		case methodStream:
+			return s.serveStream(req.Params)
 		}
-		list, current := s.ListObjects(params.Kind)
-		if !current {
-			return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
-		}
-		return list, nil
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	})
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), handler)
 	select {
@@ -81,19 +85,55 @@
 	}
 }
 
+func (s *Server) serveObjects(data *json.RawMessage) (any, error) {
+	var params objectsParams
+	if data == nil || json.Unmarshal(*data, &params) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
+	}
+	list, current := s.ListObjects(params.Kind)
+	if !current {
+		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
+	}
+	return list, nil
+}
+
+func (s *Server) serveStream(data *json.RawMessage) (any, error) {
+	var ask wire.StreamAsk
+	if data == nil || json.Unmarshal(*data, &ask) != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want the id of a request"}
+	}
+	stream, ok := s.FindStream(ask.I)
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: codeUnknownStream, Message: "what began the stream isn't known here"}
+	}
+	return stream, nil
+}
+
 // FetchObjects requests all objects of a kind from a peer.
 func FetchObjects(ctx context.Context, address, kind string) (wire.ObjectList, error) {
+	var list wire.ObjectList
+	err := call(ctx, address, methodObjects, objectsParams{Kind: kind}, &list)
+	return list, err
+}
+
+// FetchStream asks a peer what began the stream with the id.
+func FetchStream(ctx context.Context, address, id string) (wire.NewsStream, error) {
+	var stream wire.NewsStream
+	err := call(ctx, address, methodStream, wire.StreamAsk{I: id}, &stream)
+	return stream, err
+}
+
+// call sends one call to a peer on a connection of its own and decodes the result into result.
+func call(ctx context.Context, address, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var list wire.ObjectList
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return list, err
+		return err
 	}
 	ignoreRequests := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), ignoreRequests)
 	defer func() { _ = rpc.Close() }()
-	err = rpc.Call(ctx, methodObjects, objectsParams{Kind: kind}, &list)
-	return list, err
+	return rpc.Call(ctx, method, params, result)
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/requestcount"
 	"github.com/toucanroute/toucanroute/process/sleep"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/request/forward"
 	"github.com/toucanroute/toucanroute/request/placement"
@@ -72,6 +73,7 @@
 	// configObject is the object of the configuration in force.
 	configObject     atomic.Pointer[wire.Object]
 	registry         *registry.Registry
+	streamOrigins    streamorigin.Table
 	transport        *upstream.Transport
 	forwarder        *forward.Forwarder
 	callerServer     atomic.Pointer[entry.Server]
@@ -212,6 +214,8 @@
 		DataCentre:   g.Settings.DataCentre,
 		OnLoadChange: g.mesh.NotifyLoadChanged,
 		ResetOnClose: entry.ResetOnClose,
+		BeginStream:  g.beginStream,
+		FindStream:   g.findStream,
 		Observe:      g.observeRequest,
 	}
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -18,7 +18,7 @@
 // buildMesh creates the parts that exchange status datagrams and objects with other instances.
 func (g *Gateway) buildMesh() {
 	g.gossipSocket = &gossip.Socket{Listen: g.Settings.Listen.Peers, Log: g.Log, OnDatagram: func(data []byte) { g.mesh.Receive(data) }}
-	g.peerObjectServer = &gossip.Server{Listen: g.Settings.Listen.Peers, Log: g.Log, ListObjects: g.freshObjects}
+	g.peerObjectServer = &gossip.Server{Listen: g.Settings.Listen.Peers, Log: g.Log, ListObjects: g.freshObjects, FindStream: g.localStream}
 	g.mesh = &mesh.Mesh{
 		Instance: g.Settings.Instance, Run: g.run, DataCentre: g.Settings.DataCentre, Address: g.Settings.Listen.Peers,
 		Store: g.Platform.Store, Log: g.Log,
@@ -30,6 +30,7 @@
 		OnPeerLoads:             g.registry.UpdateRemoteLoads,
 		OnPeerStatus:            g.receiveStatus,
 		OnPeerCounts:            g.usageCounter.MergeCopy,
+		OnPeerStreams:           g.receiveStreams,
 		OnDataCentreUnreachable: g.registry.SuspectDataCentre,
 		OnDataCentreReachable:   g.registry.TrustDataCentre,
 	}
--- /dev/null
+++ b/process/gateway/streams.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/toucanroute/toucanroute/connection/gossip"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// findStreamTimeout bounds the time for which other instances are asked what began a stream: some round trips, and far
+// less than the usual time to a first event.
+const findStreamTimeout = 150 * time.Millisecond
+
+// beginStream remembers what began a stream, here and at other instances, for the case that the caller takes it up
+// there.
+func (g *Gateway) beginStream(id string, origin streamorigin.Origin) {
+	g.streamOrigins.Add(id, origin)
+	g.mesh.SendStream(wire.NewsStream{I: id, P: origin.Pool, V: origin.Version})
+}
+
+// receiveStreams remembers what began streams at another instance.
+func (g *Gateway) receiveStreams(streams []wire.NewsStream) {
+	for _, s := range streams {
+		g.streamOrigins.Add(s.I, streamorigin.Origin{Pool: s.P, Version: s.V})
+	}
+}
+
+// localStream returns what this instance knows of the beginning of a stream.
+func (g *Gateway) localStream(id string) (wire.NewsStream, bool) {
+	origin, ok := g.streamOrigins.Find(id)
+	return wire.NewsStream{I: id, P: origin.Pool, V: origin.Version}, ok
+}
+
+// findStream returns what began the stream whose first event the request with the id brought. It asks other instances
+// if this one doesn't know it.
+func (g *Gateway) findStream(ctx context.Context, id string) (streamorigin.Origin, bool) {
+	if origin, ok := g.streamOrigins.Find(id); ok {
+		return origin, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
+	defer cancel()
+	sources := g.mesh.StreamSources(id)
+	found := make(chan streamorigin.Origin, len(sources))
+	for _, address := range sources {
+		go func() {
+			// An error means that this source doesn't know the stream or doesn't answer, like a zero origin.
+			stream, _ := gossip.FetchStream(ctx, address, id)
+			found <- streamorigin.Origin{Pool: stream.P, Version: stream.V}
+		}()
+	}
+	for range sources {
+		select {
+		case origin := <-found:
+			if !origin.IsZero() {
+				g.streamOrigins.Add(id, origin)
+				return origin, true
+			}
+		case <-ctx.Done():
+			return streamorigin.Origin{}, false
+		}
+	}
+	return streamorigin.Origin{}, false
+}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -91,6 +91,8 @@
 	OnPeerLoads func(instance string, loads []wire.NewsLoad)
 	// OnPeerStatus is called with each valid datagram of another instance.
 	OnPeerStatus func(wire.News)
+	// OnPeerStreams is called with the streams that began at another instance; it may be nil.
+	OnPeerStreams func([]wire.NewsStream)
 	// OnPeerCounts is called with the request counts of another instance's process run.
 	OnPeerCounts func(run string, windows []wire.NewsWindow)
 	// OnDataCentreUnreachable is called when all instances of a data centre have become silent while other peers are still
@@ -305,6 +307,9 @@
 	if len(datagram.Mix) > 0 && m.OnPeerMix != nil {
 		m.OnPeerMix(datagram.From, datagram.Mix)
 	}
+	if len(datagram.Streams) > 0 && m.OnPeerStreams != nil {
+		m.OnPeerStreams(datagram.Streams)
+	}
 	if len(datagram.Counts) > 0 {
 		m.OnPeerCounts(datagram.Run, datagram.Counts)
 	}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -34,6 +34,9 @@
 	byHash map[int]*Server
 	// removedStarts holds the starts of the servers that were removed lately, by id.
 	removedStarts map[string]removedStart
+	// goneVersions holds the software versions of the servers that were removed or restarted, with the times of that, by
+	// pool.
+	goneVersions map[string]map[string]time.Time
 	// lenientUntil is the time until which a list may lack entries, because the store came back from an older copy.
 	lenientUntil time.Time
 	// hasList is set after the first list of entries was received.
@@ -63,6 +66,9 @@
 	}
 	srv := r.servers[e.ID]
 	if srv == nil || srv.isRestart(e) {
+		if srv != nil {
+			r.rememberVersion(srv.Entry())
+		}
 		srv = newServer(e, r.Log, r.Probe)
 		if e.Draining {
 			srv.drainingSince = time.Now()
@@ -123,6 +129,7 @@
 	srv.mu.Unlock()
 	delete(r.servers, id)
 	r.rememberRemoved(srv)
+	r.rememberVersion(srv.Entry())
 	r.Log.Info("server_out", append(logFields(srv.entry), zap.String("reason", reason))...)
 }
 
--- a/request/error.go
+++ b/request/error.go
@@ -31,6 +31,7 @@
 	CodeDeadline         = "deadline"
 	CodeServerFailed     = "server_failed"
 	CodeOutcomeUnknown   = "outcome_unknown"
+	CodeNotResumable     = "stream_not_resumable"
 	CodeInterrupted      = "stream_interrupted"
 	CodeCallerGone       = "caller_gone"
 	CodeClaimed          = "idempotency_key_used"
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -6,11 +6,13 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/request"
 )
 
@@ -65,12 +67,23 @@
 	}
 }
 
+// versionIsGone reports whether no server that isn't draining has the software version that began the stream.
+func (c *call) versionIsGone() bool {
+	if c.origin.Version == "" {
+		return false
+	}
+	return !slices.ContainsFunc(c.f.Registry.Serving(c.pool.Name), func(srv *registry.Server) bool { return srv.Entry().Version == c.origin.Version })
+}
+
 // closedSpread is the share of the time until a server opens again over which the returns of the callers are spread.
 const closedSpread = 0.25
 
 // noServerLeftError returns the error of a request for which no server is left to try. If servers of the pool have only
 // closed themselves for a while, a caller whose request has not run is told when the first of them opens again.
 func (c *call) noServerLeftError() error {
+	if c.firstByteAt.IsZero() && c.possibleRuns == 0 && c.versionIsGone() {
+		return goneOriginError()
+	}
 	err := c.finalError(errors.New("no backend server is left"))
 	opensAt, ok := c.f.Registry.NextOpening(c.pool.Name, c.selection())
 	var response request.ErrResponse
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/request/placement"
 	"github.com/toucanroute/toucanroute/version/hostroute"
@@ -34,7 +35,7 @@
 				return RequestMeta{}, errors.New("no id")
 			}
 			ms, _ := strconv.Atoi(h.Get("X-Patience"))
-			meta := RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), CallerTimeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id")}
+			meta := RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), CallerTimeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("X-Resumes")}
 			if n, _ := strconv.Atoi(h.Get("X-Prompt")); n > 0 {
 				meta.Prompt = &placement.Prompt{Parts: []placement.Part{{ID: "own", Tokens: n}}, Tokens: n}
 			}
@@ -67,7 +68,10 @@
 	proxy     *httptest.Server
 	// received counts the requests that arrived at the backend servers.
 	received atomic.Int32
-	mu       sync.Mutex
+	// onReceived is called with each request that arrived at a backend server; it may be nil.
+	onReceived func(*http.Request)
+	origins    streamorigin.Table
+	mu         sync.Mutex
 	// started counts the calls of Forwarder.OnStarted by workspace.
 	started map[string]int
 }
@@ -99,6 +103,9 @@
 			testRoute("chat", func(r *hostroute.Route) {
 				r.Kind, r.FirstEventTarget, r.Shares = hostroute.Stream, time.Second, []hostroute.Share{{Pool: "engines", Weight: 1}}
 			}),
+			testRoute("both", func(r *hostroute.Route) {
+				r.Kind, r.Resumable, r.Shares = hostroute.Stream, true, []hostroute.Share{{Pool: "p", Weight: 1}, {Pool: "engines", Weight: 1}}
+			}),
 			testRoute("open", func(r *hostroute.Route) { r.Open = true }),
 		},
 		Pools:      []hostroute.Pool{{Name: "p"}, {Name: "engines", Engine: &hostroute.Engine{Slots: 64}}},
@@ -111,6 +118,9 @@
 	for i, handler := range handlers {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.received.Add(1)
+			if f.onReceived != nil {
+				f.onReceived(r)
+			}
 			w.Header().Set("X-Id", r.Header.Get("X-Id"))
 			handler(w, r)
 		}))
@@ -130,6 +140,8 @@
 		PrefillRate: func(string) *placement.PrefillRate { return &placement.PrefillRate{} },
 
 		ResetOnClose: entry.ResetOnClose,
+		BeginStream:  f.origins.Add,
+		FindStream:   func(_ context.Context, id string) (streamorigin.Origin, bool) { return f.origins.Find(id) },
 		OnStarted: func(w string, _ time.Time) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -43,6 +43,12 @@
 	// ResetOnClose sets whether the caller's connection of a request, given by its context, is reset when it closes, also
 	// by the end of the process.
 	ResetOnClose func(ctx context.Context, reset bool) error
+	// BeginStream is called when the first event of a stream that callers may take up has been sent. The id is that of
+	// the request which brought it.
+	BeginStream func(id string, origin streamorigin.Origin)
+	// FindStream returns what began the stream whose first event the request with the id brought; false if no reachable
+	// instance knows it.
+	FindStream func(ctx context.Context, id string) (streamorigin.Origin, bool)
 	// Observe records the summary of each finished request in the metrics; it may be nil.
 	Observe func(Summary)
 }
@@ -190,6 +196,9 @@
 	}
 	c.rank = c.config.Rank(route, owner)
 	c.pool = c.choosePool()
+	if err := c.findOrigin(); err != nil {
+		return err
+	}
 	if c.meta.Prompt != nil {
 		c.classifyPrompt()
 		c.meta.Prompt.FirstEventTarget = route.FirstEventTarget
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -25,6 +25,9 @@
 	Prompt *placement.Prompt
 	// LastEventID is the id of the last event that the caller received of the stream; empty if it received none.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of the stream that the caller takes up; empty if it
+	// named none.
+	Resumes string
 }
 
 // UpstreamMeta holds the values that the instance adds to the headers of a request to a backend server.
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -66,7 +66,8 @@
 			c.f.OnLoadChange()
 		}
 	}
-	if c.origin.IsZero() {
+	isFirst := c.origin.IsZero()
+	if isFirst {
 		c.origin = streamorigin.Origin{Pool: c.pool.Name, Version: c.serverVersion}
 	}
 	if c.firstByteAt.IsZero() {
@@ -77,6 +78,9 @@
 	if err == nil {
 		err = http.NewResponseController(c.w).Flush()
 	}
+	if isFirst && c.route.Resumable {
+		c.f.BeginStream(c.meta.ID, c.origin)
+	}
 	if err == nil && c.r.Context().Err() == nil {
 		return nil
 	}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -192,6 +192,10 @@
 	// The sender can't reach the store.
 	StoreOut bool `json:"store_out,omitempty,omitzero"`
 
+	// Streams that began at the sender lately; the receivers keep them for instances
+	// at which callers take them up.
+	Streams []NewsStream `json:"streams,omitempty,omitzero"`
+
 	// Configuration version in force at the sender; 0 means none.
 	Version int `json:"version,omitempty,omitzero"`
 }
@@ -224,6 +228,18 @@
 	S string `json:"s"`
 }
 
+// NewsStream tells which software began a stream.
+type NewsStream struct {
+	// Id of the request that brought the first event of the stream.
+	I string `json:"i"`
+
+	// Name of the pool.
+	P string `json:"p"`
+
+	// Version of the backend server's software.
+	V string `json:"v"`
+}
+
 // NewsWindow holds the counts of the requests that began in one window.
 type NewsWindow struct {
 	// Number of requests by workspace.
@@ -269,6 +285,9 @@
 	// Reply corresponds to the JSON schema field "reply".
 	Reply *GrantReply `json:"reply,omitempty,omitzero"`
 
+	// StreamAsk corresponds to the JSON schema field "stream_ask".
+	StreamAsk *StreamAsk `json:"stream_ask,omitempty,omitzero"`
+
 	// Streams corresponds to the JSON schema field "streams".
 	Streams *ServerStreams `json:"streams,omitempty,omitzero"`
 }
@@ -300,3 +319,10 @@
 	// Server corresponds to the JSON schema field "server".
 	Server string `json:"server"`
 }
+
+// StreamAsk asks an instance which software began a stream; the reply is a
+// NewsStream.
+type StreamAsk struct {
+	// Id of the request that brought the first event of the stream.
+	I string `json:"i"`
+}
