forward: an engine fetched cached prompts from another software version

Evidence: TestCachedPromptIsFetchedWithinAVersion failed before with 5 fetches from the engine of the other version.

Why it works: the source is chosen among the engines of the chosen engine's version. During a release the first engines of the new version read their prompts themselves. With one version nothing changes.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -192,9 +193,10 @@
 const newEngineAge = 10 * time.Second
 
 // findCacheSource returns the address of the engine from which the chosen one can fetch the cached tokens of the
-// prompt's shared parts; empty if there is none.
+// prompt's shared parts; empty if there is none. Only engines of the same software version can read each other's cache.
 func (c *call) findCacheSource(chosen *registry.Server) string {
-	servers := c.f.Registry.CacheSources(c.pool.Name)
+	version := chosen.Entry().Version
+	servers := slices.DeleteFunc(c.f.Registry.CacheSources(c.pool.Name), func(srv *registry.Server) bool { return srv.Entry().Version != version })
 	sources := make([]placement.Candidate, len(servers))
 	now, share := time.Now(), 0.0
 	if c.splitsServers {
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -38,12 +38,16 @@
 			meta := RequestMeta{ID: h.Get("X-Id"), Key: h.Get("X-Key"), CallerTimeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("X-Resumes")}
 			if n, _ := strconv.Atoi(h.Get("X-Prompt")); n > 0 {
 				meta.Prompt = &placement.Prompt{Parts: []placement.Part{{ID: "own", Tokens: n}}, Tokens: n}
+				if shared := h.Get("X-Shared"); shared != "" {
+					meta.Prompt.Parts = []placement.Part{{ID: shared, Tokens: n - 1}, {ID: "own", Tokens: 1}}
+				}
 			}
 			return meta, nil
 		},
 		PrepareForward: func(h http.Header, upstreamMeta UpstreamMeta) {
 			h.Del("X-Key")
 			h.Set("X-Server", upstreamMeta.ServerID)
+			h.Set("X-Fetch", upstreamMeta.CacheSource)
 			h.Set("X-Workspace", upstreamMeta.Workspace)
 			h.Set("X-Remaining", strconv.FormatInt(upstreamMeta.RemainingTime.Milliseconds(), 10))
 			if upstreamMeta.LastEventID != "" {
--- a/request/forward/version_test.go
+++ b/request/forward/version_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -45,3 +46,41 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, firstTwoEvents)
 }
+
+// What an engine has cached is read by engines of its own software version only. One engine is leaving, so that the
+// others fetch what it has.
+func TestCachedPromptIsFetchedWithinAVersion(t *testing.T) {
+	for name, tc := range map[string]struct {
+		versions []string
+		fetches  bool
+	}{
+		"one version":  {[]string{"v1", "v1", "v1"}, true},
+		"two versions": {[]string{"v1", "v2", "v2"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, eventStream(1, 2, true), eventStream(1, 2, true), eventStream(1, 2, true))
+			f.setVersions(tc.versions...)
+			for _, server := range f.forwarder.Registry.Servers() {
+				if entry := server.Entry(); entry.ID == "e0" {
+					entry.Draining = true
+					f.forwarder.Registry.Put(entry)
+				}
+			}
+			fetched := 0
+			f.onReceived = func(r *http.Request) {
+				if r.Header.Get("X-Fetch") != "" {
+					fetched++
+				}
+			}
+			for n := range 16 {
+				req := f.request(t, "POST", "/chat/", "b")
+				req.Header.Set("X-Id", fmt.Sprint("r", n))
+				req.Header.Set("X-Prompt", "500")
+				req.Header.Set("X-Shared", fmt.Sprint("part", n))
+				status, _, _ := f.do(t, req)
+				assert.Equal(t, status, http.StatusOK)
+			}
+			assert.Equal(t, fetched > 0, tc.fetches, "%d fetches", fetched)
+		})
+	}
+}
