orders: an order that was settled meanwhile was sent again

Cause: Settle lists the open intents, an order of this process ends and records its result, and settleIntent then carries out the intent as it was listed.

Evidence: TestSettledOrderIsNotRepeated, in which lists take 0.3 s, sent an order twice before.

Why it works: the intent is read again once its server is reserved, so that no other order of this process is on its way. One read for each open intent.

--- a/process/orders/orders_test.go
+++ b/process/orders/orders_test.go
@@ -409,3 +409,39 @@
 	}
 	return ""
 }
+
+// An order that was settled after the list of open intents was read must not be sent again.
+func TestSettledOrderIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, 1, faultFuncs{objects: func(c platformtest.Call) platformtest.Fault {
+			if c.Kind == platform.KindIntent && c.Method == "list" {
+				return platformtest.Fault{After: 300 * time.Millisecond}
+			}
+			return platformtest.Fault{After: 10 * time.Millisecond}
+		}}, nil)
+		o := sim.instances[0]
+		sends := map[string]int{}
+		o.SendEngineOrder = func(_ context.Context, _ string, order wire.EngineOrder, _ func() error) (wire.EngineOrderResult, error) {
+			time.Sleep(100 * time.Millisecond)
+			sends[order.Id]++
+			return wire.EngineOrderResult{Id: order.Id, Accepted: true}, nil
+		}
+		sim.run(t.Context(), 0)
+		sim.waitUntilReady(t, 0)
+		accepted := 0
+		for range 200 {
+			err := o.OrderEngine(t.Context(), "s1", wire.EngineOrderActionLoadModel, "guide")
+			if err == nil {
+				accepted++
+			}
+			assert.Check(t, err == nil || IsErrUnsettled(err), err)
+			time.Sleep(250 * time.Millisecond)
+		}
+		sim.cancel[0]()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(sends), accepted)
+		for id, n := range sends {
+			assert.Equal(t, n, 1, id)
+		}
+	})
+}
--- a/process/orders/settle.go
+++ b/process/orders/settle.go
@@ -122,7 +122,17 @@
 		return nil
 	}
 	defer o.unreserve(intent.Server)
-	var err error
+	// This process may have settled the intent since it was listed.
+	obj, err := o.Objects.Get(ctx, platform.KindIntent, obj.Name)
+	if platform.IsErrNotFound(err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if intent, err = platform.Decode[wire.IntentRecord](obj); err != nil || intent.State != wire.IntentRecordStateOpen {
+		return err
+	}
 	if age > orDefault(o.MaxIntentAge, DefaultMaxIntentAge) || !o.isWanted(obj.Name, intent) {
 		err = o.cancelIntent(ctx, obj, intent, fence)
 	} else {
