upstream: a response head without end filled the memory

Cause: net/http.ReadResponse reads a status line, header lines and any number of informational responses as long as bytes come.

Why it works: the connection's reader stops after 32 KB while a head is expected, counted over all informational responses before it.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -14,6 +14,8 @@
 const (
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2 << 10
+	// maxHeadBytes bounds the head of a response, together with the informational responses before it.
+	maxHeadBytes = 32 << 10
 	// maxDrainBytes bounds the bytes that DrainBody reads.
 	maxDrainBytes = 4 << 10
 )
@@ -24,6 +26,8 @@
 	// address is the IP address and port of the backend server.
 	address string
 	r       *bufio.Reader
+	// input is the reader behind r.
+	input *headLimiter
 	// reused is true if the connection has served another request before the current one.
 	reused    bool
 	idleSince time.Time
@@ -34,7 +38,33 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, r: bufio.NewReaderSize(c, readBufferBytes)}
+	input := &headLimiter{r: c}
+	return &conn{Conn: c, address: address, r: bufio.NewReaderSize(input, readBufferBytes), input: input}
+}
+
+// errHeadTooLarge reports that the head of a response has more than maxHeadBytes.
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// headLimiter is the reader of a connection. While a head is expected, it reads a limited number of bytes, since a server
+// in trouble may send a head without end.
+type headLimiter struct {
+	r io.Reader
+	// inHead is set while a head is expected, and left is the number of bytes that may still be read for it.
+	inHead bool
+	left   int
+}
+
+// Read reads from the connection.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.r.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // abort resets the connection. Unlike Close, it discards the bytes that the server hasn't acknowledged: after a request
@@ -150,6 +180,8 @@
 
 // readResponse reads the headers of the final response and skips informational (1xx) responses.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.input.inHead, c.input.left = true, maxHeadBytes
+	defer func() { c.input.inHead = false }()
 	for {
 		res, err := http.ReadResponse(c.r, req)
 		if err != nil || res.StatusCode >= http.StatusOK {
