forward: a refusal without an end held its request

A request that such a server had refused waited until its route's timeout before it went to the next server.

Why it works: the rest is awaited for 50 ms at most, then the attempt is cancelled and its connection reset; a body that ends with its connection isn't awaited at all, since that connection can't be used again.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -253,6 +253,7 @@
 	c.serverID, c.serverVersion = entry.ID, entry.Version
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
+	c.cancelAttempt = cancel
 	if c.route.MayRepeat() {
 		go cancelWhenUnreachable(ctx, cancel, server.Unreachable())
 	}
--- a/request/forward/endless_test.go
+++ b/request/forward/endless_test.go
@@ -118,22 +118,26 @@
 
 // A request that was refused is sent to another server, without waiting for the end of the refusal.
 func TestRefusalWithoutEndIsNotAwaited(t *testing.T) {
-	release := make(chan struct{})
-	defer close(release)
-	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Not-Run: 1\r\n\r\nbusy")
-		<-release
-		_ = conn.Close()
-	}, signedResponse(http.StatusOK, "second"))
-	start := time.Now()
-	status, body, _ := f.do(t, f.request(t, "POST", "/once/", "b"))
-	assert.Equal(t, status, http.StatusOK)
-	assert.Equal(t, body, "second")
-	assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%s", time.Since(start))
+	for name, framing := range map[string]string{"with its connection": "", "by its length": "Content-Length: 100\r\n", "in chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			defer close(release)
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 No\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Not-Run: 1\r\n"+framing+"\r\n4\r\nbusy\r\n")
+				<-release
+				_ = conn.Close()
+			}, signedResponse(http.StatusOK, "second"))
+			start := time.Now()
+			status, body, _ := f.do(t, f.request(t, "POST", "/once/", "b"))
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, "second")
+			assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%s", time.Since(start))
+		})
+	}
 }
 
 // A server whose head has no end failed the attempt; the request may go to another one if it may be repeated.
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -89,6 +89,8 @@
 	// ctx is cancelled when the caller disconnects or at the request's deadline.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// cancelAttempt cancels the running attempt at a server.
+	cancelAttempt context.CancelCauseFunc
 
 	// splitsServers is set if the pool's servers are split between delay-tolerant and latency-sensitive requests.
 	splitsServers bool
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -38,7 +38,7 @@
 	if responseMeta.NotRun {
 		attempt.End(notRunOutcome(responseMeta))
 		c.logUnusedResponse(resp.StatusCode, "not_run")
-		drainBody(resp)
+		c.drainBody(resp)
 		return errRefused
 	}
 	c.possibleRuns++
@@ -71,9 +71,24 @@
 	return isSuccess(resp) && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
+const (
+	// maxDrainBytes and drainTimeout bound the rest of a refusal that is read so that its connection can be reused. A
+	// server sends it together with the head.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
+
+// errNotDrained is the cause with which an attempt is cancelled whose refusal doesn't end.
+var errNotDrained = errors.New("the refusal of the backend server doesn't end")
+
 // drainBody reads a short response to its end, so that its connection can be reused.
-func drainBody(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxBufferedBytes)
+func (c *call) drainBody(resp *http.Response) {
+	if c.framing == request.FramingConnection {
+		return
+	}
+	timer := time.AfterFunc(drainTimeout, func() { c.cancelAttempt(errNotDrained) })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 }
 
 func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
