forward: bodies and events without end filled the memory

Cause: each response could hold 256 KB of a body or 1 MB of an event, without a bound for all of them. With requests of 100 callers at one such server, that is more than the smallest machine has.

Why it works: buffers beyond 4 KB take their memory from a budget of an eighth of the configured memory. Without a share of it, a large plain response passes through as it comes, and a large event breaks its stream off; usual responses and events need none. Buffers of events are used again within a stream.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/gossip"
@@ -162,6 +163,9 @@
 // this limit, the runtime collects garbage more often.
 const memoryLimitShare = 0.7
 
+// bufferShare is the share of the configured memory that large responses and events together may take.
+const bufferShare = 0.125
+
 // Reload applies the settings that may change while the process runs; addresses and names keep the values of the start.
 func (g *Gateway) Reload(newSettings *settings.Settings) {
 	if newSettings.Forwarding == nil {
@@ -213,6 +217,7 @@
 		OnStarted:    g.usageCounter.CountRequest,
 		DataCentre:   g.Settings.DataCentre,
 		OnLoadChange: g.mesh.NotifyLoadChanged,
+		BufferBudget: semaphore.NewWeighted(int64(bufferShare * float64(g.Settings.Forwarding.MemoryMb) * (1 << 20))),
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  g.beginStream,
 		FindStream:   g.findStream,
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
@@ -143,6 +144,7 @@
 		WorkloadMix: func(string) *placement.WorkloadMix { return &placement.WorkloadMix{} },
 		PrefillRate: func(string) *placement.PrefillRate { return &placement.PrefillRate{} },
 
+		BufferBudget: semaphore.NewWeighted(smallestMemory / 8),
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  f.origins.Add,
 		FindStream:   func(_ context.Context, id string) (streamorigin.Origin, bool) { return f.origins.Find(id) },
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
@@ -36,6 +37,8 @@
 	PrefillRate func(pool string) *placement.PrefillRate
 	// OnStarted is called once for each request of a workspace that a backend server may have started to run.
 	OnStarted func(workspace string, at time.Time)
+	// BufferBudget is the memory in bytes that all large responses and events together may take.
+	BufferBudget *semaphore.Weighted
 	// DataCentre is the name of the instance's own data centre.
 	DataCentre string
 	// OnLoadChange is called when this instance's load on a server has changed; it may be nil.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -102,13 +102,16 @@
 	)
 }
 
-// forwardPlain forwards a response that is not an event stream. Up to maxBufferedBytes are read from the server before
-// any byte is sent to the caller.
+// forwardPlain forwards a response that is not an event stream. Up to maxBufferedBytes, or less if other responses need
+// the memory, are read from the server before any byte is sent to the caller.
 func (c *call) forwardPlain(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	c.reportStarted()
 	attempt.MarkPrefilled()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil {
+	body := buffer{budget: c.f.BufferBudget, maxBytes: maxBufferedBytes}
+	defer body.reset()
+	err := body.readAll(resp.Body)
+	complete := err == nil
+	if err != nil && !errors.Is(err, errBufferFull) {
 		c.recordLostResponse(ctx, attempt, err)
 		return errors.Join(errUnusable, err)
 	}
@@ -121,12 +124,11 @@
 	}
 	c.beginResponse(resp)
 	h := c.w.Header()
-	complete := int64(len(body)) < maxBufferedBytes
 	if complete && !hasNoBody(resp) && !c.endsWithConnection {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+		h.Set("Content-Length", strconv.Itoa(len(body.data)))
 	}
 	c.w.WriteHeader(resp.StatusCode)
-	if _, err := c.w.Write(body); err != nil {
+	if _, err := c.w.Write(body.data); err != nil {
 		attempt.End(registry.OutcomeCallerGone)
 		c.outcome = OutcomeCallerLeft
 		return nil
@@ -135,6 +137,7 @@
 		attempt.End(registry.OutcomeAnswered)
 		return nil
 	}
+	body.reset()
 	return c.copyRest(attempt, resp)
 }
 
@@ -153,7 +156,7 @@
 	return resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified || resp.Request != nil && resp.Request.Method == http.MethodHead
 }
 
-// copyRest copies the rest of a response that is longer than maxBufferedBytes.
+// copyRest copies the rest of a response that wasn't buffered whole.
 func (c *call) copyRest(attempt *registry.Attempt, resp *http.Response) error {
 	if _, err := io.Copy(c.w, resp.Body); err != nil {
 		attempt.End(registry.OutcomeFailed)
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -19,19 +19,17 @@
 // streamBufferBytes is the size of a stream's read buffer; events usually have some hundred bytes.
 const streamBufferBytes = 2 << 10
 
-// errEventTooLong is the error of an event longer than maxEventBytes.
-var errEventTooLong = errors.New("an event of the stream is too long")
-
 // maxEventBytes is the largest size of one event.
 const maxEventBytes = 1 << 20
 
 // forwardStream forwards an event stream (server-sent events), one event at a time. A stream that ends inside an event,
 // or with its connection before its first event, has been broken off.
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
-	events := bufio.NewReaderSize(resp.Body, streamBufferBytes)
+	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.BufferBudget, maxBytes: maxEventBytes}}
+	defer events.event.reset()
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
-		event, id, err := readEvent(events)
+		event, id, err := events.next()
 		if err == nil {
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
@@ -141,35 +139,40 @@
 
 var idFieldPrefix = []byte("id:")
 
-// readEvent reads one event including its final empty line, and the value of its id field. It returns io.EOF at the end
-// of a stream that ends after a whole event, and io.ErrUnexpectedEOF if the stream ends inside an event.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+// eventReader reads the events of a stream.
+type eventReader struct {
+	r *bufio.Reader
+	// event holds the bytes of the event that was read last.
+	event buffer
+}
+
+// next reads one event including its final empty line, and the value of its id field. The event is valid until the next
+// call. next returns io.EOF at the end of a stream that ends after a whole event, io.ErrUnexpectedEOF if the stream ends
+// inside an event, and errBufferFull if the event is too long.
+func (e *eventReader) next() (event []byte, id string, err error) {
+	e.event.reset()
 	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		line, err := e.r.ReadSlice('\n')
+		if appendErr := e.event.append(line); appendErr != nil {
+			return nil, "", appendErr
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(event) > maxEventBytes {
-				return nil, "", errEventTooLong
-			}
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(event) > 0 {
+		if errors.Is(err, io.EOF) && len(e.event.data) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return nil, "", err
 		}
-		fullLine := bytes.TrimRight(event[lineStart:], "\r\n")
-		lineStart = len(event)
+		fullLine := bytes.TrimRight(e.event.data[lineStart:], "\r\n")
+		lineStart = len(e.event.data)
 		if len(fullLine) == 0 {
-			return event, id, nil
+			return e.event.data, id, nil
 		}
 		if bytes.HasPrefix(fullLine, idFieldPrefix) {
 			id = string(bytes.TrimSpace(fullLine[len(idFieldPrefix):]))
 		}
-		if len(event) > maxEventBytes {
-			return nil, "", errEventTooLong
-		}
 	}
 }
