platform: answers of the platform without end filled the memory

Cause: a call's body was read up to 64 MB, and what came after was cut off, so that the error said that JSON is malformed; a head could have 10 MB. The smallest machine has 88 MB, and up to 18 calls run at a time.

Evidence: with the client's former limit far above, the server of TestResponseWithoutEndFailsTheCall sent all of its 512 MB; with a limit of 1 MB it sends less than 64 MB, what fits into the socket's buffers.

Why it works: the limit is a setting of the client, 8 MB for the users' store and 64 KB for duty calls, and an answer beyond it fails the call with ErrResponseTooLarge: unavailable for a read, unknown for a write. Heads end at 64 KB.

--- a/cmd/toucanrouted/gateway.go
+++ b/cmd/toucanrouted/gateway.go
@@ -20,13 +20,20 @@
 	// dutyTimeout limits one call for the jobs that only the current lease holder among the instances does: a usage
 	// report or an order of servers.
 	dutyTimeout = time.Second
+	// maxStoreBytes bounds a response of the store: several objects of the largest size, 1 MB.
+	maxStoreBytes = 8 << 20
+	// maxDutyBytes bounds the response to a usage report or an order, which has no content of interest.
+	maxDutyBytes = 64 << 10
 )
 
 // newGateway returns a gateway that forwards requests and takes its configuration from the users' platform.
 func newGateway(conf *settings.Settings, log *zap.Logger) *gateway.Gateway {
-	store := &platform.Store{Log: log, Client: &client.Client{BaseURL: "http://" + conf.Platform.Objects, Timeout: storeTimeout, Transport: client.KeepaliveTransport(storeTimeout, storeAckTimeout)}}
+	store := &platform.Store{Log: log, Client: &client.Client{
+		BaseURL: "http://" + conf.Platform.Objects, Timeout: storeTimeout, MaxResponseBytes: maxStoreBytes,
+		Transport: client.KeepaliveTransport(storeTimeout, storeAckTimeout),
+	}}
 	duties := &platform.DutyClient{
-		Client:   &client.Client{BaseURL: "http://" + conf.Platform.Usage, Timeout: dutyTimeout},
+		Client:   &client.Client{BaseURL: "http://" + conf.Platform.Usage, Timeout: dutyTimeout, MaxResponseBytes: maxDutyBytes},
 		Instance: conf.Instance,
 	}
 	return &gateway.Gateway{Settings: conf, Log: log, Build: buildVersion(), Platform: gateway.Platform{
--- a/process/platform/adapter.go
+++ b/process/platform/adapter.go
@@ -84,5 +84,8 @@
 
 // KeepaliveTransport returns a transport that dials with a KeepaliveDialer.
 func KeepaliveTransport(dialTimeout, silenceTimeout time.Duration) *http.Transport {
-	return &http.Transport{DialContext: KeepaliveDialer(dialTimeout, silenceTimeout).DialContext, MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute}
+	return &http.Transport{
+		DialContext: KeepaliveDialer(dialTimeout, silenceTimeout).DialContext, MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 }
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -24,8 +24,11 @@
 	DefaultTimeout = 2 * time.Second
 	// DefaultConcurrency is the maximum number of concurrent calls of a client if the client sets none.
 	DefaultConcurrency = 16
-	// maxResponseBytes bounds the size of a response. Values are up to 1 MB each, and a list contains several.
-	maxResponseBytes = 64 << 20
+	// DefaultMaxResponseBytes is the largest size of a response if the client sets none. Values are up to 1 MB each, and a
+	// list contains several.
+	DefaultMaxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Client sends HTTP calls to one interface of the platform. The fields must be set before the first call.
@@ -38,6 +41,8 @@
 	Timeout time.Duration
 	// Concurrency is the maximum number of concurrent calls, not counting watches; 0 means DefaultConcurrency.
 	Concurrency int
+	// MaxResponseBytes is the largest size of a response's body in bytes; 0 means DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 	// Transport sends the calls; nil means a transport that keeps idle connections for reuse.
 	Transport http.RoundTripper
 
@@ -73,7 +78,7 @@
 	c.once.Do(func() {
 		transport := c.Transport
 		if transport == nil {
-			transport = &http.Transport{MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute}
+			transport = &http.Transport{MaxIdleConnsPerHost: DefaultConcurrency, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 		}
 		concurrency := c.Concurrency
 		if concurrency <= 0 {
@@ -92,6 +97,13 @@
 	return DefaultTimeout
 }
 
+func (c *Client) maxResponseBytes() int64 {
+	if c.MaxResponseBytes > 0 {
+		return c.MaxResponseBytes
+	}
+	return DefaultMaxResponseBytes
+}
+
 // do sends the call once. It returns ErrUnavailable if the call has no effect, and ErrUnknownOutcome if a write may
 // have taken effect.
 func (c *Client) do(ctx context.Context, spec call) (rawResponse, error) {
@@ -126,7 +138,11 @@
 		return rawResponse{}, callError(spec, err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	limit := c.maxResponseBytes()
+	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = ErrResponseTooLarge{Limit: limit}
+	}
 	if err != nil {
 		return rawResponse{}, callError(spec, err)
 	}
--- a/process/platform/client_test.go
+++ b/process/platform/client_test.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,3 +100,43 @@
 	assert.Assert(t, result.Accepted)
 	assert.Equal(t, arrived, 1)
 }
+
+// A response without end fails the call. Whether a write took effect isn't known then.
+func TestResponseWithoutEndFailsTheCall(t *testing.T) {
+	for name, tc := range map[string]struct {
+		head   string
+		write  bool
+		isFrom func(error) bool
+	}{
+		"body of a read":  {"HTTP/1.1 200 OK\r\n\r\n[", false, IsErrUnavailable},
+		"body of a write": {"HTTP/1.1 200 OK\r\n\r\n[", true, IsErrUnknownOutcome},
+		"head of a read":  {"HTTP/1.1 200 OK\r\nX-Long: ", false, IsErrUnavailable},
+		"head of a write": {"HTTP/1.1 200 OK\r\nX-Long: ", true, IsErrUnknownOutcome},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			o := newTestObjects(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, tc.head)
+				for err == nil && sent.Load() < 512<<20 {
+					var n int
+					n, err = conn.Write(bytes.Repeat([]byte("1,"), 4<<10))
+					sent.Add(int64(n))
+				}
+			})
+			o.Timeout, o.MaxResponseBytes = 5*time.Second, 1<<20
+			var err error
+			if tc.write {
+				_, err = o.Update(t.Context(), "k", "n", 3, 1)
+			} else {
+				_, err = o.Get(t.Context(), "k", "n")
+			}
+			assert.Assert(t, tc.isFrom(err), "%v", err)
+			assert.Assert(t, sent.Load() < 64<<20, "read until the timeout: %d bytes", sent.Load())
+		})
+	}
+}
--- a/process/platform/ordering.go
+++ b/process/platform/ordering.go
@@ -87,7 +87,7 @@
 		}
 		return &guardedConn{Conn: conn, guard: guard}, nil
 	}
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	return &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
 // SetTCPUserTimeout has the kernel close a connection whose peer acknowledges nothing for the duration of the timeout.
