Reports of engines and messages of peers without end filled the memory

Cause: load reports, cache events and the JSON-RPC messages between instances were decoded as long as bytes came. Reports end after their timeout of a second, calls of a peer never. Another process may have the address of an engine or a peer that is gone.

Why it works: each has a limit of its own: 4 MB for a report and 32 KB for its head, 8 MB for a peer's reply, 64 KB for the calls on a connection.

--- a/connection/engine/reports.go
+++ b/connection/engine/reports.go
@@ -4,20 +4,35 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/toucanroute/toucanroute/wire"
 )
 
-// reportTimeout bounds one request for a report.
-const reportTimeout = time.Second
+const (
+	// reportTimeout bounds one request for a report.
+	reportTimeout = time.Second
+	// maxReportBytes bounds the body of a report, and maxReportHeadBytes its head.
+	maxReportBytes     = 4 << 20
+	maxReportHeadBytes = 32 << 10
+)
 
 // ReportClient reads load reports and cache events of backend servers. The zero value is ready to use.
 type ReportClient struct {
+	once   sync.Once
 	client http.Client
 }
 
+// initOnce creates the transport at the first request.
+func (r *ReportClient) initOnce() {
+	r.once.Do(func() {
+		r.client.Transport = &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxReportHeadBytes}
+	})
+}
+
 // ErrReport reports that a backend server answered a request for a report with a status other than 200.
 type ErrReport struct {
 	// Address is the backend server's IP address and port.
@@ -51,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	r.initOnce()
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return err
@@ -59,5 +75,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return ErrReport{Address: address, Status: resp.StatusCode}
 	}
-	return json.NewDecoder(resp.Body).Decode(v)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(v)
 }
--- /dev/null
+++ b/connection/engine/reports_test.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A report without end is given up, in its head and in its body.
+func TestReportWithoutEndIsGivenUp(t *testing.T) {
+	for name, head := range map[string]string{
+		"body": "HTTP/1.1 200 OK\r\n\r\n{\"server\":\"",
+		"head": "HTTP/1.1 200 OK\r\nX-Long: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, err = io.WriteString(conn, head)
+				for err == nil && sent.Load() < 512<<20 {
+					var n int
+					n, err = conn.Write(bytes.Repeat([]byte("x"), 8<<10))
+					sent.Add(int64(n))
+				}
+			}))
+			t.Cleanup(s.Close)
+			var reports ReportClient
+			t.Cleanup(reports.client.CloseIdleConnections)
+
+			_, err := reports.Load(t.Context(), strings.TrimPrefix(s.URL, "http://"))
+			assert.Assert(t, err != nil)
+			assert.Assert(t, sent.Load() < 64<<20, "%d bytes were read", sent.Load())
+		})
+	}
+}
--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -25,8 +26,26 @@
 	// fetchTimeout bounds one call to a peer. It is much longer than a round trip and much shorter than the time in
 	// which a new configuration must take effect.
 	fetchTimeout = 500 * time.Millisecond
+	// maxReplyBytes bounds what is read of a peer's reply: several objects of the largest size, 1 MB. maxCallsBytes bounds
+	// the calls that a peer sends on one connection.
+	maxReplyBytes = 8 << 20
+	maxCallsBytes = 64 << 10
 )
 
+// limitedConn is a connection of which a limited number of bytes can be read. Another process may have taken over the
+// address of a peer.
+type limitedConn struct {
+	net.Conn
+	input io.Reader
+}
+
+func limitConn(c net.Conn, maxBytes int64) net.Conn {
+	return &limitedConn{Conn: c, input: io.LimitReader(c, maxBytes)}
+}
+
+// Read reads from the connection. It returns io.EOF after the limit.
+func (c *limitedConn) Read(p []byte) (int, error) { return c.input.Read(p) }
+
 // objectsParams are the parameters of methodObjects.
 type objectsParams struct {
 	Kind string `json:"kind"`
@@ -77,7 +96,7 @@
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	})
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), handler)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxCallsBytes)), handler)
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -133,7 +152,7 @@
 		return err
 	}
 	ignoreRequests := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), ignoreRequests)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxReplyBytes)), ignoreRequests)
 	defer func() { _ = rpc.Close() }()
 	return rpc.Call(ctx, method, params, result)
 }
