service: bodies without end of plain services filled the memory

Cause: each call of a plain service held up to 8 MB until its response was written, without a bound for all calls.

Why it works: a body takes its memory in steps of 16 KB, the first one free, from 64 MB for all, and the dispatcher returns it once the response is written. Without it the attempt fails; a call that may have run is answered with an unknown outcome, as before for a lost response.

Not mended: completions that are merged into one JSON object.

--- a/connection/service/client.go
+++ b/connection/service/client.go
@@ -9,22 +9,39 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
+
+	"golang.org/x/sync/semaphore"
 
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/request"
 )
 
-// defaultMaxResponseBytes is the default of Client.MaxResponse.
-const defaultMaxResponseBytes = 8 << 20
+const (
+	// defaultMaxResponseBytes is the default of Client.MaxResponseBytes.
+	defaultMaxResponseBytes = 8 << 20
+	// defaultMaxHeldBytes is the default of Client.MaxHeldBytes.
+	defaultMaxHeldBytes = 64 << 20
+	// holdStep is the unit in which a body takes its memory. The first one is free; most bodies need no more.
+	holdStep = 16 << 10
+)
 
-var errResponseTooLarge = errors.New("response of the service is too large")
+var (
+	errResponseTooLarge = errors.New("response of the service is too large")
+	errTooMuchHeld      = errors.New("responses of services take too much memory at the moment")
+)
 
 // Client calls plain services. Set its exported fields before first use.
 type Client struct {
 	// MaxResponseBytes bounds the response body in bytes; 0 means 8 MB.
 	MaxResponseBytes int64
+	// MaxHeldBytes bounds the bodies of all responses that are read or not yet released, in bytes; 0 means 64 MB.
+	MaxHeldBytes int64
 
 	transport upstream.Transport
+	once      sync.Once
+	// held counts the bytes of the bodies that are read or not yet released.
+	held *semaphore.Weighted
 }
 
 // Close closes the idle connections.
@@ -42,24 +59,44 @@
 		return request.ServiceResponse{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := c.readAll(res.Body)
+	body, release, err := c.readAll(res.Body)
 	if err != nil {
 		return request.ServiceResponse{}, request.ErrAttempt{Sent: true, Status: res.StatusCode, Err: err}
 	}
 	request.StripHopHeaders(res.Header)
-	return request.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: body, Framing: request.FramingOf(res)}, nil
+	return request.ServiceResponse{Status: res.StatusCode, Header: res.Header, Body: body, Framing: request.FramingOf(res), Release: release}, nil
 }
 
-func (c *Client) readAll(r io.Reader) ([]byte, error) {
-	limit := c.MaxResponseBytes
-	if limit == 0 {
-		limit = defaultMaxResponseBytes
+// readAll reads a body to its end. The caller must call release when it doesn't use the body any more.
+func (c *Client) readAll(r io.Reader) (body []byte, release func(), err error) {
+	c.once.Do(func() { c.held = semaphore.NewWeighted(orDefault(c.MaxHeldBytes, defaultMaxHeldBytes)) })
+	limit := orDefault(c.MaxResponseBytes, defaultMaxResponseBytes)
+	var buf bytes.Buffer
+	taken := int64(0)
+	release = func() { c.held.Release(taken) }
+	for {
+		_, err := io.CopyN(&buf, r, min(holdStep, limit+1-int64(buf.Len())))
+		switch {
+		case errors.Is(err, io.EOF):
+			return buf.Bytes(), release, nil
+		case err == nil && int64(buf.Len()) > limit:
+			err = errResponseTooLarge
+		case err == nil && !c.held.TryAcquire(holdStep):
+			err = errTooMuchHeld
+		}
+		if err != nil {
+			release()
+			return nil, nil, err
+		}
+		taken += holdStep
 	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errResponseTooLarge
+}
+
+func orDefault(n, fallback int64) int64 {
+	if n > 0 {
+		return n
 	}
-	return body, err
+	return fallback
 }
 
 func newRequest(ctx context.Context, call request.ServiceCall) (*http.Request, error) {
--- a/connection/service/client_test.go
+++ b/connection/service/client_test.go
@@ -7,9 +7,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
@@ -102,3 +106,65 @@
 	_, err := c.Call(context.Background(), request.ServiceCall{Address: strings.TrimPrefix(s.URL, "http://"), Method: "GET", Path: "/"})
 	assert.ErrorIs(t, err, errResponseTooLarge)
 }
+
+// Services that send without end to many calls must not fill the memory, and other calls must go on.
+func TestBodiesWithoutEndShareABound(t *testing.T) {
+	const maxHeld, calls = 4 << 20, 40
+	limit := debug.SetMemoryLimit(8 * maxHeld)
+	defer debug.SetMemoryLimit(limit)
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		if r.URL.Path == "/short" {
+			_, _ = io.WriteString(w, "answer")
+			return
+		}
+		for range 512 {
+			if _, err := w.Write(make([]byte, 8<<10)); err != nil {
+				return
+			}
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}))
+	defer s.Close()
+	c := &Client{MaxHeldBytes: maxHeld}
+	defer c.Close()
+	call := func(ctx context.Context, path string) (request.ServiceResponse, error) {
+		return c.Call(ctx, request.ServiceCall{ID: "r.1", Address: strings.TrimPrefix(s.URL, "http://"), Method: "GET", Path: path})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var failed atomic.Int32
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			response, err := call(ctx, "/long")
+			if err != nil {
+				failed.Add(1)
+				return
+			}
+			response.Release()
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	assert.Check(t, stats.HeapAlloc < 8*maxHeld, "%d MB of heap", stats.HeapAlloc>>20)
+	response, err := call(t.Context(), "/short")
+	assert.Check(t, err)
+	assert.Check(t, string(response.Body) == "answer")
+	close(release)
+	wg.Wait()
+	assert.Check(t, failed.Load() > 0 && failed.Load() <= calls)
+	for range 3 {
+		response, err = call(t.Context(), "/long")
+		assert.NilError(t, err, "what the calls held is free again")
+		assert.Equal(t, len(response.Body), 512*8<<10)
+		response.Release()
+	}
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -71,4 +71,7 @@
 	Body []byte
 	// Framing is how the service stated where the body ends.
 	Framing Framing
+	// Release returns the memory of the body to the client that read it. It must be called once when Body isn't used any
+	// more; nil means that there is nothing to return.
+	Release func()
 }
--- a/request/dispatch/service.go
+++ b/request/dispatch/service.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return r.end(err)
 	}
+	if response.Release != nil {
+		defer response.Release()
+	}
 	r.summary.FirstToken = time.Since(meta.ArrivedAt)
 	if d.CountUsage != nil {
 		d.CountUsage(r.authorization.Workspace, r.authorization.Class.Name, 0, 0)
