mesh: after the loss of most instances few knew what began a stream

Cause: at most four others are told, and a restarted instance knows nobody for half a second. Traced by the daemons' logs: the askers were the one that was left, or had been up for under 1.1 s.

Why it works: up to eight others are all told, which costs two to four more datagrams for a stream there and nothing in larger fleets. What remains: an instance that has just started and knows no others refuses.

--- a/process/mesh/streams.go
+++ b/process/mesh/streams.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// allKeepStreams is the number of live peers up to which all of them are told what began a stream, so that any
+	// instance knows it that outlasts the others.
+	allKeepStreams = 8
 	// localStreamKeepers and remoteStreamKeepers are the numbers of instances that are told what began a stream: those
 	// of the own data centre, where callers usually come back, and one in each of some other data centres.
 	localStreamKeepers, remoteStreamKeepers = 2, 2
@@ -43,7 +46,7 @@
 
 // streamKeepers returns the live instances that come first for a stream by rendezvous hashing: the given number of the
 // own data centre, and the first of each of the given number of other data centres, which are in the order of a hash
-// too.
+// too. It returns all live instances if there are few.
 func (m *Mesh) streamKeepers(id string, local, remote int) []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -51,6 +54,7 @@
 		rank    uint64
 		address netip.AddrPort
 	}
+	var all []netip.AddrPort
 	var own []keeper
 	firsts := map[string]keeper{}
 	now := time.Now()
@@ -58,6 +62,7 @@
 		if now.Sub(p.received) > m.silenceTimeout() {
 			continue
 		}
+		all = append(all, p.address)
 		k := keeper{rank: xxhash.Sum64String(id + "\x00" + name), address: p.address}
 		if p.dataCentre == m.DataCentre {
 			own = append(own, k)
@@ -65,6 +70,9 @@
 			firsts[p.dataCentre] = k
 		}
 	}
+	if len(all) <= allKeepStreams {
+		return all
+	}
 	others := make([]keeper, 0, len(firsts))
 	for dataCentre, first := range firsts {
 		others = append(others, keeper{rank: xxhash.Sum64String(id + "\x00" + dataCentre), address: first.address})
