forward: log the parts of the prompt of a lost request

The lines of a lost request (attempt_failed, answer_lost) didn't tell of which parts its prompt consisted, nor whether it had begun to answer. At most 8 parts are listed.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -320,6 +320,7 @@
 		zap.String("request_id", c.meta.ID),
 		zap.String("server", c.serverID),
 		zap.Bool("sent", sent),
+		zap.Strings("parts", c.loggedParts()),
 		zap.Error(err),
 	)
 	return sent
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -296,6 +296,17 @@
 	return max(time.Until(c.arrivedAt.Add(c.meta.CallerTimeout)), time.Millisecond)
 }
 
+// maxLoggedParts bounds the parts of a prompt that a log line lists.
+const maxLoggedParts = 8
+
+// loggedParts returns the ids of the first parts of the prompt, for log lines on lost requests.
+func (c *call) loggedParts() []string {
+	if c.meta.Prompt == nil {
+		return nil
+	}
+	return c.meta.Prompt.PartIDs(maxLoggedParts)
+}
+
 // logRequest writes the log line of a finished request and passes its summary to the metrics.
 func (c *call) logRequest() {
 	summary := Summary{ErrorCode: c.errorCode, Attempts: c.sends, TotalTime: time.Since(c.arrivedAt), Outcome: c.outcome}
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -222,7 +222,8 @@
 	default:
 		attempt.End(registry.OutcomeFailed)
 	}
-	c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Error(err))
+	c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Bool("begun", !c.firstByteAt.IsZero()),
+		zap.Strings("parts", c.loggedParts()), zap.Error(err))
 }
 
 // isUnreachable reports whether an error shows that the server or the network path to it is down, rather than the
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// PartIDs returns the ids of the first parts, n at most.
+func (p *Prompt) PartIDs(n int) []string {
+	ids := make([]string, min(len(p.Parts), n))
+	for i := range ids {
+		ids[i] = p.Parts[i].ID
+	}
+	return ids
+}
+
 // SharedTokens returns the length in tokens of the parts that other requests may share.
 func (p *Prompt) SharedTokens() int {
 	shared := 0
