quarantine: an instance that started with quarantines in the store crashed

An instance that found a quarantine in the store before it had seen a request or a crash ended with a nil dereference: the tables of parts were made at the first crash or answer only. They are now made at each entry to the table.

--- a/process/quarantine/exchange.go
+++ b/process/quarantine/exchange.go
@@ -89,6 +89,7 @@
 		return
 	}
 	t.mu.Lock()
+	t.init()
 	changed := t.clear(u.Sound)
 	for _, key := range u.Sound {
 		delete(t.unsent.sound, key)
@@ -103,7 +104,10 @@
 	}
 	isNew := false
 	for _, a := range u.Quarantines {
-		isNew = t.mergeQuarantine(a) || isNew
+		if t.mergeQuarantine(a) {
+			isNew = true
+			changed = append(changed, t.overrule(a)...)
+		}
 	}
 	update := t.updateOf(changed)
 	t.mu.Unlock()
@@ -144,15 +148,29 @@
 	if latest := time.Now().Add(e.Period); e.Until.After(latest) {
 		e.Until = latest
 	}
-	t.settle(time.Now())
+	if !e.Lifted {
+		t.settle(time.Now())
+	}
 	t.Log.Info("quarantine_learned", append(e.logFields(), zap.Bool("lifted", e.Lifted))...)
 	t.rebuildIndex()
-	if !e.Lifted && e.Crashes < crashesOfProven {
-		t.queueProven(e.Parts, t.isProven)
-	}
 	return true
 }
 
+// overrule takes parts that this instance knows to have been answered lately out of a quarantine of another instance that
+// is based on too few crashes for them. It returns the changed quarantines. The caller holds mu.
+func (t *Table) overrule(a Announcement) []*entry {
+	var changed []*entry
+	for _, key := range partKeys(a.Parts) {
+		if t.isProven(key) {
+			changed = append(changed, t.markProven(key)...)
+		}
+	}
+	if len(changed) > 0 {
+		t.queueProven(partKeys(a.Parts), t.isProven)
+	}
+	return changed
+}
+
 // Messages returns the update as messages to other instances, each of which fits in a datagram.
 func (u *Update) Messages() []wire.News {
 	var list []wire.News
--- a/process/quarantine/sent.go
+++ b/process/quarantine/sent.go
@@ -98,6 +98,7 @@
 // reportCrash records a crash that this instance has seen, and tells the other instances.
 func (t *Table) reportCrash(c Crash) {
 	t.mu.Lock()
+	t.init()
 	t.ownCrashes = append(slices.DeleteFunc(t.ownCrashes, isOld), c)
 	update := t.updateOf(t.addCrash(c))
 	t.mu.Unlock()
--- a/process/quarantine/suspicion.go
+++ b/process/quarantine/suspicion.go
@@ -75,7 +75,7 @@
 	return lru
 }
 
-// init creates the tables. The caller holds mu.
+// init creates the LRU tables before their first use. The caller holds mu.
 func (t *Table) init() {
 	if t.suspicions == nil {
 		t.suspicions, t.explained, t.answeredAt = newLRU[suspicion](maxSuspicions), newLRU[struct{}](maxExplained), newLRU[time.Time](maxAnswered)
@@ -84,7 +84,6 @@
 
 // addCrash records a crash and returns the quarantines that begin because of it. The caller holds mu.
 func (t *Table) addCrash(c Crash) []*entry {
-	t.init()
 	now := time.Now()
 	if t.explained.Contains(c.Server) {
 		return nil
@@ -228,10 +227,6 @@
 // clear ends the suspicion against parts that are sound and takes them out of quarantines, which end if no part is left.
 // It returns the changed quarantines. The caller holds mu.
 func (t *Table) clear(sound []string) []*entry {
-	if len(sound) == 0 {
-		return nil
-	}
-	t.init()
 	now := time.Now()
 	var changed []*entry
 	for _, key := range sound {
@@ -268,7 +263,6 @@
 
 // settle ends all suspicions after a quarantine has begun, until crashes tell something new. The caller holds mu.
 func (t *Table) settle(now time.Time) {
-	t.init()
 	for _, part := range t.suspicions.Keys() {
 		if s, ok := t.suspicions.Peek(part); ok {
 			for server := range s {
@@ -306,7 +300,6 @@
 // markProven records that another instance knows a part to have been answered lately. It returns the quarantines that
 // end because they are based on too few crashes for such a part. The caller holds mu.
 func (t *Table) markProven(key string) []*entry {
-	t.init()
 	if !t.answeredAt.Contains(key) {
 		t.answeredAt.Add(key, time.Now().Add(-answerHold))
 	}
