toucanctl: list and lift quarantines of prompts

Operators saw nothing of the quarantines and couldn't lift them. The status of an instance lists them with parts, crashes, time of the next trial and refused requests; DELETE /quarantines/ID on the operators' listener lifts one, which the instance tells the others and the store.

--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -15,6 +15,7 @@
 	addKey(parser)
 	addLoad(parser)
 	addMetrics(parser)
+	addQuarantine(parser)
 	addReference(parser)
 	addRoute(parser)
 	addStatus(parser)
--- a/cmd/toucanctl/operator/force.go
+++ b/cmd/toucanctl/operator/force.go
@@ -146,6 +146,18 @@
 	}
 }
 
+// QuarantineLifted checks that the quarantine with the id isn't in force.
+func QuarantineLifted(id string) Check {
+	return func(s wire.Status) (string, Verdict) {
+		for _, q := range s.Quarantines {
+			if q.Id == id {
+				return fmt.Sprintf("quarantine %s %s", id, q.State), verdictOf(q.State == wire.QuarantineStatusStateLifted)
+			}
+		}
+		return "no quarantine " + id, Applied
+	}
+}
+
 // Draining checks that a backend server is draining or stopped, so that it gets no new requests.
 func Draining(server string) Check {
 	return serverState(server, func(state wire.ServerStatusState) bool {
--- a/cmd/toucanctl/options.go
+++ b/cmd/toucanctl/options.go
@@ -98,11 +98,11 @@
 	return watcher.WaitUntil(context.Background(), check)
 }
 
-// splitAddresses returns all addresses of comma-separated lists.
+// splitAddresses returns all addresses of comma-separated lists, without empty ones.
 func splitAddresses(lists []string) []string {
 	var addrs []string
 	for _, list := range lists {
-		addrs = append(addrs, strings.Split(list, ",")...)
+		addrs = append(addrs, strings.FieldsFunc(list, func(r rune) bool { return r == ',' })...)
 	}
 	return addrs
 }
--- a/cmd/toucanctl/script_test.go
+++ b/cmd/toucanctl/script_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -39,8 +40,9 @@
 func setUp(env *testscript.Env) error {
 	objects := httptest.NewServer((&objectapi.Server{}).Handler())
 	env.Defer(objects.Close)
-	recife := startInstance(env, objects.URL, "recife-1")
-	fortaleza := startInstance(env, objects.URL, "fortaleza-1")
+	lifted := &atomic.Bool{}
+	recife := startInstance(env, objects.URL, "recife-1", lifted)
+	fortaleza := startInstance(env, objects.URL, "fortaleza-1", lifted)
 	examples, err := filepath.Abs(filepath.Join("..", "..", "examples"))
 	if err != nil {
 		return err
@@ -57,9 +59,13 @@
 	return nil
 }
 
+// quarantineID is the id of the quarantine that the instances have.
+const quarantineID = "764358fb683553e4"
+
 // startInstance starts the parts of an instance that read configuration and keyring versions and serve GET /status. It
 // returns the address of the listener.
-func startInstance(env *testscript.Env, objects, name string) string {
+// The instances have a quarantine, and lifted is set once one of them was asked to lift it.
+func startInstance(env *testscript.Env, objects, name string, lifted *atomic.Bool) string {
 	client := &platform.Objects{Client: platform.Client{BaseURL: objects, Instance: name}}
 	store := &versions.Store{Instance: name, Objects: client.Store(), Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -69,7 +75,20 @@
 		store.Run(ctx)
 	}()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { web.WriteJSON(w, http.StatusOK, statusOf(store, client)) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		status := statusOf(store, client)
+		status.Quarantines = []wire.QuarantineStatus{{
+			Id: quarantineID, Parts: []string{"1f2e", "bad0bad0"}, Pool: "assistant", Crashes: 3, Refused: 4, Revision: 1, EndsInMs: 61000, State: wire.QuarantineStatusStateActive,
+		}}
+		if lifted.Load() {
+			status.Quarantines[0].State, status.Quarantines[0].Revision = wire.QuarantineStatusStateLifted, 2
+		}
+		web.WriteJSON(w, http.StatusOK, status)
+	})
+	mux.HandleFunc("DELETE /quarantines/"+quarantineID, func(w http.ResponseWriter, _ *http.Request) {
+		lifted.Store(true)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	server := httptest.NewServer(mux)
 	env.Defer(func() {
 		cancel()
--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -40,6 +40,8 @@
 	Status func() wire.Status
 	// Burn returns the instance's request counts for GET /burn.
 	Burn func() wire.Burn
+	// LiftQuarantine lifts the quarantine with the id and reports whether there was one; nil if the instance has none.
+	LiftQuarantine func(id string) bool
 }
 
 // Run serves until ctx ends.
@@ -84,9 +86,19 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.Status()) })
 	mux.HandleFunc("GET /burn", func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.Burn()) })
+	mux.HandleFunc("DELETE /quarantines/{id}", s.handleLift)
 	return mux
 }
 
+// handleLift lifts a quarantine.
+func (s *Server) handleLift(w http.ResponseWriter, r *http.Request) {
+	if s.LiftQuarantine == nil || !s.LiftQuarantine(r.PathValue("id")) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if s.Ready() {
 		w.WriteHeader(http.StatusOK)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -88,7 +88,7 @@
 // service-level counts by window.
 func (g *Gateway) newOperatorServer() *operator.Server {
 	return &operator.Server{
-		Listen: g.Settings.Listen.Operators, Log: g.Log, Ready: g.ready, Status: g.status,
+		Listen: g.Settings.Listen.Operators, Log: g.Log, Ready: g.ready, Status: g.status, LiftQuarantine: g.quarantine.Lift,
 		Burn: func() wire.Burn {
 			return wire.Burn{ConfigVersion: g.configVersion(), DataCentre: g.Settings.DataCentre, Instance: g.Settings.Instance}
 		},
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -29,7 +29,7 @@
 func (g *Gateway) quarantineStatus() []wire.QuarantineStatus {
 	list := []wire.QuarantineStatus{}
 	for _, q := range g.quarantine.List() {
-		status := wire.QuarantineStatus{Id: q.ID, Parts: q.Parts, Pool: q.Pool, Revision: q.Revision, Refused: q.Refused, State: wire.QuarantineStatusStateActive}
+		status := wire.QuarantineStatus{Id: q.ID, Parts: q.Parts, Pool: q.Pool, Revision: q.Revision, Crashes: q.Crashes, Refused: q.Refused, State: wire.QuarantineStatusStateActive}
 		left := time.Until(q.Until)
 		switch {
 		case q.Lifted:
