registry: a server that named a limit got many times as much

Cause: nothing read the header. Reading it at each instance alone would not have done: the limit is for all instances together, so that the sum would have been as many times the limit as there are instances.

Time is divided into frames of a second, in each of which the server takes a whole number of requests. They are dealt out evenly among all known instances by their ranks, and what remains goes to others in each frame. So the sum holds without a message for each request, whichever instances are late, silent or cut off; what an instance doesn't use lapses, so that nothing is saved up. What a server named last is told to all instances with its age, and the newest answer holds, also the one that names no limit any more. A server that takes nothing still gets a request each ten seconds, whose answer tells whether that has changed. Where all limits are used up, a request is refused as not run, with the time of the next frame in which the instance has a share.

--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -105,10 +106,10 @@
 		}
 	}
 	writeRow(w)
-	writeRow(w, "SERVER", "DATA CENTRE", "POOL", "KIND", "STATE", "RUNNING", "SEEN BY")
+	writeRow(w, "SERVER", "DATA CENTRE", "POOL", "KIND", "STATE", "RUNNING", "LIMIT", "SEEN BY")
 	for _, s := range statuses {
 		for _, b := range s.Servers {
-			writeRow(w, b.Server, b.DataCentre, b.Pool, b.Kind, b.State, b.Running, s.Instance)
+			writeRow(w, b.Server, b.DataCentre, b.Pool, b.Kind, b.State, b.Running, formatLimit(b.Limit), s.Instance)
 		}
 	}
 	if err := w.Flush(); err != nil {
@@ -130,6 +131,14 @@
 	_, _ = fmt.Fprintln(w, strings.Join(text, "\t"))
 }
 
+// formatLimit formats a server's limit of requests a second, or "-" if it names none.
+func formatLimit(limit float64) string {
+	if limit == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(limit, 'g', -1, 64) + "/s"
+}
+
 func reachability(reachable bool) string {
 	if reachable {
 		return "reachable"
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -93,6 +93,8 @@
 	// newerConfig and newerServers receive a token when another instance reports a newer configuration or server list.
 	newerConfig  chan struct{}
 	newerServers chan struct{}
+	// limitsChanged receives a token when the answer of a backend server changed its limit of requests.
+	limitsChanged chan struct{}
 	// serverListStaleSince is when another instance first reported a newer server list than this instance has; zero if
 	// this instance's list is up to date.
 	// It is used only by the goroutine that receives status datagrams.
@@ -137,7 +139,7 @@
 	}
 	for _, part := range []func(context.Context){
 		g.configFeed.Run, g.serverFeed.Run, g.mesh.Execute, g.usageCounter.Execute, g.lease.Run, g.usageReporter.Execute, (&fleetSizer{g: g}).run,
-		g.quarantineKeeper.Run,
+		g.quarantineKeeper.Run, g.announceLimits,
 	} {
 		group.Go(func() error { part(run); return nil })
 	}
@@ -191,8 +193,12 @@
 	g.retryBudgets = map[string]*attempt.WindowBudget{}
 	g.workloadMixes = map[string]*placement.WorkloadMix{}
 	g.prefillRates = map[string]*placement.PrefillRate{}
-	g.registry = &registry.Registry{Log: g.Log, Probe: checkReachable}
-	g.newerConfig, g.newerServers = make(chan struct{}, 1), make(chan struct{}, 1)
+	g.newerConfig, g.newerServers, g.limitsChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	g.registry = &registry.Registry{
+		Log: g.Log, Probe: checkReachable,
+		Rank:          func() (position, count int) { return g.mesh.Rank() },
+		OnLimitChange: func() { notify(g.limitsChanged) },
+	}
 	g.transport = &upstream.Transport{
 		IDHeader: g.Platform.Headers.ID, SkipForeignResponses: true, DialTimeout: dialTimeout, AckTimeout: silenceTimeout,
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -97,6 +97,7 @@
 	g.lease.ObserveVersion(message.Lease)
 	g.sentWindows.Observe(int64(message.ReportedMs))
 	g.quarantine.Merge(quarantine.ReadUpdate(message))
+	g.registry.MergeLimits(message.From, message.Limits)
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
--- a/process/mesh/broadcast.go
+++ b/process/mesh/broadcast.go
@@ -24,9 +24,8 @@
 		return
 	}
 	for _, message := range messages {
-		datagram := m.datagram()
-		datagram.Crashes, datagram.Sound, datagram.Proven, datagram.Quarantine = message.Crashes, message.Sound, message.Proven, message.Quarantine
-		m.send(targets, datagram)
+		m.sign(&message)
+		m.send(targets, message)
 	}
 }
 
@@ -53,3 +52,24 @@
 	}
 	return true
 }
+
+// minRankInstances is the minimum number of instances that Rank counts while this instance hasn't read yet which others
+// there are.
+const minRankInstances = 8
+
+// Rank returns the position of this instance, from 0, among all known instances in the order of their names, and their
+// number. Silent instances count too: they may only be cut off from this one.
+func (m *Mesh) Rank() (position, count int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name := range m.peers {
+		if name < m.Instance {
+			position++
+		}
+	}
+	count = len(m.peers) + 1
+	if !m.listed {
+		count = max(count, minRankInstances)
+	}
+	return position, count
+}
--- a/process/mesh/discover.go
+++ b/process/mesh/discover.go
@@ -74,6 +74,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.listed = true
 	if m.peers == nil {
 		m.peers = map[string]*peer{}
 	}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -105,6 +105,8 @@
 	mu sync.Mutex
 	// peers holds the other instances by name.
 	peers map[string]*peer
+	// listed is set once the instances were read from the store.
+	listed bool
 	// unreachable holds the data centres for which OnDataCentreUnreachable was called last.
 	unreachable map[string]bool
 	// wakeSend wakes Execute to send changed loads.
@@ -195,11 +197,17 @@
 
 // datagram returns a datagram with the status of this instance, without loads and counts.
 func (m *Mesh) datagram() wire.News {
-	datagram := wire.News{From: m.Instance, Run: m.Run, DataCentre: m.DataCentre, Address: m.Address}
-	m.FillStatus(&datagram)
+	var datagram wire.News
+	m.sign(&datagram)
 	return datagram
 }
 
+// sign adds the sender and the status of this instance to a datagram.
+func (m *Mesh) sign(datagram *wire.News) {
+	datagram.From, datagram.Run, datagram.DataCentre, datagram.Address = m.Instance, m.Run, m.DataCentre, m.Address
+	m.FillStatus(datagram)
+}
+
 // sendStatus sends the status and the loads of this instance to all peers. With withMix, it also sends the token rates
 // per pool. It sends at least one datagram, as a heartbeat.
 func (m *Mesh) sendStatus(now time.Time, loads []wire.NewsLoad, withMix bool) {
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -24,6 +24,11 @@
 	// Probe opens and closes a connection to a server's address. If it is nil, a suspect server stays so until a request
 	// to it succeeds.
 	Probe func(address string) error
+	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
+	// are divided; nil means that there is no other instance.
+	Rank func() (position, count int)
+	// OnLimitChange is called when the answer of a server changed its limit; it may be nil. It must not call the registry.
+	OnLimitChange func()
 
 	mu sync.Mutex
 	// servers holds the servers by id. A server that restarts under the same id gets a new Server.
@@ -70,6 +75,7 @@
 			r.rememberVersion(srv.Entry())
 		}
 		srv = newServer(e, r.Log, r.Probe)
+		srv.rank, srv.onLimitChange = r.Rank, r.OnLimitChange
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
@@ -241,13 +247,14 @@
 }
 
 // Usable returns the selected serving servers of a pool that count as reachable, or all selected serving ones if none
-// does. Servers whose address belongs to another server and those that accept nothing are never included.
+// does. Servers whose address belongs to another server, those that accept nothing and those of whose limit this instance
+// has used up its share are never included.
 func (r *Registry) Usable(pool string, selection Selection) []*Server {
 	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := !srv.removed && !srv.suspect && srv.accepts(now) && selection.admits(&srv.entry)
+		ok := !srv.removed && !srv.suspect && srv.accepts(now) && srv.hasAllowance(now) && selection.admits(&srv.entry)
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
@@ -258,7 +265,7 @@
 	}
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := srv.accepts(now) && selection.admits(&srv.entry)
+		ok := srv.accepts(now) && srv.hasAllowance(now) && selection.admits(&srv.entry)
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -44,6 +44,11 @@
 	// gets no requests unless it writes its entry again.
 	unconfirmedUntil time.Time
 
+	// limit is the limit of requests that the server named last. rank and onLimitChange are the fields of Registry.
+	limit         limit
+	rank          func() (position, count int)
+	onLimitChange func()
+
 	// running is the number of this instance's requests at the server, and pendingPrefill the number of their prompt
 	// tokens that the server hasn't processed yet.
 	running        int
@@ -138,6 +143,17 @@
 	ended          bool
 }
 
+// TryBegin begins a request like Begin, unless this instance has used up its share of the server's limit.
+func (srv *Server) TryBegin(pendingPrefill int) (*Attempt, bool) {
+	srv.mu.Lock()
+	ok := srv.take(time.Now())
+	srv.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	return srv.Begin(pendingPrefill), true
+}
+
 // Begin counts a new request with the given number of unprocessed prompt tokens. The caller must call End.
 func (srv *Server) Begin(pendingPrefill int) *Attempt {
 	srv.mu.Lock()
@@ -311,13 +327,15 @@
 	StepMs float64
 	// Suspect is set if the server counts as unreachable.
 	Suspect bool
+	// Limit is the number of requests a second that the server takes from all instances together; 0 if it names none.
+	Limit float64
 }
 
 // State returns the server's load and health at the given time.
 func (srv *Server) State(now time.Time) State {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	s := State{OwnRunning: srv.running, Running: srv.running, Slots: srv.entry.Slots, PendingPrefill: srv.pendingPrefill, Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.stepTimeMs, Suspect: srv.suspect}
+	s := State{OwnRunning: srv.running, Running: srv.running, Slots: srv.entry.Slots, PendingPrefill: srv.pendingPrefill, Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.stepTimeMs, Suspect: srv.suspect, Limit: srv.limit.rate}
 	runningOthers := 0
 	for _, l := range srv.remoteLoads {
 		if now.Sub(l.receivedAt) < remoteLoadMaxAge {
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -113,6 +113,17 @@
 	if err := c.checkQuarantine(); err != nil {
 		return assignment{}, err
 	}
+	for {
+		target, err := c.tryPlace()
+		if err != nil || target.attempt != nil {
+			return target, err
+		}
+	}
+}
+
+// tryPlace chooses a server like place. It returns no attempt if other requests of this instance have just used up its
+// share of the server's limit.
+func (c *call) tryPlace() (assignment, error) {
 	servers := c.f.Registry.Usable(c.pool.Name, c.selection())
 	if len(servers) == 0 {
 		return assignment{}, c.noServerLeftError()
@@ -134,7 +145,11 @@
 		choice = placement.ChooseServer(c.meta.ID, candidates)
 	}
 	c.cacheSource, c.placedAt = "", time.Now()
-	target := assignment{attempt: servers[choice.Index].Begin(prefillTokens)}
+	attempt, ok := servers[choice.Index].TryBegin(prefillTokens)
+	if !ok {
+		return assignment{}, nil
+	}
+	target := assignment{attempt: attempt}
 	if c.pool.Engine != nil && c.meta.Prompt != nil {
 		target.fetchFrom = c.findCacheSource(servers[choice.Index])
 		c.cacheSource = target.fetchFrom
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -78,14 +78,30 @@
 // closedSpread is the share of the time until a server opens again over which the returns of the callers are spread.
 const closedSpread = 0.25
 
+// maxAllowanceWait is how far ahead this instance's share of the servers' limits is looked at. Other instances may have
+// theirs before.
+const maxAllowanceWait = 2 * time.Second
+
+// nextOpening returns the earliest time at which a server takes the request that has closed itself for a while, or whose
+// limit is used up; false if there is no such server.
+func (c *call) nextOpening() (time.Time, bool) {
+	opensAt, closed := c.f.Registry.NextOpening(c.pool.Name, c.selection())
+	allowedAt, limited := c.f.Registry.NextAllowance(c.pool.Name, c.selection(), maxAllowanceWait)
+	if limited && (!closed || allowedAt.Before(opensAt)) {
+		return allowedAt, true
+	}
+	return opensAt, closed
+}
+
 // noServerLeftError returns the error of a request for which no server is left to try. If servers of the pool have only
-// closed themselves for a while, a caller whose request has not run is told when the first of them opens again.
+// closed themselves for a while, or have a limit that is used up, a caller whose request has not run is told when the
+// first of them takes requests again.
 func (c *call) noServerLeftError() error {
 	if c.firstByteAt.IsZero() && c.possibleRuns == 0 && c.versionIsGone() {
 		return goneOriginError()
 	}
 	err := c.finalError(errors.New("no backend server is left"))
-	opensAt, ok := c.f.Registry.NextOpening(c.pool.Name, c.selection())
+	opensAt, ok := c.nextOpening()
 	var response request.ErrResponse
 	if !ok || !errors.As(err, &response) || !response.NotRun {
 		return err
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -59,7 +59,10 @@
 		ReadResponse: func(_ int, h http.Header) ResponseMeta {
 			meta := ResponseMeta{
 				Signed: h.Get("X-Signed") != "", NotRun: h.Get("X-Not-Run") != "", WrongServer: h.Get("X-Not-Run") == "elsewhere",
-				Leaving: h.Get("X-Leaving") != "", RetryAfter: h.Get("X-Close-For"),
+				Leaving: h.Get("X-Leaving") != "", RetryAfter: h.Get("X-Close-For"), Limit: -1,
+			}
+			if limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+				meta.Limit = limit
 			}
 			meta.CloseFor, _ = time.ParseDuration(meta.RetryAfter)
 			return meta
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -64,6 +64,9 @@
 	// the server stated it; RetryAfter is empty if there is no such time.
 	CloseFor   time.Duration
 	RetryAfter string
+	// Limit is the number of requests a second that the server takes from all instances together; negative if it names
+	// none.
+	Limit float64
 }
 
 // Headers reads and writes the headers whose names and formats the deployment defines. All fields must be set.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -35,6 +35,9 @@
 	if responseMeta.RetryAfter != "" {
 		attempt.CloseFor(responseMeta.CloseFor, responseMeta.RetryAfter)
 	}
+	if !responseMeta.WrongServer {
+		attempt.RecordLimit(responseMeta.Limit)
+	}
 	if responseMeta.NotRun {
 		attempt.End(notRunOutcome(responseMeta))
 		c.logUnusedResponse(resp.StatusCode, "not_run")
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -173,6 +173,9 @@
 	// The sender is about to stop.
 	Leaving bool `json:"leaving,omitempty,omitzero"`
 
+	// Limits of requests that backend servers named lately, or no longer name.
+	Limits []NewsLimit `json:"limits,omitempty,omitzero"`
+
 	// Loads that changed since the sender's previous datagram.
 	Loads []NewsLoad `json:"loads,omitempty,omitzero"`
 
@@ -229,6 +232,19 @@
 	Server string `json:"s"`
 }
 
+// NewsLimit is the limit of requests that a backend server named last.
+type NewsLimit struct {
+	// Time since the answer that named it, in milliseconds.
+	AgeMs int `json:"a"`
+
+	// Requests per second of all instances together; negative if the backend server
+	// names no limit any more.
+	Rate float64 `json:"r"`
+
+	// Hash of the backend server's id and start.
+	Server int `json:"s"`
+}
+
 // NewsLoad is the load that one instance's requests put on one backend server.
 type NewsLoad struct {
 	// Number of running requests.
--- a/wire/status.go
+++ b/wire/status.go
@@ -108,6 +108,10 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind string `json:"kind,omitempty,omitzero"`
 
+	// Requests a second that the server takes from all instances together; 0 if it
+	// names no limit.
+	Limit float64 `json:"limit,omitempty,omitzero"`
+
 	// Pool corresponds to the JSON schema field "pool".
 	Pool string `json:"pool"`
 
