--- a/process/versions/store.go
+++ b/process/versions/store.go
@@ -190,8 +190,8 @@
 	offer := wire.VersionOffer{Digest: own}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if digest.Config < own.Config && len(s.document) > 0 {
-		offer.Config = &s.document
+	if document := s.document; digest.Config < own.Config && len(document) > 0 {
+		offer.Config = &document
 	}
 	if digest.KeyringsHash == own.KeyringsHash {
 		return offer
--- a/process/versions/store_test.go
+++ b/process/versions/store_test.go
@@ -303,3 +303,12 @@
 		})
 	}
 }
+
+// An offer that is still being sent must not change with the configuration in force.
+func TestOfferKeepsItsConfiguration(t *testing.T) {
+	var s Store
+	assert.Assert(t, s.ApplyConfig(json.RawMessage(`{"version":1}`)))
+	offer := s.OfferFor(wire.VersionDigest{})
+	assert.Assert(t, s.ApplyConfig(json.RawMessage(`{"version":2}`)))
+	assert.Equal(t, string(*offer.Config), `{"version":1}`)
+}
