mesh: objects were fetched from readers that were behind themselves

Cause: it fetched the list from the first reader of its data centre, whose watch had missed the change, and took its answer for the newest.

Readers are now asked in the order of the versions that they reported, and only then those of the own data centre first.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -183,9 +183,13 @@
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds, of those that reported the
+// newest version.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
-	peers := g.mesh.ReaderAddresses()
+	peers := g.mesh.ServerReaders()
+	if kind == g.Platform.ConfigKind {
+		peers = g.mesh.ConfigReaders()
+	}
 	err := errNoPeer
 	for _, address := range peers[:min(len(peers), maxPeersAsked)] {
 		var list wire.ObjectList
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -53,21 +54,40 @@
 }
 
 // ReaderAddresses returns the addresses of the live instances that read the store, those in this data centre first.
-func (m *Mesh) ReaderAddresses() []string {
+func (m *Mesh) ReaderAddresses() []string { return m.readersBy(func(*peer) int { return 0 }) }
+
+// ConfigReaders and ServerReaders return the same with those first that reported the newest configuration or list of
+// backend servers: the watches of the others may have missed a change.
+func (m *Mesh) ConfigReaders() []string { return m.readersBy(func(p *peer) int { return p.config }) }
+
+// ServerReaders see ConfigReaders.
+func (m *Mesh) ServerReaders() []string { return m.readersBy(func(p *peer) int { return p.servers }) }
+
+// readersBy returns the addresses of the live instances that read the store, by falling version, and then those in this
+// data centre first.
+func (m *Mesh) readersBy(version func(*peer) int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var local, remote []string
+	var readers []*peer
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-		p := m.peers[name]
-		switch {
-		case time.Since(p.received) > m.silenceTimeout() || !p.isReader || p.storeUnreachable:
-		case p.dataCentre == m.DataCentre:
-			local = append(local, p.address.String())
-		default:
-			remote = append(remote, p.address.String())
+		if p := m.peers[name]; time.Since(p.received) <= m.silenceTimeout() && p.isReader && !p.storeUnreachable {
+			readers = append(readers, p)
 		}
 	}
-	return append(local, remote...)
+	remote := func(p *peer) int {
+		if p.dataCentre == m.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(readers, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(version(b), version(a)), cmp.Compare(remote(a), remote(b)))
+	})
+	addresses := make([]string, len(readers))
+	for i, p := range readers {
+		addresses[i] = p.address.String()
+	}
+	return addresses
 }
 
 // StoreOutageWithin reports whether at least half of the instances that read the store failed to reach it at some time
