gateway: an old server list counted as new while others were behind too

A reader whose watch had missed a change read the list again only after it had been behind for 0.3 s without a break.

The time now runs while any instance has reported a newer list than the own one.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -95,9 +95,10 @@
 	newerServers chan struct{}
 	// limitsChanged receives a token when the answer of a backend server changed its limit of requests.
 	limitsChanged chan struct{}
-	// serverListStaleSince is when another instance first reported a newer server list than this instance has; zero if
-	// this instance's list is up to date.
-	// It is used only by the goroutine that receives status datagrams.
+	// newestServerList is the newest version of the server list that another instance reported. serverListStaleSince is
+	// when one first reported a newer list than this instance has; zero if this instance's list is up to date. They are used
+	// only by the goroutine that receives status datagrams.
+	newestServerList     int
 	serverListStaleSince time.Time
 	// serverListReadAt is when the server list was last read because of a report of another instance; only the
 	// goroutine that receives status datagrams uses it.
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -102,8 +102,11 @@
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
 	ownVersion := g.serverFeed.ChangedVersion()
-	if message.Servers <= ownVersion || ownVersion == 0 {
+	g.newestServerList = max(g.newestServerList, message.Servers)
+	if g.newestServerList <= ownVersion || ownVersion == 0 {
 		g.serverListStaleSince = time.Time{}
+	}
+	if message.Servers <= ownVersion || ownVersion == 0 {
 		return
 	}
 	if g.serverListStaleSince.IsZero() {
