--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -228,6 +228,11 @@
 	return l.notify(ctx, methodAnnounce, digest)
 }
 
+// ReportQuarantine notifies the peer of crashes of backend servers, sound prompt parts and quarantines.
+func (l *Link) ReportQuarantine(ctx context.Context, news wire.News) error {
+	return l.notify(ctx, methodQuarantine, news)
+}
+
 // HandOverUsage hands usage counts over to the peer. The reply states which counts the peer has stored. After an error,
 // the counts remain with the sender.
 func (l *Link) HandOverUsage(ctx context.Context, counts wire.UsageHandOver) (wire.UsageHandOverReply, error) {
--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -58,6 +58,7 @@
 	methodFleet         = "fleet"
 	methodStreams       = "streams"
 	methodDemand        = "demand"
+	methodQuarantine    = "quarantine"
 )
 
 // ErrUnsupportedFormat reports that a peer uses a message format that this instance doesn't support.
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -46,6 +46,8 @@
 	StreamCount func(server string) int
 	// Demand returns the load of a pool at this instance.
 	Demand func(pool string) wire.PoolDemand
+	// OnQuarantine is called when a peer reports crashes of backend servers, sound prompt parts or quarantines.
+	OnQuarantine func(news wire.News)
 	// OnPeerLost is called when a peer has had no session for HeartbeatTimeout.
 	OnPeerLost func(instance string)
 
@@ -182,6 +184,8 @@
 		return s.streamCount(req)
 	case methodDemand:
 		return s.poolDemand(req)
+	case methodQuarantine:
+		return s.reportQuarantine(req)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: req.Method}
 }
@@ -316,6 +320,15 @@
 	return nil, nil
 }
 
+func (s *session) reportQuarantine(req *jsonrpc2.Request) (any, error) {
+	news, err := decode[wire.News](req)
+	if err != nil {
+		return nil, err
+	}
+	s.server.OnQuarantine(news)
+	return nil, nil
+}
+
 func (s *session) takeOverUsage(from string, req *jsonrpc2.Request) (any, error) {
 	counts, err := decode[wire.UsageHandOver](req)
 	if err != nil {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -80,7 +80,7 @@
 		PlatformReachable: !g.configFeed.StoreDown() && !g.serverFeed.StoreDown(),
 		Pools:             []wire.PoolStatus{},
 		Servers:           g.serverStatus(),
-		Quarantines:       g.quarantineStatus(),
+		Quarantines:       g.quarantine.Status(),
 	}
 }
 
--- a/process/instance/instance.go
+++ b/process/instance/instance.go
@@ -27,6 +27,7 @@
 	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/process/versions"
 	"github.com/toucanroute/toucanroute/request/claim"
 	"github.com/toucanroute/toucanroute/request/dispatch"
@@ -77,7 +78,10 @@
 	metrics       *metrics.Metrics
 	retryBudgets  retryBudgets
 	demandTracker demandTracker
-	costTracker   costTracker
+	quarantine    quarantine.Table
+	// quarantineKeeper stores the quarantines and repeats them to the other instances.
+	quarantineKeeper *quarantine.Keeper
+	costTracker      costTracker
 	// baseline is nil except in experiments.
 	baseline *home.Baseline
 
@@ -130,7 +134,7 @@
 	for _, part := range []func(context.Context) error{i.peerServer.Run, i.newOperatorServer().Run, i.serveCallers} {
 		group.Go(func() error { return part(run) })
 	}
-	for _, part := range []func(context.Context){i.versions.Run, i.healthChecker.run, i.claims.claims.Run, i.discover} {
+	for _, part := range []func(context.Context){i.versions.Run, i.healthChecker.run, i.claims.claims.Run, i.discover, i.quarantineKeeper.Run} {
 		group.Go(func() error { part(run); return nil })
 	}
 }
@@ -146,6 +150,7 @@
 	i.members = &members.Table{Instance: i.Settings.Instance, DataCentre: i.Settings.DataCentre}
 	i.buildLinks(runCtx)
 	i.buildVersions()
+	i.buildQuarantine()
 	i.buildHomes()
 	i.claims.claims = &claim.Claims{Objects: i.objects.Store(), Log: i.Log}
 	i.buildDispatch()
@@ -185,6 +190,7 @@
 		Fleet:              i.fleetView,
 		StreamCount:        func(server string) int { return i.dispatch.Running(server) },
 		Demand:             i.ownDemand,
+		OnQuarantine:       i.mergeQuarantine,
 		OnPeerLost:         func(instance string) { i.poolHomes.dropHolder(instance) },
 	}
 	t := i.Settings.Tls
@@ -238,11 +244,12 @@
 // newOperatorServer returns the server for operators.
 func (i *Instance) newOperatorServer() *operator.Server {
 	s := &operator.Server{
-		Listen: i.Settings.Listen.Operators,
-		Log:    i.Log,
-		Ready:  i.ready,
-		Status: i.status,
-		Burn:   i.burn,
+		Listen:         i.Settings.Listen.Operators,
+		Log:            i.Log,
+		Ready:          i.ready,
+		Status:         i.status,
+		Burn:           i.burn,
+		LiftQuarantine: i.quarantine.Lift,
 	}
 	if t := i.Settings.Tls; t != nil && t.Operators != nil {
 		s.TLS = operatorTLS(t.Operators)
--- a/process/instance/peers.go
+++ b/process/instance/peers.go
@@ -179,7 +179,7 @@
 		Instance:  i.Settings.Instance,
 		Objects:   i.objects.Store(),
 		Log:       i.Log,
-		IsWatcher: func() bool { r, _ := i.rank(); return r < versions.WatchersPerDataCentre },
+		IsWatcher: i.isVersionWatcher,
 		OnConfig:  i.applyConfig,
 		OnKeyring: i.applyKeyring,
 		Exchange:  i.exchangeVersions,
@@ -187,6 +187,12 @@
 	}
 }
 
+// isVersionWatcher reports whether this instance watches the object API for the others of its data centre.
+func (i *Instance) isVersionWatcher() bool {
+	rank, _ := i.rank()
+	return rank < versions.WatchersPerDataCentre
+}
+
 // exchangeVersions compares version digests with a peer and returns the newer versions that the peer offers. A version
 // digest lists the versions of the configuration and keyrings that an instance has. If name is empty, exchangeVersions
 // chooses the peer.
--- a/process/instance/requests.go
+++ b/process/instance/requests.go
@@ -52,6 +52,7 @@
 		ReleaseClaim: i.claims.release,
 		CountUsage:   i.countUsage,
 		Observe:      i.requestFinished,
+		Quarantine:   &i.quarantine,
 		Stream:       engines.Stream,
 		Pause:        engines.Pause,
 		Cancel:       engines.Cancel,
--- a/process/instance/status.go
+++ b/process/instance/status.go
@@ -24,15 +24,16 @@
 // status returns this instance's view of the deployment, for operators.
 func (i *Instance) status() wire.Status {
 	s := wire.Status{
-		Instance:   i.Settings.Instance,
-		DataCentre: i.Settings.DataCentre,
-		Build:      i.Build,
-		Leaving:    i.members.Leaving(),
-		Members:    i.members.Status(),
-		Keyrings:   i.versions.Keyrings(),
-		Leases:     []wire.LeaseStatus{},
-		Pools:      []wire.PoolStatus{},
-		Servers:    []wire.ServerStatus{},
+		Instance:    i.Settings.Instance,
+		DataCentre:  i.Settings.DataCentre,
+		Build:       i.Build,
+		Leaving:     i.members.Leaving(),
+		Members:     i.members.Status(),
+		Keyrings:    i.versions.Keyrings(),
+		Leases:      []wire.LeaseStatus{},
+		Pools:       []wire.PoolStatus{},
+		Servers:     []wire.ServerStatus{},
+		Quarantines: i.quarantine.Status(),
 	}
 	if age, ok := i.versions.Age(); ok {
 		s.PlatformReachable = age < platformUnreachableAfter
--- a/process/quarantine/fleet_test.go
+++ b/process/quarantine/fleet_test.go
@@ -28,13 +28,16 @@
 	restartTime = 2 * time.Second
 )
 
+// kind is the kind of the quarantines in the store.
+const kind = "quarantines"
+
 // memoryStore returns a store that keeps the quarantines in memory.
 func memoryStore() platform.Store {
 	var mu sync.Mutex
 	objects := map[string]wire.Object{}
 	put := func(name string, value any) wire.Object {
 		data, _ := json.Marshal(value)
-		o := wire.Object{Kind: Kind, Name: name, Version: objects[name].Version + 1, Value: data}
+		o := wire.Object{Kind: kind, Name: name, Version: objects[name].Version + 1, Value: data}
 		objects[name] = o
 		return o
 	}
@@ -57,7 +60,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if _, ok := objects[name]; ok {
-				return wire.Object{}, platform.ErrConflict{Kind: Kind, Name: name}
+				return wire.Object{}, platform.ErrConflict{Kind: kind, Name: name}
 			}
 			return put(name, value), nil
 		},
@@ -65,7 +68,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if objects[name].Version != version {
-				return wire.Object{}, platform.ErrConflict{Kind: Kind, Name: name}
+				return wire.Object{}, platform.ErrConflict{Kind: kind, Name: name}
 			}
 			return put(name, value), nil
 		},
@@ -150,7 +153,7 @@
 	f.cutOff[t] = cutOff
 	reads := cutOff || len(f.instances) <= 6
 	f.mu.Unlock()
-	k := &Keeper{Table: t, Store: f.store, IsReader: func() bool { return reads }, Announce: func(u Update) { f.deliver(t, u, 16) }, Log: zap.NewNop()}
+	k := &Keeper{Table: t, Store: f.store, Kind: kind, IsReader: func() bool { return reads }, Announce: func(u Update) { f.deliver(t, u, 16) }, Log: zap.NewNop()}
 	k.Init()
 	t.OnChange = k.NotifyChanged
 	go k.Run(f.t.Context())
--- a/process/quarantine/keeper.go
+++ b/process/quarantine/keeper.go
@@ -13,9 +13,6 @@
 	"github.com/toucanroute/toucanroute/wire"
 )
 
-// Kind is the kind of the store objects that hold quarantines.
-const Kind = "toucanroute-quarantines"
-
 const (
 	// keepInterval is the interval at which the keeper repeats what it tells the other instances, and at which it retries
 	// failed calls of the store.
@@ -32,6 +29,8 @@
 type Keeper struct {
 	Table *Table
 	Store platform.Store
+	// Kind is the kind of the store objects that hold quarantines.
+	Kind string
 	// IsReader reports whether this instance reads and writes the store for others.
 	IsReader func() bool
 	// Announce tells some of the other instances what they may have missed.
@@ -88,7 +87,7 @@
 
 // load reads the quarantines from the store.
 func (k *Keeper) load(ctx context.Context) {
-	list, err := k.Store.List(ctx, Kind, "")
+	list, err := k.Store.List(ctx, k.Kind, "")
 	if err != nil {
 		k.Log.Info("quarantines_not_read", zap.Error(err))
 		return
@@ -120,7 +119,7 @@
 	if !k.IsReader() {
 		return
 	}
-	err := k.Store.Delete(ctx, Kind, o.Name, o.Version)
+	err := k.Store.Delete(ctx, k.Kind, o.Name, o.Version)
 	k.Log.Info("quarantine_removed", zap.String("quarantine", o.Name), zap.Error(err))
 }
 
@@ -148,18 +147,18 @@
 	record := wire.QuarantineRecord{
 		Parts: q.Parts, Pool: q.Pool, Crashes: q.Crashes, Revision: q.Revision, Lifted: q.Lifted, UntilMs: int(q.Until.UnixMilli()), PeriodMs: int(q.Period.Milliseconds()),
 	}
-	_, err := k.Store.Create(ctx, Kind, q.ID, record)
+	_, err := k.Store.Create(ctx, k.Kind, q.ID, record)
 	if !platform.IsErrConflict(err) {
 		return err
 	}
-	o, err := k.Store.Get(ctx, Kind, q.ID)
+	o, err := k.Store.Get(ctx, k.Kind, q.ID)
 	if err != nil {
 		return err
 	}
 	if stored, err := platform.Decode[wire.QuarantineRecord](o); err == nil && stored.Revision >= q.Revision {
 		return nil
 	}
-	_, err = k.Store.Update(ctx, Kind, q.ID, o.Version, record)
+	_, err = k.Store.Update(ctx, k.Kind, q.ID, o.Version, record)
 	return err
 }
 
--- a/request/completion.go
+++ b/request/completion.go
@@ -45,6 +45,8 @@
 	promptBytes int
 	// prefix is the hash of the prompt's first prefixBytes bytes, as 16 hex digits.
 	prefix string
+	// parts are the hashes of the prompt's messages.
+	parts []string
 }
 
 type streamOptions struct {
@@ -155,6 +157,11 @@
 		return invalidField("messages", "must hold at least one message")
 	}
 	c.promptBytes = len(c.fields["messages"])
+	var parts []json.RawMessage
+	if err := c.decodeField("messages", &parts); err != nil {
+		return err
+	}
+	c.parts = partHashes(parts)
 	h := prefixHash{}
 	for i, m := range messages {
 		if i > 0 {
@@ -175,6 +182,7 @@
 		return invalidField("prompt", "is missing")
 	}
 	c.promptBytes = len(raw)
+	c.parts = partHashes([]json.RawMessage{raw})
 	h := prefixHash{}
 	var text string
 	if json.Unmarshal(raw, &text) == nil {
@@ -186,6 +194,18 @@
 	return nil
 }
 
+// partHashes returns the hashes of the JSON values of a prompt's messages, as 16 hex digits each.
+func partHashes(messages []json.RawMessage) []string {
+	hashes := make([]string, len(messages))
+	for i, m := range messages {
+		hashes[i] = fmt.Sprintf("%016x", xxhash.Sum64(m))
+	}
+	return hashes
+}
+
+// Parts returns the hashes of the prompt's messages in order, or that of a plain prompt.
+func (c *Completion) Parts() []string { return c.parts }
+
 // Path returns the path of the request, PathChat or PathCompletions.
 func (c *Completion) Path() string { return c.path }
 
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/pool"
+	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -157,6 +158,8 @@
 	Log *zap.Logger
 	// Observe is called with the Summary of each finished request. Optional.
 	Observe func(Summary)
+	// Quarantine keeps prompts away from engines that crash under them. Optional.
+	Quarantine *quarantine.Table
 	// Stream sends a completion to an engine and calls onData for each event of its response; see engine.Client.
 	Stream func(ctx context.Context, a *request.Attempt, onData func(data []byte, more bool) error) error
 	// Pause asks an engine to pause a stream and free its slot.
--- a/request/forward/crash.go
+++ b/request/forward/crash.go
@@ -1,22 +1,14 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"syscall"
-	"time"
 
 	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/request"
 )
 
-// crashSuspicionTime is the time after the first event of an answer within which the prompt may still be the cause of a
-// crash. Servers crash when they begin to answer.
-const crashSuspicionTime = 500 * time.Millisecond
-
 // maxLoggedParts bounds the parts of a prompt that a log line lists.
 const maxLoggedParts = 8
 
@@ -57,10 +49,9 @@
 // reportIfCrashed reports a lost request whose connection the server closed or reset, unless the answer had begun long
 // before: the server may have crashed under the prompt.
 func (c *call) reportIfCrashed(server *registry.Server, err error) {
-	if c.meta.Prompt == nil || !isClosedByServer(err) || !c.answerBeganAt.IsZero() && time.Since(c.answerBeganAt) > crashSuspicionTime {
-		return
+	if c.meta.Prompt != nil && quarantine.IsSuspect(err, c.answerBeganAt) {
+		c.f.Quarantine.ReportLost(c.sentRequest(server))
 	}
-	c.f.Quarantine.ReportLost(c.sentRequest(server))
 }
 
 // recordAnswered records that a server answered the prompt with success and to the end. An answer that ends with its
@@ -82,8 +73,3 @@
 		Server: entry.ID + "." + strconv.FormatInt(entry.StartedMs, 36), Address: entry.Address, Pool: entry.Pool, Parts: c.parts(),
 	}
 }
-
-// isClosedByServer reports whether the server closed or reset the connection.
-func isClosedByServer(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
