registry: with all limits used up, requests went to unreachable servers

Where the limits of all reachable servers were used up, the choice fell back to the servers that can't be reached, as if none were left; callers waited for failed connections before they were refused.

Servers that only lack an allowance now keep the others from being tried, and the time to come back is two seconds at most. TestLimitLeavesUnreachableServersAlone failed before.

--- a/process/registry/limit.go
+++ b/process/registry/limit.go
@@ -178,8 +178,8 @@
 	}
 }
 
-// NextAllowance returns the earliest time at which this instance may send a request to a selected server of the pool whose
-// limit it has used up, as far as that is within maxWait; false if there is none.
+// NextAllowance returns the earliest time at which this instance may send a request to a selected server of the pool that
+// has a limit, or maxWait from now if that is earlier; false if there is no such server.
 func (r *Registry) NextAllowance(pool string, selection Selection, maxWait time.Duration) (time.Time, bool) {
 	now := time.Now()
 	var servers []*Server
@@ -190,6 +190,9 @@
 		}
 		srv.mu.Unlock()
 	}
+	if len(servers) == 0 {
+		return time.Time{}, false
+	}
 	for at := now.Truncate(limitFrame).Add(limitFrame); at.Sub(now) <= maxWait; at = at.Add(limitFrame) {
 		for _, srv := range servers {
 			srv.mu.Lock()
@@ -200,5 +203,5 @@
 			}
 		}
 	}
-	return time.Time{}, false
+	return now.Add(maxWait), true
 }
--- a/process/registry/limit_test.go
+++ b/process/registry/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 
 // limitFleet is a number of instances in front of one server with a limit.
 type limitFleet struct {
+	mu        sync.Mutex
 	rng       *rand.Rand
 	instances []*Registry
 	// cutOff holds the instances that exchange nothing with the others, although they know of them.
@@ -38,6 +40,8 @@
 	r.Rank = func() (int, int) { return position, max(known(), position+1) }
 	r.OnLimitChange = func() { time.AfterFunc(time.Millisecond, func() { f.tell(r) }) }
 	r.Reset([]Entry{{ID: "a", Pool: "p", StartedMs: 7}}, false)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.instances = append(f.instances, r)
 	f.cutOff[r] = cutOff
 }
@@ -45,6 +49,8 @@
 // tell tells the limits that an instance knows to all others. A tenth of the datagrams gets lost.
 func (f *limitFleet) tell(from *Registry) {
 	limits := from.Limits()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, to := range f.instances {
 		if to != from && !f.cutOff[from] && !f.cutOff[to] && f.rng.IntN(10) > 0 {
 			to.MergeLimits("", limits)
@@ -74,7 +80,10 @@
 func (f *limitFleet) run(d time.Duration, rate int) {
 	lastTold := time.Now()
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / time.Duration(rate)) {
-		f.request(f.instances[f.rng.IntN(len(f.instances))])
+		f.mu.Lock()
+		from := f.instances[f.rng.IntN(len(f.instances))]
+		f.mu.Unlock()
+		f.request(from)
 		if time.Since(lastTold) >= time.Second {
 			lastTold = time.Now()
 			for _, r := range f.instances {
@@ -214,3 +223,20 @@
 		assert.Equal(t, len(r.Limits()), 0)
 	})
 }
+
+// Where only limits keep servers from taking a request, it isn't sent to servers that can't be reached.
+func TestLimitLeavesUnreachableServersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Registry{Log: zap.NewNop()}
+		r.Reset([]Entry{{ID: "limited", Pool: "p"}, {ID: "gone", Pool: "p"}}, false)
+		server(r, "gone").Begin(0).End(OutcomeUnreachable)
+		server(r, "limited").Begin(0).RecordLimit(0)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 0)
+		at, ok := r.NextAllowance("p", Selection{}, 2*time.Second)
+		assert.Assert(t, ok && time.Until(at) <= 2*time.Second)
+		_, ok = r.NextAllowance("p", Selection{Skip: map[string]bool{"limited": true, "gone": true}}, 2*time.Second)
+		assert.Assert(t, !ok)
+		server(r, "limited").Begin(0).End(OutcomeUnreachable)
+		assert.Equal(t, len(r.Usable("p", Selection{})), 1, "if none can be reached, those with an allowance are tried")
+	})
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -252,15 +252,19 @@
 func (r *Registry) Usable(pool string, selection Selection) []*Server {
 	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
+	limited := false
 	for _, srv := range serving {
 		srv.mu.Lock()
-		ok := !srv.removed && !srv.suspect && srv.accepts(now) && srv.hasAllowance(now) && selection.admits(&srv.entry)
+		ok := !srv.removed && !srv.suspect && srv.accepts(now) && selection.admits(&srv.entry)
+		if ok && !srv.hasAllowance(now) {
+			ok, limited = false, true
+		}
 		srv.mu.Unlock()
 		if ok {
 			usable = append(usable, srv)
 		}
 	}
-	if len(usable) > 0 {
+	if len(usable) > 0 || limited {
 		return usable
 	}
 	for _, srv := range serving {
