quarantine: each crash was told to all instances with all parts

With hundreds of instances, the loss of some servers at once would have had each instance that lost a request send all parts of its prompts to all others, and each answer after it that these parts are sound: by calculation 200,000 datagrams within a second at 195 instances. Found by reading.

Parts that were answered lately are told only if they aren't answered again within 0.3 s, a prompt's own last part isn't told at all, and an answer only if others know of the crash.

--- a/process/quarantine/exchange.go
+++ b/process/quarantine/exchange.go
@@ -74,6 +74,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ownCrashes = slices.DeleteFunc(t.ownCrashes, isOld)
+	t.removeEnded(time.Now())
 	u := Update{Crashes: slices.Clone(t.ownCrashes)}
 	ids := slices.Sorted(maps.Keys(t.entries))
 	for range min(len(ids), maxAnnounced) {
@@ -100,6 +101,7 @@
 	}
 	for _, c := range u.Crashes {
 		changed = append(changed, t.addCrash(c)...)
+		t.markTold(c.Parts)
 		t.queueProven(c.Parts, t.isDoubtful)
 	}
 	isNew := false
@@ -117,6 +119,15 @@
 	t.notify(update)
 }
 
+// markTold marks the suspected parts of which another instance knows a crash. The caller holds mu.
+func (t *Table) markTold(parts []string) {
+	for _, key := range parts {
+		if s, ok := t.suspicions.Peek(key); ok {
+			s.told = true
+		}
+	}
+}
+
 // mergeQuarantine takes a quarantine over if it is newer than the known one, and reports whether it did. The caller holds
 // mu.
 func (t *Table) mergeQuarantine(a Announcement) bool {
--- a/process/quarantine/keeper.go
+++ b/process/quarantine/keeper.go
@@ -77,7 +77,7 @@
 			if u := k.Table.Repeat(); !u.isEmpty() {
 				k.Announce(u)
 			}
-			if !k.loaded || k.IsReader() && k.Table.crashedWithin(watchedAfterCrash) {
+			if !k.loaded || k.IsReader() && (k.Table.takeEnded() || k.Table.crashedWithin(watchedAfterCrash)) {
 				k.load(ctx)
 			}
 			k.save(ctx)
@@ -169,6 +169,15 @@
 	return !t.lastCrash.IsZero() && time.Since(t.lastCrash) < d
 }
 
+// takeEnded reports whether a quarantine was removed since the last call that may still be in the store.
+func (t *Table) takeEnded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ended := t.ended
+	t.ended = false
+	return ended
+}
+
 // unstored returns the quarantines whose newest revision isn't known to be in the store.
 func (t *Table) unstored() []Quarantine {
 	t.mu.Lock()
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -62,7 +62,7 @@
 	// byPart holds the quarantines that aren't lifted by each of their parts.
 	byPart map[string][]*entry
 	// suspicions holds the crashes in which a part was present. The LRU tables are nil before the first use; see init.
-	suspicions *simplelru.LRU[string, suspicion]
+	suspicions *simplelru.LRU[string, *suspicion]
 	// explained holds the crashes, by server, for which a quarantine accounts.
 	explained *simplelru.LRU[string, struct{}]
 	// answeredAt holds the times at which parts were last part of an answered prompt.
@@ -77,6 +77,8 @@
 	ownCrashes []Crash
 	// lastCrash is the time of the last crash that left a part suspected.
 	lastCrash time.Time
+	// ended is set if a quarantine was removed that may still be in the store.
+	ended bool
 	// announced is the number of quarantines that were announced in turn.
 	announced int
 }
@@ -264,9 +266,10 @@
 	for id, e := range t.entries {
 		if now.Sub(e.Until) > retention+e.Period {
 			delete(t.entries, id)
+			t.ended = true
+			t.rebuildIndex()
 		}
 	}
-	t.rebuildIndex()
 }
 
 // rebuildIndex rebuilds byPart after a change of the entries. The caller holds mu.
--- a/process/quarantine/sent.go
+++ b/process/quarantine/sent.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -20,6 +19,9 @@
 	maxSentParts = 1024
 	// crashRepeatTime is the time for which a crash is told again to the other instances, since datagrams may get lost.
 	crashRepeatTime = 3 * time.Second
+	// provenReportDelay is the time after a crash after which the other instances are told of parts that were answered
+	// lately before it, and not since.
+	provenReportDelay = 300 * time.Millisecond
 )
 
 // SentRequest is a request that was sent to a backend server.
@@ -32,12 +34,20 @@
 	Parts []string
 }
 
-// unconfirmed holds the keys of the parts of the requests whose connections a server ended.
+// unconfirmed holds the parts of the requests whose connections a server ended.
 type unconfirmed struct {
 	// lost is the number of requests that were lost.
 	lost int
-	// parts holds all keys; those of answers that look complete are set to true.
-	parts map[string]bool
+	// parts holds what is known of each part by its key.
+	parts map[string]sentPart
+}
+
+// sentPart describes a part of the requests whose connections a server ended.
+type sentPart struct {
+	// answered is set if an answer to a prompt with the part looks complete.
+	answered bool
+	// shared is set if the part isn't the last one of a prompt, which is its own.
+	shared bool
 }
 
 // ReportLost records a request whose connection the server closed before it had sent much of an answer. If the server
@@ -63,17 +73,18 @@
 		if t.unconfirmed == nil {
 			t.unconfirmed = map[string]*unconfirmed{}
 		}
-		u = &unconfirmed{parts: map[string]bool{}}
+		u = &unconfirmed{parts: map[string]sentPart{}}
 		t.unconfirmed[r.Server] = u
 		time.AfterFunc(confirmDelay, func() { t.confirm(r.Server, r.Address, r.Pool) })
 	}
 	if !looksComplete {
 		u.lost++
 	}
-	for _, id := range r.Parts {
+	for i, id := range r.Parts {
 		key := partKey(id)
-		if _, known := u.parts[key]; known || len(u.parts) < maxSentParts {
-			u.parts[key] = u.parts[key] || looksComplete
+		part, known := u.parts[key]
+		if known || len(u.parts) < maxSentParts {
+			u.parts[key] = sentPart{answered: part.answered || looksComplete, shared: part.shared || i < len(r.Parts)-1}
 		}
 	}
 }
@@ -85,25 +96,70 @@
 	u := t.unconfirmed[server]
 	delete(t.unconfirmed, server)
 	t.mu.Unlock()
+	var all, shared, answered []string
+	for key, part := range u.parts {
+		all = append(all, key)
+		if part.shared {
+			shared = append(shared, key)
+		}
+		if part.answered {
+			answered = append(answered, key)
+		}
+	}
 	switch {
 	case err == nil:
-		maps.DeleteFunc(u.parts, func(_ string, looksComplete bool) bool { return !looksComplete })
-		t.RecordAnswered(slices.Collect(maps.Keys(u.parts)))
+		t.RecordAnswered(answered)
 	case errors.Is(err, syscall.ECONNREFUSED):
-		t.Log.Info("server_crashed", zap.String("server", server), zap.String("pool", pool), zap.Int("requests", u.lost), zap.Int("parts", len(u.parts)))
-		t.reportCrash(Crash{Server: server, Pool: pool, At: time.Now(), Parts: slices.Sorted(maps.Keys(u.parts))})
+		t.Log.Info("server_crashed", zap.String("server", server), zap.String("pool", pool), zap.Int("requests", u.lost), zap.Int("parts", len(all)))
+		slices.Sort(all)
+		t.reportCrash(Crash{Server: server, Pool: pool, At: time.Now(), Parts: all}, shared)
 	}
 }
 
-// reportCrash records a crash that this instance has seen, and tells the other instances.
-func (t *Table) reportCrash(c Crash) {
+// reportCrash records a crash that this instance has seen, and tells the other instances of the shared parts. Parts that
+// were answered lately are told only if they aren't answered soon again: most of them are in many prompts.
+func (t *Table) reportCrash(c Crash, shared []string) {
 	t.mu.Lock()
 	t.init()
-	t.ownCrashes = append(slices.DeleteFunc(t.ownCrashes, isOld), c)
-	update := t.updateOf(t.addCrash(c))
+	var proven, urgent []string
+	for _, key := range shared {
+		if t.isProven(key) {
+			proven = append(proven, key)
+		} else {
+			urgent = append(urgent, key)
+		}
+	}
+	changed := t.addCrash(c)
+	update := t.tell(c, urgent, changed)
 	t.mu.Unlock()
-	update.Crashes = []Crash{c}
 	t.notify(update)
+	if len(proven) == 0 {
+		return
+	}
+	time.AfterFunc(provenReportDelay, func() {
+		t.mu.Lock()
+		unanswered := slices.DeleteFunc(proven, func(key string) bool {
+			s, ok := t.suspicions.Peek(key)
+			return !ok || s.crashes[c.Server].IsZero()
+		})
+		update := t.tell(c, unanswered, nil)
+		t.mu.Unlock()
+		t.notify(update)
+	})
+}
+
+// tell returns an update with some parts of a crash, which is also repeated, and with changed quarantines. The caller
+// holds mu.
+func (t *Table) tell(c Crash, parts []string, changed []*entry) Update {
+	update := t.updateOf(changed)
+	if len(parts) == 0 {
+		return update
+	}
+	c.Parts = slices.Sorted(slices.Values(parts))
+	t.ownCrashes = append(slices.DeleteFunc(t.ownCrashes, isOld), c)
+	t.markTold(parts)
+	update.Crashes = []Crash{c}
+	return update
 }
 
 // isOld reports whether a crash isn't told to other instances any more.
--- a/process/quarantine/suspicion.go
+++ b/process/quarantine/suspicion.go
@@ -49,13 +49,18 @@
 	At    time.Time
 }
 
-// suspicion holds the times of the crashes in which a part was present, by server.
-type suspicion map[string]time.Time
+// suspicion holds the crashes in which a part was present.
+type suspicion struct {
+	// crashes holds the times of the crashes by server.
+	crashes map[string]time.Time
+	// told is set if other instances know of one of the crashes.
+	told bool
+}
 
 // moments returns the number of crashes of which none is near another.
-func (s suspicion) moments() int {
+func (s *suspicion) moments() int {
 	n, last := 0, time.Time{}
-	for _, at := range slices.SortedFunc(maps.Values(s), time.Time.Compare) {
+	for _, at := range slices.SortedFunc(maps.Values(s.crashes), time.Time.Compare) {
 		if n == 0 || at.Sub(last) >= crashSpacing {
 			n, last = n+1, at
 		}
@@ -64,8 +69,8 @@
 }
 
 // prune removes the crashes that are too old.
-func (s suspicion) prune(now time.Time) {
-	maps.DeleteFunc(s, func(_ string, at time.Time) bool { return now.Sub(at) > crashMaxAge })
+func (s *suspicion) prune(now time.Time) {
+	maps.DeleteFunc(s.crashes, func(_ string, at time.Time) bool { return now.Sub(at) > crashMaxAge })
 }
 
 // newLRU returns a table of the newest n values.
@@ -78,7 +83,7 @@
 // init creates the LRU tables before their first use. The caller holds mu.
 func (t *Table) init() {
 	if t.suspicions == nil {
-		t.suspicions, t.explained, t.answeredAt = newLRU[suspicion](maxSuspicions), newLRU[struct{}](maxExplained), newLRU[time.Time](maxAnswered)
+		t.suspicions, t.explained, t.answeredAt = newLRU[*suspicion](maxSuspicions), newLRU[struct{}](maxExplained), newLRU[time.Time](maxAnswered)
 	}
 }
 
@@ -103,14 +108,14 @@
 		}
 		s, ok := t.suspicions.Get(part)
 		if !ok {
-			s = suspicion{}
+			s = &suspicion{crashes: map[string]time.Time{}}
 			t.suspicions.Add(part, s)
 		}
 		s.prune(now)
-		if _, known := s[c.Server]; known || len(s) >= maxCrashesPerPart {
+		if _, known := s.crashes[c.Server]; known || len(s.crashes) >= maxCrashesPerPart {
 			continue
 		}
-		s[c.Server] = c.At
+		s.crashes[c.Server] = c.At
 		t.lastCrash = now
 	}
 	for {
@@ -118,12 +123,12 @@
 		if !ok {
 			break
 		}
-		crashes, _ := t.suspicions.Peek(parts[0])
-		crashes = maps.Clone(crashes)
-		for server := range crashes {
+		s, _ := t.suspicions.Peek(parts[0])
+		crashes := s.moments()
+		for server := range maps.Clone(s.crashes) {
 			t.explain(server)
 		}
-		if e := t.begin(parts, c.Pool, crashes.moments(), now); e != nil {
+		if e := t.begin(parts, c.Pool, crashes, now); e != nil {
 			changed = append(changed, e)
 		}
 	}
@@ -147,7 +152,7 @@
 	t.explained.Add(server, struct{}{})
 	for _, part := range t.suspicions.Keys() {
 		s, _ := t.suspicions.Peek(part)
-		if delete(s, server); len(s) == 0 {
+		if delete(s.crashes, server); len(s.crashes) == 0 {
 			t.suspicions.Remove(part)
 		}
 	}
@@ -157,22 +162,22 @@
 // in the very same crashes: it can't be told which of them is to blame, so that only prompts with all of them are
 // refused. The caller holds mu.
 func (t *Table) culprit() ([]string, bool) {
-	var most suspicion
+	var most map[string]time.Time
 	var parts []string
 	now := time.Now()
 	for _, part := range t.suspicions.Keys() {
 		s, _ := t.suspicions.Peek(part)
-		if s.prune(now); len(s) == 0 {
+		if s.prune(now); len(s.crashes) == 0 {
 			t.suspicions.Remove(part)
 			continue
 		}
-		if len(s) < len(most) || s.moments() < t.requiredCrashes(part) {
+		if len(s.crashes) < len(most) || s.moments() < t.requiredCrashes(part) {
 			continue
 		}
 		switch {
-		case len(s) > len(most):
-			most, parts = s, []string{part}
-		case maps.EqualFunc(s, most, func(time.Time, time.Time) bool { return true }):
+		case len(s.crashes) > len(most):
+			most, parts = s.crashes, []string{part}
+		case maps.EqualFunc(s.crashes, most, func(time.Time, time.Time) bool { return true }):
 			parts = append(parts, part)
 		}
 	}
@@ -210,15 +215,19 @@
 	t.mu.Lock()
 	t.init()
 	now := time.Now()
-	var sound []string
+	var sound, told []string
 	for _, key := range partKeys(parts) {
 		t.answeredAt.Add(key, now)
-		if t.suspicions.Contains(key) || len(t.byPart[key]) > 0 {
+		s, suspected := t.suspicions.Peek(key)
+		if suspected || len(t.byPart[key]) > 0 {
 			sound = append(sound, key)
 		}
+		if suspected && s.told || len(t.byPart[key]) > 0 {
+			told = append(told, key)
+		}
 	}
 	changed := t.clear(sound)
-	t.queueSound(sound)
+	t.queueSound(told)
 	update := t.updateOf(changed)
 	t.mu.Unlock()
 	t.notify(update)
@@ -231,7 +240,7 @@
 	var changed []*entry
 	for _, key := range sound {
 		if s, ok := t.suspicions.Peek(key); ok && s.moments() > 1 {
-			t.Log.Info("suspicion_cleared", zap.String("part", key), zap.Int("crashes", len(s)))
+			t.Log.Info("suspicion_cleared", zap.String("part", key), zap.Int("crashes", len(s.crashes)))
 		}
 		t.suspicions.Remove(key)
 		t.answeredAt.Add(key, now)
@@ -265,7 +274,7 @@
 func (t *Table) settle(now time.Time) {
 	for _, part := range t.suspicions.Keys() {
 		if s, ok := t.suspicions.Peek(part); ok {
-			for server := range s {
+			for server := range s.crashes {
 				t.explained.Add(server, struct{}{})
 			}
 		}
