--- a/process/quarantine/sent.go
+++ b/process/quarantine/sent.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"slices"
 	"syscall"
 	"time"
@@ -10,6 +11,9 @@
 )
 
 const (
+	// beginTime is the time after the beginning of an answer within which its prompt may be the cause of a crash. Servers
+	// crash when they begin to answer.
+	beginTime = 500 * time.Millisecond
 	// confirmDelay is the time after which it is checked whether a server has crashed. Requests that were lost together are
 	// then known.
 	confirmDelay = 20 * time.Millisecond
@@ -34,6 +38,13 @@
 	Parts []string
 }
 
+// IsSuspect reports whether a request that failed with err may have crashed its server: the server closed or reset the
+// connection, and its answer had not begun or only just. beganAt is zero if it had not begun.
+func IsSuspect(err error, beganAt time.Time) bool {
+	closed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return closed && (beganAt.IsZero() || time.Since(beganAt) <= beginTime)
+}
+
 // unconfirmed holds the parts of the requests whose connections a server ended.
 type unconfirmed struct {
 	// lost is the number of requests that were lost.
