gateway: all instances fetched the server list from one reader while it changed

Readers that are ahead of the own list are now asked in the order of before, those of the own data centre first, and remote ones in a random order; an instance counts as behind from the report of a version that it lacks until that version has arrived, whatever others know by then.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -95,11 +95,9 @@
 	newerServers chan struct{}
 	// limitsChanged receives a token when the answer of a backend server changed its limit of requests.
 	limitsChanged chan struct{}
-	// newestServerList is the newest version of the server list that another instance reported. serverListStaleSince is
-	// when one first reported a newer list than this instance has; zero if this instance's list is up to date. They are used
-	// only by the goroutine that receives status datagrams.
-	newestServerList     int
-	serverListStaleSince time.Time
+	// serverListStaleness tells for how long other instances have known a newer server list; only the goroutine that
+	// receives status datagrams uses it.
+	serverListStaleness staleness
 	// serverListReadAt is when the server list was last read because of a report of another instance; only the
 	// goroutine that receives status datagrams uses it.
 	serverListReadAt time.Time
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -101,18 +101,9 @@
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
-	ownVersion := g.serverFeed.ChangedVersion()
-	g.newestServerList = max(g.newestServerList, message.Servers)
-	if g.newestServerList <= ownVersion || ownVersion == 0 {
-		g.serverListStaleSince = time.Time{}
-	}
-	if message.Servers <= ownVersion || ownVersion == 0 {
-		return
-	}
-	if g.serverListStaleSince.IsZero() {
-		g.serverListStaleSince = time.Now()
-	}
-	if time.Since(g.serverListReadAt) < minRereadInterval {
+	ownVersion, now := g.serverFeed.ChangedVersion(), time.Now()
+	staleFor := g.serverListStaleness.observe(ownVersion, message.Servers, now)
+	if message.Servers <= ownVersion || ownVersion == 0 || now.Sub(g.serverListReadAt) < minRereadInterval {
 		return
 	}
 	tolerance := staleListTolerance
@@ -124,8 +115,9 @@
 	if !g.mesh.IsReader() && message.Reads {
 		tolerance = 0
 	}
-	if time.Since(g.serverListStaleSince) >= tolerance && notify(g.newerServers) {
-		g.serverListStaleSince, g.serverListReadAt = time.Time{}, time.Now()
+	if staleFor >= tolerance && notify(g.newerServers) {
+		g.serverListReadAt = now
+		g.serverListStaleness.restart(now)
 		g.Log.Info("servers_newer_elsewhere", zap.String("peer", message.From), platform.VersionField("version", message.Servers), platform.VersionField("own", ownVersion))
 	}
 }
@@ -186,12 +178,12 @@
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds, of those that reported the
-// newest version.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds. Those that have reported newer
+// ones than the own are asked first.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
-	peers := g.mesh.ServerReaders()
+	peers := g.mesh.ServerReaders(g.serverFeed.ChangedVersion())
 	if kind == g.Platform.ConfigKind {
-		peers = g.mesh.ConfigReaders()
+		peers = g.mesh.ConfigReaders(g.configVersion())
 	}
 	err := errNoPeer
 	for _, address := range peers[:min(len(peers), maxPeersAsked)] {
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -54,35 +55,46 @@
 }
 
 // ReaderAddresses returns the addresses of the live instances that read the store, those in this data centre first.
-func (m *Mesh) ReaderAddresses() []string { return m.readersBy(func(*peer) int { return 0 }) }
+func (m *Mesh) ReaderAddresses() []string {
+	return m.readersAhead(func(*peer) bool { return true })
+}
 
-// ConfigReaders and ServerReaders return the same with those first that reported the newest configuration or list of
-// backend servers: the watches of the others may have missed a change.
-func (m *Mesh) ConfigReaders() []string { return m.readersBy(func(p *peer) int { return p.config }) }
+// ConfigReaders returns the same with those first that have reported a newer configuration than the own version: the
+// watches of the others may have missed it.
+func (m *Mesh) ConfigReaders(own int) []string {
+	return m.readersAhead(func(p *peer) bool { return p.config > own })
+}
 
-// ServerReaders see ConfigReaders.
-func (m *Mesh) ServerReaders() []string { return m.readersBy(func(p *peer) int { return p.servers }) }
+// ServerReaders is ConfigReaders for the list of backend servers.
+func (m *Mesh) ServerReaders(own int) []string {
+	return m.readersAhead(func(p *peer) bool { return p.servers > own })
+}
 
-// readersBy returns the addresses of the live instances that read the store, by falling version, and then those in this
-// data centre first.
-func (m *Mesh) readersBy(version func(*peer) int) []string {
+// readersAhead returns the addresses of the live instances that read the store: first those that are ahead, and of these
+// those in this data centre. Those of other data centres are in a random order, so that no reader is asked by all.
+func (m *Mesh) readersAhead(isAhead func(*peer) bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var readers []*peer
+	var local, remote []*peer
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-		if p := m.peers[name]; time.Since(p.received) <= m.silenceTimeout() && p.isReader && !p.storeUnreachable {
-			readers = append(readers, p)
+		p := m.peers[name]
+		switch {
+		case time.Since(p.received) > m.silenceTimeout() || !p.isReader || p.storeUnreachable:
+		case p.dataCentre == m.DataCentre:
+			local = append(local, p)
+		default:
+			remote = append(remote, p)
 		}
 	}
-	remote := func(p *peer) int {
-		if p.dataCentre == m.DataCentre {
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	readers := slices.Concat(local, remote)
+	behind := func(p *peer) int {
+		if isAhead(p) {
 			return 0
 		}
 		return 1
 	}
-	slices.SortStableFunc(readers, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(version(b), version(a)), cmp.Compare(remote(a), remote(b)))
-	})
+	slices.SortStableFunc(readers, func(a, b *peer) int { return cmp.Compare(behind(a), behind(b)) })
 	addresses := make([]string, len(readers))
 	for i, p := range readers {
 		addresses[i] = p.address.String()
