gateway: lists of servers crossed data centres, and each crash had the store read

Causes: an instance whose own readers had just not yet reported a newer list asked one of another data centre, at each change; and the reader instances read the quarantines each second for ten seconds after any crash. A reader of another data centre is now asked only while a version of the list has been lacking for 0.3 s, and the store is read only while a part is suspected that is told to others, which answers soon clear.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -98,11 +98,10 @@
 	// serverListStaleness tells for how long other instances have known a newer server list; only the goroutine that
 	// receives status datagrams uses it.
 	serverListStaleness staleness
-	// serverListReadAt is when the server list was last read because of a report of another instance; only the
-	// goroutine that receives status datagrams uses it.
-	serverListReadAt time.Time
-	lease            *lease.Lease
-	shuttingDown     atomic.Bool
+	// serverListLate is set while this instance has lacked a version of the server list for longer than staleListTolerance.
+	serverListLate atomic.Bool
+	lease          *lease.Lease
+	shuttingDown   atomic.Bool
 	// configured is closed once a configuration is in force.
 	configured chan struct{}
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -102,8 +102,9 @@
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
 	ownVersion, now := g.serverFeed.ChangedVersion(), time.Now()
-	staleFor := g.serverListStaleness.observe(ownVersion, message.Servers, now)
-	if message.Servers <= ownVersion || ownVersion == 0 || now.Sub(g.serverListReadAt) < minRereadInterval {
+	lacking, sinceRead := g.serverListStaleness.observe(ownVersion, message.Servers, now)
+	g.serverListLate.Store(lacking >= staleListTolerance)
+	if message.Servers <= ownVersion || ownVersion == 0 || now.Sub(g.serverListStaleness.readAt) < minRereadInterval {
 		return
 	}
 	tolerance := staleListTolerance
@@ -115,9 +116,8 @@
 	if !g.mesh.IsReader() && message.Reads {
 		tolerance = 0
 	}
-	if staleFor >= tolerance && notify(g.newerServers) {
-		g.serverListReadAt = now
-		g.serverListStaleness.restart(now)
+	if sinceRead >= tolerance && notify(g.newerServers) {
+		g.serverListStaleness.readAt = now
 		g.Log.Info("servers_newer_elsewhere", zap.String("peer", message.From), platform.VersionField("version", message.Servers), platform.VersionField("own", ownVersion))
 	}
 }
@@ -178,12 +178,13 @@
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds. Those that have reported newer
-// ones than the own are asked first.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds: one of the own data centre, to
+// save traffic between them, unless the list of servers has been late for a while, since their watches have then missed a
+// change.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
-	peers := g.mesh.ServerReaders(g.serverFeed.ChangedVersion())
-	if kind == g.Platform.ConfigKind {
-		peers = g.mesh.ConfigReaders(g.configVersion())
+	peers := g.mesh.ReaderAddresses()
+	if kind == g.Platform.ServerKind && g.serverListLate.Load() {
+		peers = g.mesh.ServerReaders(g.serverFeed.ChangedVersion())
 	}
 	err := errNoPeer
 	for _, address := range peers[:min(len(peers), maxPeersAsked)] {
--- a/process/gateway/staleness.go
+++ b/process/gateway/staleness.go
@@ -10,12 +10,14 @@
 	// lacks none.
 	awaited int
 	since   time.Time
+	// readAt is the time at which the versions were last read again.
+	readAt time.Time
 }
 
 // observe records that another instance reported a version while this instance had the version own. It returns for how
-// long this instance has lacked some version. A version that arrives meanwhile ends that time, also if newer ones are
+// long this instance has lacked some version, and how much of that is since the versions were last read. A version that arrives meanwhile ends that time, also if newer ones are
 // known by then; reports of instances that are behind as well don't.
-func (s *staleness) observe(own, reported int, now time.Time) time.Duration {
+func (s *staleness) observe(own, reported int, now time.Time) (lacking, sinceRead time.Duration) {
 	s.newest = max(s.newest, reported)
 	if own >= s.awaited {
 		s.awaited, s.since = 0, time.Time{}
@@ -24,14 +26,8 @@
 		}
 	}
 	if s.awaited == 0 {
-		return 0
-	}
-	return now.Sub(s.since)
-}
-
-// restart begins the time anew, after the versions were read again.
-func (s *staleness) restart(now time.Time) {
-	if s.awaited > 0 {
-		s.since = now
+		return 0, 0
 	}
+	lacking = now.Sub(s.since)
+	return lacking, min(lacking, now.Sub(s.readAt))
 }
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -130,9 +130,8 @@
 	storeUnreachable bool
 	// isReader is set while the instance reads the store for its data centre.
 	isReader bool
-	// config and servers are the versions of the configuration and of the list of backend servers that the instance reported
-	// last.
-	config, servers int
+	// servers is the version of the list of backend servers that the instance reported last.
+	servers int
 	// holdsLease is set while the instance holds the duties lease.
 	holdsLease bool
 	// storeUnreachableAt is the time of the last datagram in which the instance reported that it can't reach the store.
@@ -343,7 +342,7 @@
 	}
 	p.run, p.dataCentre, p.address, p.leaving = datagram.Run, datagram.DataCentre, address, datagram.Leaving
 	p.received = time.Now()
-	p.config, p.servers = datagram.Version, datagram.Servers
+	p.servers = datagram.Servers
 	p.storeUnreachable, p.isReader, p.holdsLease = datagram.StoreOut, datagram.Reads, datagram.Lease > 0
 	if datagram.StoreOut {
 		p.storeUnreachableAt = p.received
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -59,13 +59,8 @@
 	return m.readersAhead(func(*peer) bool { return true })
 }
 
-// ConfigReaders returns the same with those first that have reported a newer configuration than the own version: the
-// watches of the others may have missed it.
-func (m *Mesh) ConfigReaders(own int) []string {
-	return m.readersAhead(func(p *peer) bool { return p.config > own })
-}
-
-// ServerReaders is ConfigReaders for the list of backend servers.
+// ServerReaders returns the same with those first that have reported a newer list of backend servers than the own version:
+// the watches of the others may have missed a change.
 func (m *Mesh) ServerReaders(own int) []string {
 	return m.readersAhead(func(p *peer) bool { return p.servers > own })
 }
--- a/process/mesh/readers_test.go
+++ b/process/mesh/readers_test.go
@@ -16,7 +16,7 @@
 	}
 	m := meshOf("i0", all)
 	for _, p := range m.peers {
-		p.isReader, p.config, p.servers = true, 3, 7
+		p.isReader, p.servers = true, 7
 	}
 	return m
 }
@@ -30,10 +30,8 @@
 	assert.DeepEqual(t, first, []string{"10.0.0.4:1", "10.0.0.5:1"})
 	m.peers["i1"].servers = 8
 	assert.Equal(t, m.ServerReaders(7)[0], "10.0.0.2:1", "the own data centre comes first, also with an older list than others")
-	m.peers["i6"].config = 4
-	assert.Equal(t, m.ConfigReaders(3)[0], "10.0.0.7:1")
-	m.peers["i6"].storeUnreachable = true
-	assert.Equal(t, len(m.ConfigReaders(3)), 5)
+	m.peers["i1"].storeUnreachable = true
+	assert.Equal(t, len(m.ServerReaders(7)), 5)
 }
 
 // No reader is asked by all instances: those that are ahead share the work.
--- a/process/quarantine/keeper.go
+++ b/process/quarantine/keeper.go
@@ -19,8 +19,8 @@
 	keepInterval = time.Second
 	// maxStoreDelay is the longest delay before a change is stored. Meanwhile another instance may have stored it.
 	maxStoreDelay = 300 * time.Millisecond
-	// watchedAfterCrash is the time after a crash for which the store is read once in each keepInterval: an instance that
-	// is cut off from others may have stored a quarantine.
+	// watchedAfterCrash is the time after a crash for which the store is read once in each keepInterval while a part is
+	// suspected: an instance that is cut off from this one may have stored a quarantine.
 	watchedAfterCrash = 10 * time.Second
 )
 
@@ -77,7 +77,7 @@
 			if u := k.Table.Repeat(); !u.isEmpty() {
 				k.Announce(u)
 			}
-			if !k.loaded || k.IsReader() && (k.Table.takeEnded() || k.Table.crashedWithin(watchedAfterCrash)) {
+			if !k.loaded || k.IsReader() && (k.Table.takeEnded() || k.Table.suspectsWithin(watchedAfterCrash)) {
 				k.load(ctx)
 			}
 			k.save(ctx)
@@ -162,11 +162,23 @@
 	return err
 }
 
-// crashedWithin reports whether a crash left a part suspected within the last d.
-func (t *Table) crashedWithin(d time.Duration) bool {
+// suspectsWithin reports whether a part of which other instances know, or would have been told, is suspected since a crash
+// within the last d.
+func (t *Table) suspectsWithin(d time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.lastCrash.IsZero() && time.Since(t.lastCrash) < d
+	t.init()
+	for _, s := range t.suspicions.Values() {
+		if !s.told {
+			continue
+		}
+		for _, at := range s.crashes {
+			if time.Since(at) < d {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // takeEnded reports whether a quarantine was removed since the last call that may still be in the store.
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -75,8 +75,6 @@
 	unconfirmed map[string]*unconfirmed
 	// ownCrashes holds the crashes that this instance has seen lately.
 	ownCrashes []Crash
-	// lastCrash is the time of the last crash that left a part suspected.
-	lastCrash time.Time
 	// ended is set if a quarantine was removed that may still be in the store.
 	ended bool
 	// announced is the number of quarantines that were announced in turn.
--- a/process/quarantine/suspicion.go
+++ b/process/quarantine/suspicion.go
@@ -116,7 +116,6 @@
 			continue
 		}
 		s.crashes[c.Server] = c.At
-		t.lastCrash = now
 	}
 	for {
 		parts, ok := t.culprit()
