feed: an instance with all changes took its list of servers for an old one

Instances state the store's version at their newest change of a list.

A complete list that confirms the known objects now makes its version known; watches don't, as one may have missed a change.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -66,6 +66,9 @@
 	version int
 	// changedVersion is the store version at the last change of the objects; 0 if there was none yet.
 	changedVersion int
+	// listedVersion is the store version of the newest complete list that had the known objects. Unlike version, it doesn't
+	// rest on watches, which may miss a change.
+	listedVersion int
 	// lastWatchTimeout is the timeout of the last watch.
 	lastWatchTimeout time.Duration
 	// lastResponse is the time of the last response from the store.
@@ -111,6 +114,14 @@
 	return f.changedVersion
 }
 
+// KnownVersion returns the store version up to which all changes are surely known: that of the newest known change, or
+// that of the newest complete list; 0 if there is none yet.
+func (f *Feed) KnownVersion() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(f.changedVersion, f.listedVersion)
+}
+
 // StoreDown reports whether the store is unreachable.
 func (f *Feed) StoreDown() bool {
 	f.mu.Lock()
@@ -195,7 +206,7 @@
 	for _, o := range list.Items {
 		f.objects[o.Name] = o
 	}
-	f.version = list.Version
+	f.version, f.listedVersion = list.Version, list.Version
 	f.mu.Unlock()
 	f.OnList(list.Items, gap)
 }
@@ -213,6 +224,9 @@
 	}
 	f.mu.Lock()
 	notNewer := list.Version <= f.version
+	if notNewer && !f.differs(list.Items) {
+		f.listedVersion = max(f.listedVersion, list.Version)
+	}
 	f.mu.Unlock()
 	if notNewer {
 		if f.OnPeerList != nil {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -101,7 +101,7 @@
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
-	ownVersion, now := g.serverFeed.ChangedVersion(), time.Now()
+	ownVersion, now := g.serverFeed.KnownVersion(), time.Now()
 	lacking, sinceRead := g.serverListStaleness.observe(ownVersion, message.Servers, now)
 	g.serverListLate.Store(lacking >= staleListTolerance)
 	if message.Servers <= ownVersion || ownVersion == 0 || now.Sub(g.serverListStaleness.readAt) < minRereadInterval {
@@ -184,7 +184,7 @@
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
 	peers := g.mesh.ReaderAddresses()
 	if kind == g.Platform.ServerKind && g.serverListLate.Load() {
-		peers = g.mesh.ServerReaders(g.serverFeed.ChangedVersion())
+		peers = g.mesh.ServerReaders(g.serverFeed.KnownVersion())
 	}
 	err := errNoPeer
 	for _, address := range peers[:min(len(peers), maxPeersAsked)] {
--- a/process/gateway/staleness.go
+++ b/process/gateway/staleness.go
@@ -15,8 +15,9 @@
 }
 
 // observe records that another instance reported a version while this instance had the version own. It returns for how
-// long this instance has lacked some version, and how much of that is since the versions were last read. A version that arrives meanwhile ends that time, also if newer ones are
-// known by then; reports of instances that are behind as well don't.
+// long this instance has lacked some version, and how much of that is since the versions were last read. A version that
+// arrives meanwhile ends that time, also if newer ones are known by then; reports of instances that are behind as well
+// don't.
 func (s *staleness) observe(own, reported int, now time.Time) (lacking, sinceRead time.Duration) {
 	s.newest = max(s.newest, reported)
 	if own >= s.awaited {
