--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -66,8 +66,8 @@
 	return values
 }
 
-// status returns this instance's view of the deployment, for operators.
-func (g *Gateway) status() wire.Status {
+// Status returns this instance's view of the deployment, for operators. It must not be called before Run has begun.
+func (g *Gateway) Status() wire.Status {
 	return wire.Status{
 		Build:             g.Build,
 		ConfigVersion:     g.configVersion(),
@@ -88,7 +88,7 @@
 // service-level counts by window.
 func (g *Gateway) newOperatorServer() *operator.Server {
 	return &operator.Server{
-		Listen: g.Settings.Listen.Operators, Log: g.Log, Ready: g.ready, Status: g.status, LiftQuarantine: g.quarantine.Lift,
+		Listen: g.Settings.Listen.Operators, Log: g.Log, Ready: g.ready, Status: g.Status, LiftQuarantine: g.LiftQuarantine,
 		Burn: func() wire.Burn {
 			return wire.Burn{ConfigVersion: g.configVersion(), DataCentre: g.Settings.DataCentre, Instance: g.Settings.Instance}
 		},
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -22,3 +22,6 @@
 	g.quarantine.MayTry = func(id string) bool { return g.mesh.IsFirst(id) }
 	g.quarantine.OnChange = g.quarantineKeeper.NotifyChanged
 }
+
+// LiftQuarantine lifts the quarantine with the id at all instances, and reports whether there was one.
+func (g *Gateway) LiftQuarantine(id string) bool { return g.quarantine.Lift(id) }
