toucanrouted: a hangup while the daemon stopped ended it at once

Cause: SIGTERM ended the reload of settings, which took the handler of SIGHUP with it; the signal's default then ended the process with its running requests. The product's own form had no handler at all.

--- a/cmd/toucanrouted/main.go
+++ b/cmd/toucanrouted/main.go
@@ -38,6 +38,7 @@
 
 // run parses args, runs the daemon until it gets a signal and returns the exit code.
 func run(args []string) int {
+	hangups := catchHangups()
 	var opts options
 	parser := flags.NewNamedParser("toucanrouted", flags.HelpFlag|flags.PassDoubleDash|flags.PrintErrors)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -54,7 +55,7 @@
 	if opts.Check {
 		return 0
 	}
-	return serve(conf, opts)
+	return serve(conf, opts, hangups)
 }
 
 // exitCode returns the exit code for an error in the command line.
@@ -66,8 +67,9 @@
 	return exitUsage
 }
 
-// serve runs the daemon until SIGTERM or SIGINT and returns the exit code.
-func serve(conf *settings.Settings, opts options) int {
+// serve runs the daemon until SIGTERM or SIGINT and returns the exit code. Only a forwarding daemon reloads its settings at
+// hangups; others ignore them.
+func serve(conf *settings.Settings, opts options, hangups <-chan os.Signal) int {
 	out := zapcore.Lock(os.Stderr)
 	if conf.Forwarding != nil {
 		out = newAsyncWriter(os.Stdout)
@@ -83,7 +85,7 @@
 	runDaemon := (&instance.Instance{Settings: conf, Log: log, Baseline: baselinePolicy(opts.Baseline), Build: buildVersion()}).Run
 	if conf.Forwarding != nil {
 		gw := newGateway(conf, log)
-		go reload(ctx, opts.Settings, log, gw.Reload)
+		go reload(ctx, opts.Settings, hangups, log, gw.Reload)
 		runDaemon = gw.Run
 	}
 	if err := runDaemon(ctx); err != nil {
--- a/cmd/toucanrouted/reload.go
+++ b/cmd/toucanrouted/reload.go
@@ -16,12 +16,17 @@
 // reloadInterval is the time between two checks of the settings file, which may change without a signal.
 const reloadInterval = 2 * time.Second
 
-// reload calls apply with the new settings when the file at path has changed. It checks the file at SIGHUP and every
+// catchHangups returns a channel that receives SIGHUP until the process ends. Without a handler, the signal would end the
+// process together with its running requests, also while it is stopping.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// reload calls apply with the new settings when the file at path has changed. It checks the file at each hangup and every
 // reloadInterval. Invalid settings are logged and not applied.
-func reload(ctx context.Context, path string, log *zap.Logger, apply func(*settings.Settings)) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
+func reload(ctx context.Context, path string, hangups <-chan os.Signal, log *zap.Logger, apply func(*settings.Settings)) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	lastData, err := os.ReadFile(path)
@@ -33,7 +38,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-hangups:
 			signalled = true
 		case <-ticker.C:
 		}
