toucanctl review: a check of a platform's configuration before it is sent

Operators had no check of what they write to the users' platform; an entry that never matches or contradicts another one showed only in traffic. hostroute.Review finds errors, entries without effect and contradictory limits in the product's own words; the adapter names the platform's fields and their places; the command also shows what differs from the version in force. Fields that the platform's pages name and the instances don't use are known to the schema, others are warnings. go test ./version/hostroute -run Review, ./platform -run Review, ./cmd/toucanctl, ./scenario -run Commands: pass.

--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -17,6 +17,7 @@
 	addMetrics(parser)
 	addQuarantine(parser)
 	addReference(parser)
+	addReview(parser)
 	addRoute(parser)
 	addStatus(parser)
 	addStop(parser)
--- a/cmd/toucanctl/script_test.go
+++ b/cmd/toucanctl/script_test.go
@@ -15,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"go.uber.org/zap"
 
+	"github.com/toucanroute/toucanroute/platform/platformtest"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/versions"
 	"github.com/toucanroute/toucanroute/standin/objectapi"
@@ -41,6 +42,10 @@
 	objects := httptest.NewServer((&objectapi.Server{}).Handler())
 	env.Defer(objects.Close)
 	lifted := &atomic.Bool{}
+	store := platformtest.New()
+	env.Defer(store.Close)
+	store.WriteObject("config", "main", `{"version":7,"routes":[{"name":"r","host":"shop.example","pathPrefix":"/","type":"idempotent","service":"s","timeoutMs":500}],"services":[{"name":"s"}]}`)
+	env.Setenv("STORE", store.Address())
 	recife := startInstance(env, objects.URL, "recife-1", lifted)
 	fortaleza := startInstance(env, objects.URL, "fortaleza-1", lifted)
 	examples, err := filepath.Abs(filepath.Join("..", "..", "examples"))
--- a/version/config/diff.go
+++ b/version/config/diff.go
@@ -44,6 +44,20 @@
 	return diffObjects(nil, "", oldTree, newTree), nil
 }
 
+// DiffObjects returns the changes from one JSON object to another in the same way. An empty text stands for an empty object.
+func DiffObjects(before, after []byte) ([]Change, error) {
+	trees := [2]map[string]any{{}, {}}
+	for i, data := range [][]byte{before, after} {
+		if len(data) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(data, &trees[i]); err != nil {
+			return nil, fmt.Errorf("decode configuration: %w", err)
+		}
+	}
+	return diffObjects(nil, "", trees[0], trees[1]), nil
+}
+
 // decodedTree returns cfg as a decoded JSON object without the version.
 func decodedTree(cfg *wire.Config) (map[string]any, error) {
 	fields := map[string]any{}
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -74,6 +74,9 @@
 // File returns the name of the document in errors.
 func (d *Document) File() string { return d.file }
 
+// JSON returns the document without comments and trailing commas.
+func (d *Document) JSON() []byte { return d.standardJSON }
+
 // syntaxPosition matches the position at the start of hujson's error messages.
 var syntaxPosition = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (?s)(.*)$`)
 
--- a/version/document/schema.go
+++ b/version/document/schema.go
@@ -32,6 +32,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("read schema: %w", err)
 	}
+	return ParseSchema(name, data)
+}
+
+// ParseSchema compiles the text of a schema; name is its name in errors.
+func ParseSchema(name string, data []byte) (*Schema, error) {
+	file := name + ".schema.json"
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
 		return nil, fmt.Errorf("parse schema %s: %w", name, err)
