platform: load reports with a fourth figure were dropped

Cause: readLoad took exactly three figures; the servers of some deployments send four, the last being how long work takes there at this moment, so none of their reports was used. A report that can't be read, or only in part, is logged once for each start of a server (load_unreadable, 64 bytes of it).

--- a/process/registry/entry.go
+++ b/process/registry/entry.go
@@ -38,4 +38,6 @@
 	Waiting int
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
+	// WorkTime is how long work takes on the server at this moment, relative to the usual time; 0 if the server doesn't say.
+	WorkTime float64
 }
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -64,6 +64,8 @@
 	reportedSlots int
 	// reportedAt is the time of the last report.
 	reportedAt time.Time
+	// unreadLoadLogged is set once a load report that can't be read was logged.
+	unreadLoadLogged bool
 
 	// remoteLoads holds the loads of other instances on this server, by instance.
 	remoteLoads map[string]remoteLoad
@@ -220,6 +222,20 @@
 	a.srv.lastReceived = a.srv.reportedAt
 }
 
+// maxLoggedReport is the number of bytes of an unreadable load report that are logged.
+const maxLoggedReport = 64
+
+// RecordUnreadLoad logs a load report that can't be read, or only in part: the first of each server.
+func (a *Attempt) RecordUnreadLoad(text string) {
+	a.srv.mu.Lock()
+	defer a.srv.mu.Unlock()
+	if a.srv.unreadLoadLogged {
+		return
+	}
+	a.srv.unreadLoadLogged = true
+	a.srv.log.Warn("load_unreadable", append(logFields(a.srv.entry), zap.String("report", text[:min(len(text), maxLoggedReport)]))...)
+}
+
 // RecordStepTime records the duration of one step of the server: the time between two events of a stream.
 func (a *Attempt) RecordStepTime(d time.Duration) {
 	a.srv.mu.Lock()
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -58,6 +58,8 @@
 	WrongServer bool
 	// Load is the load that the server reports; nil if it reports none.
 	Load *registry.Load
+	// UnreadLoad is the text of a load report that can't be read, or only in part; otherwise empty.
+	UnreadLoad string
 	// Leaving is true if the server announces its shutdown.
 	Leaving bool
 	// CloseFor is the time for which a server that rejected the request wants no more, and RetryAfter the text in which
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -29,6 +29,9 @@
 	if responseMeta.Load != nil {
 		attempt.RecordLoad(*responseMeta.Load)
 	}
+	if responseMeta.UnreadLoad != "" {
+		attempt.RecordUnreadLoad(responseMeta.UnreadLoad)
+	}
 	if responseMeta.Leaving {
 		attempt.MarkLeaving()
 	}
