streamorigin: what may have begun a stream outlives a kill of all instances

A take-up whose origin nobody remembers was let through if the pool had one version, with what had left lately known in memory only: after a kill of all instances the text was joined from two versions.

Found beside it: an unnamed take-up of a route with two pools, or one that was moved to another pool, was joined from both; and the version of a server whose entry changed it without a new start was forgotten.

--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -66,6 +66,7 @@
 	}
 	g.configObject.Store(&o)
 	g.table.Store(table)
+	g.streamHistory.SetRoutes(cfg.Routes)
 	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), platform.VersionField("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
 	if current == nil {
 		close(g.configured)
@@ -85,6 +86,7 @@
 					entries = append(entries, e)
 				}
 			}
+			defer g.streamHistory.BeginWatch()
 			if gap == feed.Rewind {
 				g.registry.Rewind(entries)
 				return
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -76,9 +76,12 @@
 	// table holds the configuration in force; nil until the first one.
 	table atomic.Pointer[hostroute.Table]
 	// configObject is the object of the configuration in force.
-	configObject     atomic.Pointer[wire.Object]
-	registry         *registry.Registry
-	streamOrigins    streamorigin.Table
+	configObject  atomic.Pointer[wire.Object]
+	registry      *registry.Registry
+	streamOrigins streamorigin.Table
+	// streamHistory tells what may have begun streams, and streamKeeper keeps it in the store.
+	streamHistory    *streamorigin.History
+	streamKeeper     *streamorigin.Keeper
 	quarantine       quarantine.Table
 	quarantineKeeper *quarantine.Keeper
 	transport        *upstream.Transport
@@ -144,7 +147,7 @@
 	}
 	for _, part := range []func(context.Context){
 		g.configFeed.Run, g.serverFeed.Run, g.mesh.Execute, g.usageCounter.Execute, g.lease.Run, g.usageReporter.Execute, (&fleetSizer{g: g}).run,
-		g.quarantineKeeper.Run, g.announceLimits,
+		g.quarantineKeeper.Run, g.streamKeeper.Run, g.announceLimits,
 	} {
 		group.Go(func() error { part(run); return nil })
 	}
@@ -217,6 +220,7 @@
 	}
 	g.buildMesh()
 	g.buildQuarantine()
+	g.buildStreams()
 	g.configFeed, g.serverFeed = g.newConfigFeed(), g.newServerFeed()
 	g.lease = g.newLease()
 	g.usageReporter = &requestcount.Reporter{
@@ -226,26 +230,28 @@
 		Sent:   &g.sentWindows, StartedAt: time.Now(),
 	}
 	g.forwarder = &forward.Forwarder{
-		Headers:      g.Platform.Headers,
-		Send:         g.transport.Send,
-		Registry:     g.registry,
-		Log:          g.Log,
-		Table:        g.table.Load,
-		RetryBudget:  g.retryBudget,
-		WorkloadMix:  g.workloadMix,
-		PrefillRate:  g.prefillRate,
-		OnStarted:    g.usageCounter.CountRequest,
-		DataCentre:   g.Settings.DataCentre,
-		OnLoadChange: g.mesh.NotifyLoadChanged,
-		BufferBudget: semaphore.NewWeighted(int64(bufferShare * float64(g.Settings.Forwarding.MemoryMb) * (1 << 20))),
-		ResetOnClose: entry.ResetOnClose,
-		BeginStream:  g.beginStream,
-		FindStream:   g.findStream,
-		FindRelay:    func(pool string, skip map[string]bool) (string, bool) { return g.mesh.Relay(pool, skip) },
-		FindRelayAt:  func(positions []int, skip map[string]bool) (string, bool) { return g.mesh.RelayAt(positions, skip) },
-		SendRelayed:  g.relayTransport.Send,
-		Quarantine:   &g.quarantine,
-		Observe:      g.observeRequest,
+		Headers:       g.Platform.Headers,
+		Send:          g.transport.Send,
+		Registry:      g.registry,
+		Log:           g.Log,
+		Table:         g.table.Load,
+		RetryBudget:   g.retryBudget,
+		WorkloadMix:   g.workloadMix,
+		PrefillRate:   g.prefillRate,
+		OnStarted:     g.usageCounter.CountRequest,
+		DataCentre:    g.Settings.DataCentre,
+		OnLoadChange:  g.mesh.NotifyLoadChanged,
+		BufferBudget:  semaphore.NewWeighted(int64(bufferShare * float64(g.Settings.Forwarding.MemoryMb) * (1 << 20))),
+		ResetOnClose:  entry.ResetOnClose,
+		BeginStream:   g.beginStream,
+		FindStream:    g.findStream,
+		OnlyOrigin:    g.onlyOrigin,
+		FindRelay:     func(pool string, skip map[string]bool) (string, bool) { return g.mesh.Relay(pool, skip) },
+		FindRelayAt:   func(positions []int, skip map[string]bool) (string, bool) { return g.mesh.RelayAt(positions, skip) },
+		SendRelayed:   g.relayTransport.Send,
+		Quarantine:    &g.quarantine,
+		Observe:       g.observeRequest,
+		ObserveTakeUp: g.metrics.TakeUp,
 	}
 }
 
--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -13,6 +13,30 @@
 // less than the usual time to a first event.
 const findStreamTimeout = 150 * time.Millisecond
 
+// kindStreamOrigins is the kind of the object that stores what may have begun streams.
+const kindStreamOrigins = "toucanroute-stream-origins"
+
+// buildStreams creates the parts that tell what may have begun the streams of which no instance remembers it.
+func (g *Gateway) buildStreams() {
+	g.streamHistory = &streamorigin.History{Versions: g.registry.Versions, AddVersion: g.registry.AddVersion}
+	g.streamKeeper = &streamorigin.Keeper{
+		History: g.streamHistory, Store: g.Platform.Store, Kind: kindStreamOrigins, Log: g.Log,
+		IsReader:   func() bool { return g.mesh.IsReader() },
+		IsFirst:    func() bool { return g.mesh.IsFirst(kindStreamOrigins) },
+		IsFirstRun: func() (isFirst, decided bool) { return g.mesh.IsFirstRun() },
+	}
+}
+
+// onlyOrigin returns what began all streams of a route that callers may still take up; false if that isn't certain, also
+// because this instance may lack changes of the servers.
+func (g *Gateway) onlyOrigin(route string) (streamorigin.Origin, bool) {
+	isCutOff := g.serverFeed.StoreDown() && g.mesh.LivePeerCount() == 0 && g.mesh.InstanceCount() > 1
+	if isCutOff || g.serverListLate.Load() {
+		return streamorigin.Origin{}, false
+	}
+	return g.streamHistory.Only(route)
+}
+
 // beginStream remembers what began a stream, here and at other instances, for the case that the caller takes it up
 // there.
 func (g *Gateway) beginStream(id string, origin streamorigin.Origin) {
--- a/process/mesh/discover.go
+++ b/process/mesh/discover.go
@@ -39,20 +39,33 @@
 // record stores the datagram address of this instance in its record, which replaces that of an earlier process. It
 // reports whether it succeeded.
 func (m *Mesh) record(ctx context.Context) bool {
-	record := wire.InstanceRecord{Address: m.Address, Run: m.Run, DataCentre: m.DataCentre}
+	record := wire.InstanceRecord{Address: m.Address, Run: m.Run, DataCentre: m.DataCentre, FirstRun: true}
 	_, err := m.Store.Create(ctx, KindInstance, m.Instance, record)
 	if platform.IsErrConflict(err) {
 		var o wire.Object
 		if o, err = m.Store.Get(ctx, KindInstance, m.Instance); err == nil {
+			record.FirstRun = false
 			_, err = m.Store.Update(ctx, KindInstance, m.Instance, o.Version, record)
 		}
 	}
 	if err != nil {
 		m.Log.Info("instance_not_recorded", zap.Error(err))
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.firstRun = err == nil && record.FirstRun && !m.listed
 	return err == nil
 }
 
+// IsFirstRun reports whether no process of the deployment ran before this one and those that started with it: neither this
+// instance nor another one had a record of an earlier process when this one read them. An instance of a build that doesn't
+// tell counts as one that had. decided is false while the records weren't read.
+func (m *Mesh) IsFirstRun() (isFirst, decided bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.firstRun, m.listed
+}
+
 // removeGoneRecords removes the stored records of instances that sent nothing for forgottenAfter. An instance that was
 // only cut off from the network finds its peers again through their records in the store, and sends them datagrams.
 func (m *Mesh) removeGoneRecords(ctx context.Context, items []wire.Object) {
@@ -74,12 +87,16 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	isFirstList := !m.listed
 	m.listed = true
 	if m.peers == nil {
 		m.peers = map[string]*peer{}
 	}
 	for _, o := range items {
 		record, err := platform.Decode[wire.InstanceRecord](o)
+		if isFirstList && o.Name != m.Instance && !record.FirstRun {
+			m.firstRun = false
+		}
 		if err != nil || o.Name == m.Instance || m.peers[o.Name] != nil {
 			continue
 		}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -107,6 +107,9 @@
 	peers map[string]*peer
 	// listed is set once the instances were read from the store.
 	listed bool
+	// firstRun is set if no process of the deployment ran before this one and those that started with it. It holds once
+	// listed is set.
+	firstRun bool
 	// unreachable holds the data centres for which OnDataCentreUnreachable was called last.
 	unreachable map[string]bool
 	// wakeSend wakes Execute to send changed loads.
--- a/process/mesh/mesh_test.go
+++ b/process/mesh/mesh_test.go
@@ -315,6 +315,39 @@
 	})
 }
 
+// An instance takes a deployment for new only if no instance that it finds had a record of an earlier process.
+func TestFirstRunOfDeployment(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// records are the records that the store has at the start, by instance.
+		records map[string]wire.InstanceRecord
+		want    bool
+	}{
+		"nothing":                {nil, true},
+		"others that are new":    {map[string]wire.InstanceRecord{"a2": {Address: "10.0.0.2:1", FirstRun: true}}, true},
+		"one that restarted":     {map[string]wire.InstanceRecord{"a2": {Address: "10.0.0.2:1"}, "a3": {Address: "10.0.0.3:1", FirstRun: true}}, false},
+		"an earlier process":     {map[string]wire.InstanceRecord{"a1": {Address: "10.0.0.1:1", FirstRun: true}}, false},
+		"unreadable address too": {map[string]wire.InstanceRecord{"a2": {Address: "x"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				objects := &platformtest.Objects{}
+				for instance, record := range tc.records {
+					_, err := objects.Store("x").Create(t.Context(), KindInstance, instance, record)
+					assert.NilError(t, err)
+				}
+				m, _ := addInstance(&network{nodes: map[netip.AddrPort]*Mesh{}}, objects, "a1", "a", "10.0.0.1:1")
+				_, decided := m.IsFirstRun()
+				assert.Assert(t, !decided)
+				go m.Execute(t.Context())
+				time.Sleep(time.Second)
+				isFirst, decided := m.IsFirstRun()
+				assert.Assert(t, decided)
+				assert.Equal(t, isFirst, tc.want)
+			})
+		})
+	}
+}
+
 func TestInvalidDatagramsAreIgnored(t *testing.T) {
 	m, e := addInstance(&network{nodes: map[netip.AddrPort]*Mesh{}}, &platformtest.Objects{}, "a1", "a", "10.0.0.1:1")
 	for _, data := range []string{"", "{", `{"from":""}`, `{"from":"a1","address":"10.0.0.1:1"}`, `{"from":"b","address":"x"}`} {
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -18,6 +18,7 @@
 	nameSlotsBusy      = "toucanroute_slots_busy"
 	nameWaiting        = "toucanroute_requests_waiting"
 	nameMembers        = "toucanroute_members"
+	nameTakeUps        = "toucanroute_stream_take_ups_total"
 	nameConfigVersion  = "toucanroute_config_version"
 	nameKeyringVersion = "toucanroute_keyring_version"
 	nameVersionsAge    = "toucanroute_versions_age_seconds"
@@ -53,6 +54,7 @@
 		{nameSlots, "gauge", "slots", nil, "Slots of the pools whose home is this instance."},
 		{nameSlotsBusy, "gauge", "slots", nil, "Busy slots of the pools whose home is this instance."},
 		{nameWaiting, "gauge", "requests", nil, "Requests in the queues of the pools whose home is this instance."},
+		{nameTakeUps, "counter", "requests", []string{"result"}, "Streams that callers took up again. `result` is `known` if an instance knew what began the stream, `inferred` if only one software can have begun it, `anew` if the caller had no event yet, and `refused` otherwise."},
 		{nameMembers, "gauge", "instances", []string{"state"}, "Other instances by their state as this instance sees it. `state` is `live`, `suspect` or `leaving`."},
 		{nameConfigVersion, "gauge", "version", nil, "Version of the configuration in force; 0 if there is none."},
 		{nameKeyringVersion, "gauge", "version", nil, "Newest object version of the keyrings in force."},
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -158,6 +158,11 @@
 	m.counter(series{nameGrants, "data_centre", dataCentre, result}).Inc()
 }
 
+// TakeUp counts a stream that a caller took up again, by the result.
+func (m *Metrics) TakeUp(result string) {
+	m.counter(series{name: nameTakeUps, label: "result", value: result}).Inc()
+}
+
 // class returns the label value for a class: its name, or classOther if MaxClasses other classes came first.
 func (m *Metrics) class(name string) string {
 	if name == "" {
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -103,6 +103,9 @@
 	if e != srv.entry {
 		srv.addressTaken = false
 	}
+	if e.Version != srv.entry.Version {
+		r.rememberVersion(srv.entry)
+	}
 	srv.entry = e
 	srv.missingSince = time.Time{}
 	switch {
--- /dev/null
+++ b/process/streamorigin/keeper.go
@@ -0,0 +1,168 @@
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+const (
+	// recordName is the name of the single object that holds the history.
+	recordName = "all"
+	// checkInterval is the interval at which the keeper looks for changes to store. A kill within it after a new version
+	// began its first stream may lose the version if its servers leave too before the instances are back.
+	checkInterval = 50 * time.Millisecond
+	// reserveDelay is the time after which other reader instances store a change that the first one should have stored.
+	reserveDelay = 2 * time.Second
+	// retryDelay is the time after which a failed call of the store is repeated.
+	retryDelay = time.Second
+	// reloadDelay is the time after which an instance that found no valid record looks for it again: the others may have
+	// stored it meanwhile.
+	reloadDelay = 15 * time.Second
+)
+
+// Keeper keeps a history in the platform's store, from which an instance learns at its start what left before. It calls the
+// store only for a change and once at the start, and not at all without routes whose streams may be taken up. Set the
+// fields before Run.
+type Keeper struct {
+	History *History
+	Store   platform.Store
+	// Kind is the kind of the store object that holds the history.
+	Kind string
+	// IsReader reports whether this instance writes the store for others, and IsFirst whether it is the first to do so.
+	IsReader, IsFirst func() bool
+	// IsFirstRun reports whether no process of the deployment ran before this one and those that started with it; decided is
+	// false while that isn't known.
+	IsFirstRun func() (isFirst, decided bool)
+	Log        *zap.Logger
+
+	// read is set once the store was read and what it lacked is known.
+	read bool
+	// stored is the newest known object and record in the store; the object's version is 0 if there is none.
+	stored       wire.Object
+	storedRecord wire.StreamOriginsRecord
+	// changedAt is the time at which the history was first seen to differ from the stored one; zero if it doesn't.
+	changedAt time.Time
+	// callAfter is the time before which no call is made after a failed one.
+	callAfter time.Time
+}
+
+// Run keeps the store and the history in step until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if k.History.HasRoutes() && time.Now().After(k.callAfter) {
+				k.step(ctx)
+			}
+		}
+	}
+}
+
+// step reads the store if that wasn't done yet, and stores a change.
+func (k *Keeper) step(ctx context.Context) {
+	if !k.read {
+		k.load(ctx)
+	}
+	if k.read && k.History.IsComplete() && k.IsReader() {
+		k.save(ctx)
+	}
+}
+
+// load reads the history that earlier processes have stored.
+func (k *Keeper) load(ctx context.Context) {
+	isFirstRun, decided := k.IsFirstRun()
+	if !decided {
+		return
+	}
+	err := k.refresh(ctx)
+	if err != nil && !platform.IsErrNotFound(err) {
+		k.failed("stream_origins_not_read", err)
+		return
+	}
+	isValid := err == nil && k.storedRecord.Era == k.Store.CurrentEra()
+	if isValid || err != nil && isFirstRun {
+		k.History.MarkComplete()
+	}
+	k.read = k.History.IsComplete()
+	if !k.read {
+		k.callAfter = time.Now().Add(reloadDelay)
+	}
+	k.Log.Info("stream_origins_read", zap.Bool("found", err == nil), zap.Bool("valid", isValid), zap.Bool("first_run", isFirstRun), zap.Bool("complete", k.read))
+}
+
+// refresh reads the stored object and takes over what it says.
+func (k *Keeper) refresh(ctx context.Context) error {
+	k.stored, k.storedRecord = wire.Object{}, wire.StreamOriginsRecord{}
+	o, err := k.Store.Get(ctx, k.Kind, recordName)
+	if err != nil {
+		return err
+	}
+	k.stored = o
+	record, err := platform.Decode[wire.StreamOriginsRecord](o)
+	if err != nil {
+		k.Log.Warn("stream_origins_unreadable", zap.Error(err))
+		// It counts as one of another era, which says nothing of what it lacks.
+		record = wire.StreamOriginsRecord{Era: -1}
+	}
+	k.storedRecord = record
+	k.History.Merge(record)
+	return nil
+}
+
+// save stores the history if it has changed.
+func (k *Keeper) save(ctx context.Context) {
+	record, now := k.History.Record(k.Store.CurrentEra()), time.Now()
+	if sameRecord(record, k.storedRecord) {
+		k.changedAt = time.Time{}
+		return
+	}
+	if k.changedAt.IsZero() {
+		k.changedAt = now
+	}
+	if !k.IsFirst() {
+		if now.Sub(k.changedAt) < reserveDelay {
+			return
+		}
+		if err := k.refresh(ctx); err != nil && !platform.IsErrNotFound(err) {
+			k.failed("stream_origins_not_read", err)
+			return
+		}
+		if record = k.History.Record(k.Store.CurrentEra()); sameRecord(record, k.storedRecord) {
+			return
+		}
+	}
+	o, err := k.write(ctx, record)
+	if platform.IsErrConflict(err) {
+		// The next step compares the history with what the other instance has stored.
+		err = k.refresh(ctx)
+	} else if err == nil {
+		k.stored, k.storedRecord = o, record
+		k.Log.Info("stream_origins_stored", zap.Any("pools", record.Pools), zap.Any("routes", record.Routes))
+	}
+	if err != nil {
+		k.failed("stream_origins_not_stored", err)
+	}
+}
+
+// write stores a record in place of the known one.
+func (k *Keeper) write(ctx context.Context, record wire.StreamOriginsRecord) (wire.Object, error) {
+	if k.stored.Version == 0 {
+		return k.Store.Create(ctx, k.Kind, recordName, record)
+	}
+	return k.Store.Update(ctx, k.Kind, recordName, k.stored.Version, record)
+}
+
+// failed logs a failed call and delays the next one.
+func (k *Keeper) failed(event string, err error) {
+	k.callAfter = time.Now().Add(retryDelay)
+	k.Log.Info(event, zap.Error(err))
+}
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,7 @@
 	// onReceived is called with each request that arrived at a backend server; it may be nil.
 	onReceived func(*http.Request)
 	origins    streamorigin.Table
+	history    streamorigin.History
 	mu         sync.Mutex
 	// started counts the calls of Forwarder.OnStarted by workspace.
 	started map[string]int
@@ -94,6 +96,12 @@
 		entries = append(entries, registry.Entry{ID: fmt.Sprint("s", i), Address: strings.TrimPrefix(s.URL, "http://"), Pool: "p", Slots: 8 * (len(handlers) - i)})
 	}
 	reg.Reset(entries, false)
+	f.history.Versions = func(pool string, within time.Duration) []string {
+		// The servers have no version before setVersions.
+		return slices.DeleteFunc(reg.Versions(pool, within), func(v string) bool { return v == "" })
+	}
+	f.history.SetRoutes(table.Routes())
+	f.history.MarkComplete()
 	transport := &upstream.Transport{IDHeader: "X-Id", SkipForeignResponses: true, DialTimeout: time.Second}
 	t.Cleanup(transport.Close)
 	budget := &attempt.WindowBudget{Length: 10 * time.Second, Ratio: 1, FixedAllowance: func() float64 { return 10 }}
@@ -108,6 +116,7 @@
 		Quarantine:   &quarantine.Table{Log: zap.NewNop(), Probe: func(string) error { return nil }},
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  f.origins.Add,
+		OnlyOrigin:   f.history.Only,
 		FindStream:   func(_ context.Context, id string) (streamorigin.Origin, bool) { return f.origins.Find(id) },
 		OnStarted: func(w string, _ time.Time) {
 			f.mu.Lock()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -53,6 +53,10 @@
 	// FindStream returns what began the stream whose first event the request with the id brought; false if no reachable
 	// instance knows it.
 	FindStream func(ctx context.Context, id string) (streamorigin.Origin, bool)
+	// OnlyOrigin returns what began all streams of a route that callers may still take up; false if that isn't certain.
+	OnlyOrigin func(route string) (streamorigin.Origin, bool)
+	// ObserveTakeUp is called with the result of each stream that a caller takes up; it may be nil.
+	ObserveTakeUp func(result string)
 	// FindRelay returns the address of another instance that reaches the backend servers of a pool, except for those in skip;
 	// false if there is none. It may be nil.
 	FindRelay func(pool string, skip map[string]bool) (string, bool)
--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -18,32 +18,75 @@
 		return nil
 	}
 	origin, known := c.knownOrigin()
+	inferred := false
+	if !known {
+		origin, inferred = c.f.OnlyOrigin(c.route.Name)
+	}
 	c.f.Log.Info("stream_taken_up",
 		zap.String("request_id", c.meta.ID),
 		zap.String("resumes", c.meta.Resumes),
 		zap.String("last_event", c.meta.LastEventID),
 		zap.Bool("known", known),
+		zap.Bool("inferred", inferred),
 		zap.String("pool", origin.Pool),
 		zap.String("version", origin.Version),
 	)
 	switch {
 	case known:
-		return c.restrictTo(origin)
+		return c.goOn(origin, takeUpKnown)
 	case c.meta.LastEventID == "":
 		// The caller has no event that the new stream would have to fit.
+		c.observeTakeUp(takeUpAnew)
 		return nil
+	case inferred:
+		c.rememberOrigin(origin)
+		return c.goOn(origin, takeUpInferred)
 	}
+	c.observeTakeUp(takeUpRefused)
 	return unknownOriginError()
 }
 
-// knownOrigin returns what began the stream that the caller takes up. A caller that names no request may go on if the
-// pool's servers have had one version only.
+// Results of streams that callers take up, as Forwarder.ObserveTakeUp gets them: an instance knows what began the stream,
+// only one software may have begun it, the caller has no event yet, or the stream is refused.
+const (
+	takeUpKnown    = "known"
+	takeUpInferred = "inferred"
+	takeUpAnew     = "anew"
+	takeUpRefused  = "refused"
+)
+
+func (c *call) observeTakeUp(result string) {
+	if c.f.ObserveTakeUp != nil {
+		c.f.ObserveTakeUp(result)
+	}
+}
+
+// knownOrigin returns what began the stream that the caller takes up, if the caller names the request that brought the
+// first event and an instance remembers that.
 func (c *call) knownOrigin() (streamorigin.Origin, bool) {
-	if c.meta.Resumes != "" {
-		return c.f.FindStream(c.ctx, c.meta.Resumes)
+	if c.meta.Resumes == "" {
+		return streamorigin.Origin{}, false
+	}
+	return c.f.FindStream(c.ctx, c.meta.Resumes)
+}
+
+// rememberOrigin remembers what began the stream, which may not be certain any more when the caller takes it up once more.
+func (c *call) rememberOrigin(origin streamorigin.Origin) {
+	id := c.meta.Resumes
+	if id == "" {
+		id = c.meta.ID
+	}
+	c.f.BeginStream(id, origin)
+}
+
+// goOn has the stream go on at the origin, and counts the result.
+func (c *call) goOn(origin streamorigin.Origin, result string) error {
+	err := c.restrictTo(origin)
+	if err != nil {
+		result = takeUpRefused
 	}
-	version, ok := c.f.Registry.OnlyVersion(c.pool.Name)
-	return streamorigin.Origin{Pool: c.pool.Name, Version: version}, ok
+	c.observeTakeUp(result)
+	return err
 }
 
 // restrictTo lets only servers of the origin's pool and version serve the request. It returns an error if the
--- a/wire/records.go
+++ b/wire/records.go
@@ -146,6 +146,10 @@
 	// DataCentre corresponds to the JSON schema field "data_centre".
 	DataCentre string `json:"data_centre"`
 
+	// The instance found no trace of an earlier process of the deployment when it
+	// started.
+	FirstRun bool `json:"first_run,omitempty,omitzero"`
+
 	// Run corresponds to the JSON schema field "run".
 	Run string `json:"run"`
 }
@@ -308,6 +312,10 @@
 	// StopRecord corresponds to the JSON schema field "stop_record".
 	StopRecord *StopRecord `json:"stop_record,omitempty,omitzero"`
 
+	// StreamOriginsRecord corresponds to the JSON schema field
+	// "stream_origins_record".
+	StreamOriginsRecord *StreamOriginsRecord `json:"stream_origins_record,omitempty,omitzero"`
+
 	// SumsRecord corresponds to the JSON schema field "sums_record".
 	SumsRecord *SumsRecord `json:"sums_record,omitempty,omitzero"`
 
@@ -373,6 +381,27 @@
 const StopRecordStatePlanned StopRecordState = "planned"
 const StopRecordStateStopped StopRecordState = "stopped"
 
+// StreamOriginsRecord holds all that may have begun a stream that a caller may
+// still take up.
+type StreamOriginsRecord struct {
+	// Era of the store in which the record was written.
+	Era int `json:"era,omitempty,omitzero"`
+
+	// Software versions of the backend servers that serve or have left lately, in
+	// order, by pool.
+	Pools StreamOriginsRecordPools `json:"pools"`
+
+	// Pools to which a route leads or led lately, in order, by route.
+	Routes StreamOriginsRecordRoutes `json:"routes"`
+}
+
+// Software versions of the backend servers that serve or have left lately, in
+// order, by pool.
+type StreamOriginsRecordPools map[string][]string
+
+// Pools to which a route leads or led lately, in order, by route.
+type StreamOriginsRecordRoutes map[string][]string
+
 // SumsRecord fixes the figures of the single report of each of the newest windows.
 type SumsRecord struct {
 	// Era of the store in which the record was written.
