placement: a pool is split while its streams are late by pauses

Change: StreamPace counts the streams with a pool's shortest pauses and those that paused for too long, over all instances by the datagram with the work, and decides with hysteresis; requests that bear 1.5 times the pause then go with the delay-tolerant ones. The shares count that work from the first moment, and shared parts are fetched from the owners before a change. Pauses no longer contain the time that a caller takes to read. Streams late only by a pause are seen in the request's line (late) and in toucanroute_late_pauses_total.

--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -33,7 +33,7 @@
 	r := metrics.Request{Class: s.Route}
 	switch {
 	case s.Outcome == forward.OutcomeServed:
-		r.Result, r.FirstToken = resultOK, s.TimeToFirstByte
+		r.Result, r.FirstToken, r.LatePause = resultOK, s.TimeToFirstByte, s.Late == forward.LatePause
 	case s.Outcome == forward.OutcomeCallerLeft:
 		r.Result, r.Reason = resultCallerGone, request.CodeCallerGone
 	case s.Outcome == forward.OutcomeServerFailure:
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -69,16 +69,22 @@
 	return pools[:min(len(pools), maxToldPools)]
 }
 
+// paceUnit converts streams per second to those per 1,000 s, the unit of datagrams.
+const paceUnit = 1000
+
 // ownWorkloads returns the work that this instance's own requests cause in each pool to which it has sent requests. The
-// fields are rates in tokens to prefill per second: P of delay-tolerant, H of latency-sensitive and R of refused
-// requests.
+// fields P, H, R and M are rates in tokens to prefill per second: P of delay-tolerant, H of latency-sensitive and R of
+// refused requests; M is the part of H that may become delay-tolerant. B, L and G tell of the pool's streams.
 func (g *Gateway) ownWorkloads() []wire.NewsMix {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	list := make([]wire.NewsMix, 0, len(g.workloadMixes))
 	for pool, m := range g.workloadMixes {
-		r := m.LocalRates()
-		list = append(list, wire.NewsMix{S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused)})
+		r, pace := m.LocalRates(), m.Pace.Report()
+		list = append(list, wire.NewsMix{
+			S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused), M: int(r.Movable),
+			B: int(pace.Began * paceUnit), L: int(pace.Late * paceUnit), G: int(pace.Groups),
+		})
 	}
 	return list
 }
@@ -91,7 +97,9 @@
 			return
 		}
 		if _, ok := t.Pool(n.S); ok {
-			g.workloadMix(n.S).SetPeerRates(instance, placement.WorkRates{DelayTolerant: float64(n.P), LatencySensitive: float64(n.H), Refused: float64(n.R)})
+			m := g.workloadMix(n.S)
+			m.SetPeerRates(instance, placement.WorkRates{DelayTolerant: float64(n.P), LatencySensitive: float64(n.H), Refused: float64(n.R), Movable: float64(n.M)})
+			m.Pace.SetPeer(instance, placement.PaceReport{Began: float64(n.B) / paceUnit, Late: float64(n.L) / paceUnit, Groups: placement.PaceGroups(n.G)})
 		}
 	}
 }
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -10,6 +10,7 @@
 	nameRequests       = "toucanroute_requests_total"
 	nameErrors         = "toucanroute_request_errors_total"
 	nameFirstToken     = "toucanroute_first_token_seconds"
+	nameLatePauses     = "toucanroute_late_pauses_total"
 	nameTokens         = "toucanroute_tokens_delivered_total"
 	nameWasted         = "toucanroute_tokens_wasted_total"
 	nameRunning        = "toucanroute_requests_running"
@@ -46,6 +47,7 @@
 		{nameRequests, "counter", "requests", []string{"class", "result"}, "Ended requests. `result` is `ok`, `refused`, `failed`, `deadline` or `caller_gone`; `class` is `none` if the key gave no rights."},
 		{nameErrors, "counter", "requests", []string{"reason"}, "Requests without a complete response, by the `code` of their error."},
 		{nameFirstToken, "histogram", "seconds", []string{"class"}, "Time from the arrival of a request to its first token, or to the response of a plain service, for requests with result `ok`."},
+		{nameLatePauses, "counter", "requests", []string{"class"}, "Streams with result `ok` that are late only by a pause: the first event came in time, and a later one after more than the service level permits."},
 		{nameTokens, "counter", "tokens", []string{"class"}, "Generated tokens of complete responses."},
 		{nameWasted, "counter", "tokens", []string{"class"}, "Generated tokens that are not part of a complete response."},
 		{nameRunning, "gauge", "requests", nil, "Requests of callers that have not ended, including waiting ones."},
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -60,6 +60,8 @@
 	Reason string
 	// FirstToken is the time to first token; 0 if no token was received or the response is incomplete.
 	FirstToken time.Duration
+	// LatePause is set if a complete stream is late only by a pause between two events.
+	LatePause bool
 	// Tokens is the number of generated tokens of a complete response.
 	Tokens int
 	// Wasted is the number of generated tokens that are not part of a complete response.
@@ -145,6 +147,9 @@
 	if r.FirstToken > 0 {
 		m.histogram(class).Update(r.FirstToken.Seconds())
 	}
+	if r.LatePause {
+		m.counter(series{name: nameLatePauses, label: "class", value: class}).Inc()
+	}
 	if r.Tokens > 0 {
 		m.counter(series{name: nameTokens, label: "class", value: class}).Add(r.Tokens)
 	}
--- a/process/metrics/metrics_test.go
+++ b/process/metrics/metrics_test.go
@@ -54,7 +54,7 @@
 	})
 	m.Register()
 	defer m.Unregister()
-	m.ObserveRequest(Request{Class: "question", Result: "ok", FirstToken: 30 * time.Millisecond, Tokens: 5})
+	m.ObserveRequest(Request{Class: "question", Result: "ok", FirstToken: 30 * time.Millisecond, Tokens: 5, LatePause: true})
 	m.ObserveRequest(Request{Result: "refused", Reason: "key_invalid"})
 	m.ObserveRequest(Request{Class: "question", Result: "failed", Reason: "server_failed", Wasted: 2})
 	m.Grant("east-a", "granted")
@@ -65,6 +65,7 @@
 		`toucanroute_request_errors_total{reason="key_invalid"} 1`,
 		`toucanroute_first_token_seconds_bucket{class="question",le="0.025"} 0`,
 		`toucanroute_first_token_seconds_bucket{class="question",le="0.05"} 1`,
+		`toucanroute_late_pauses_total{class="question"} 1`,
 		`toucanroute_tokens_delivered_total{class="question"} 5`,
 		`toucanroute_tokens_wasted_total{class="question"} 2`,
 		`toucanroute_grants_total{data_centre="east-a",result="granted"} 1`,
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -245,10 +245,8 @@
 	version := chosen.Entry().Version
 	servers := slices.DeleteFunc(c.f.Registry.CacheSources(c.pool.Name), func(srv *registry.Server) bool { return srv.Entry().Version != version })
 	sources := make([]placement.Candidate, len(servers))
-	now, share := time.Now(), 0.0
-	if c.splitsServers {
-		share = c.f.WorkloadMix(c.pool.Name).ShareBefore(newEngineAge)
-	}
+	now := time.Now()
+	prompt, share := c.cachePrompt()
 	newSinceMs := now.Add(-newEngineAge).UnixMilli()
 	for i, m := range servers {
 		entry := m.Entry()
@@ -256,7 +254,7 @@
 			Name: entry.ID, JustStarted: entry.StartedMs > newSinceMs, DelayTolerant: m.State(now).Position < share,
 		}
 	}
-	i, ok := placement.ChoosePrefixSource(c.meta.Prompt, sources)
+	i, ok := placement.ChoosePrefixSource(prompt, sources)
 	if !ok || servers[i] == chosen {
 		return ""
 	}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -79,6 +79,7 @@
 	TimeToFirstByte time.Duration
 	// TotalTime is the time from arrival to the end.
 	TotalTime time.Duration
+	Late      Late
 }
 
 // call is the state of one request while it is processed.
@@ -116,6 +117,9 @@
 	// cancelAttempt cancels the running attempt at a server.
 	cancelAttempt context.CancelCauseFunc
 
+	// followsPace is set if the stream is among those of the pool that may pause least, and begunPace and latePace once
+	// its first event and its first pause of more than permitted were counted.
+	followsPace, begunPace, latePace bool
 	// splitsServers is set if the pool's servers are split between delay-tolerant and latency-sensitive requests.
 	splitsServers bool
 	// triedServers holds the ids of the servers that were tried.
@@ -244,26 +248,6 @@
 	return nil
 }
 
-// classifyPrompt decides whether the pool's servers are split between delay-tolerant and latency-sensitive requests, and
-// to which of them the request belongs.
-func (c *call) classifyPrompt() {
-	pool, prompt := c.pool.Name, c.meta.Prompt
-	isTolerant := c.config.DelayTolerant(c.route, pool)
-	if c.splitsServers = c.config.SplitsServers(pool); c.splitsServers {
-		prompt.DelayTolerant = isTolerant
-		return
-	}
-	if !c.config.SplitsForLongContexts(pool) {
-		return
-	}
-	contexts := &c.f.WorkloadMix(pool).Contexts
-	if isTolerant {
-		contexts.Observe(prompt.Tokens)
-	}
-	c.splitsServers = contexts.IsLong()
-	prompt.DelayTolerant = c.splitsServers && (isTolerant || c.config.DelaysStreams(c.route, pool, prompt.Tokens))
-}
-
 // choosePool chooses one of the route's pools by their weights and a hash of the request id.
 func (c *call) choosePool() *hostroute.Pool {
 	names := make([]string, len(c.route.Shares))
@@ -367,6 +351,9 @@
 	if !c.firstByteAt.IsZero() {
 		summary.TimeToFirstByte = c.firstByteAt.Sub(c.arrivedAt)
 		fields = append(fields, zap.Duration("first", summary.TimeToFirstByte), zap.Duration("gap", c.maxEventGap))
+		if summary.Late = c.late(summary.TimeToFirstByte); summary.Late != "" {
+			fields = append(fields, zap.String("late", string(summary.Late)))
+		}
 	}
 	c.f.Log.Info("request", fields...)
 	if c.f.Observe != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -31,14 +31,17 @@
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if err == nil {
-			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
-				return writeErr
-			}
+			pause := time.Duration(0)
 			if index > 0 {
-				pause := time.Since(lastEventAt)
+				// The time that the caller takes to read isn't part of the pause.
+				pause = time.Since(lastEventAt)
 				c.maxEventGap = max(c.maxEventGap, pause)
 				attempt.RecordStepTime(pause)
 			}
+			c.observePace(pause)
+			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
+				return writeErr
+			}
 			lastEventAt = time.Now()
 			if id != "" {
 				c.meta.LastEventID = id
--- a/request/placement/model_test.go
+++ b/request/placement/model_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// model simulates engines that run batches: a step takes longer with each running request, and prefills a chunk of one
-// waiting prompt. An engine keeps the parts of prompts that it has prefilled in its cache.
+// model simulates engines that run batches: a step takes longer with each running request, and prefills a chunk of the
+// waiting prompts. An engine keeps the parts of prompts that it has prefilled in its cache.
 type model struct {
 	engines []*modelEngine
 	now     time.Duration
@@ -42,6 +42,8 @@
 	pairTime time.Duration
 	// eventTokens is the number of generated tokens in one event of a stream.
 	eventTokens int
+	// chunkTokens is the largest number of prompt tokens that a step prefills.
+	chunkTokens int
 }
 
 // modelRun is one simulated request. Its times are since the start of the simulation.
@@ -65,7 +67,7 @@
 	// stepTime is the duration of a step without running requests; each running request adds stepPerRun.
 	stepTime   = 3740 * time.Microsecond
 	stepPerRun = 80 * time.Microsecond
-	// chunkTokens is the largest number of prompt tokens that a step prefills.
+	// chunkTokens is the usual number of prompt tokens that a step prefills at most.
 	chunkTokens = 2048
 	// modelSlots is the number of slots that each engine has as a candidate.
 	modelSlots = 64
@@ -76,7 +78,7 @@
 func newModel(n int) *model {
 	m := &model{prefilledParts: map[string]bool{}}
 	for i := range n {
-		m.engines = append(m.engines, &modelEngine{name: string(rune('a' + i)), cachedParts: map[string]bool{}, eventTokens: eventTokens, tokensPerMs: NominalPrefillRate})
+		m.engines = append(m.engines, &modelEngine{name: string(rune('a' + i)), cachedParts: map[string]bool{}, eventTokens: eventTokens, chunkTokens: chunkTokens, tokensPerMs: NominalPrefillRate})
 	}
 	return m
 }
@@ -134,32 +136,33 @@
 func (m *model) advance(to time.Duration) {
 	for _, e := range m.engines {
 		for e.freeAt < to && (len(e.waiting) > 0 || len(e.running) > 0) {
-			if r := e.step(); r != nil {
-				m.prefilled = append(m.prefilled, r)
-			}
+			m.prefilled = append(m.prefilled, e.step()...)
 		}
 		e.freeAt = max(e.freeAt, to)
 	}
 	m.now = to
 }
 
-// step runs one step of the engine's batch. It returns the request whose prefill ended with the step, or nil.
-func (e *modelEngine) step() (prefilled *modelRun) {
+// step runs one step of the engine's batch. It returns the requests whose prefill ended with the step.
+func (e *modelEngine) step() (prefilled []*modelRun) {
 	elapsed := stepTime + time.Duration(len(e.running))*stepPerRun
-	if len(e.waiting) > 0 {
+	for budget := e.chunkTokens; len(e.waiting) > 0 && budget > 0; {
 		r := e.waiting[0]
-		n := min(r.pendingTokens, chunkTokens)
+		n := min(r.pendingTokens, budget)
+		budget -= n
 		elapsed += time.Duration(float64(n) / e.tokensPerMs * float64(time.Millisecond))
 		elapsed += time.Duration(float64(n) * float64(r.prompt.Tokens-r.pendingTokens) / 1e6 * float64(e.pairTime))
 		r.pendingTokens -= n
 		if r.pendingTokens <= 0 {
-			r.firstEventAt, r.lastEventAt = e.freeAt+elapsed, e.freeAt+elapsed
 			e.running = append(e.running, r)
 			e.waiting = e.waiting[1:]
-			prefilled = r
+			prefilled = append(prefilled, r)
 		}
 	}
 	e.freeAt += elapsed
+	for _, r := range prefilled {
+		r.firstEventAt, r.lastEventAt = e.freeAt, e.freeAt
+	}
 	e.running = slices.DeleteFunc(e.running, func(r *modelRun) bool {
 		if r.firstEventAt == e.freeAt {
 			return false
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -39,6 +39,8 @@
 	MaxOutput int
 	// DelayTolerant marks a delay-tolerant request: its stream may pause far longer than others of its pool.
 	DelayTolerant bool
+	// Movable marks a request that becomes delay-tolerant if StreamPace splits the servers.
+	Movable bool
 	// FirstEventTarget is the target time to the first event; 0 means none.
 	FirstEventTarget time.Duration
 }
--- a/request/placement/workload_mix.go
+++ b/request/placement/workload_mix.go
@@ -44,6 +44,8 @@
 type WorkloadMix struct {
 	// Contexts follows the length of the pool's delay-tolerant prompts.
 	Contexts ContextLength
+	// Pace follows the pauses of the pool's streams.
+	Pace StreamPace
 
 	mu sync.Mutex
 	// tolerantTokens and sensitiveTokens are the prefill tokens of the two kinds of requests, decayed by shareDecay.
@@ -68,12 +70,14 @@
 	LatencySensitive float64
 	// Refused is the part of both that wasn't admitted.
 	Refused float64
+	// Movable is the part of LatencySensitive that counts as delay-tolerant if StreamPace splits the servers.
+	Movable float64
 }
 
 // perSecond converts a sum of work that was decayed by rateDecay to work per second.
 func (r WorkRates) perSecond() WorkRates {
 	seconds := rateDecay.Seconds()
-	return WorkRates{r.DelayTolerant / seconds, r.LatencySensitive / seconds, r.Refused / seconds}
+	return WorkRates{r.DelayTolerant / seconds, r.LatencySensitive / seconds, r.Refused / seconds, r.Movable / seconds}
 }
 
 // peerRates holds the rates of another instance and when they were received.
@@ -88,12 +92,18 @@
 	defer m.mu.Unlock()
 	m.decay(time.Now())
 	work := float64(tokens + outputTokenCost*p.MaxOutput)
-	if p.DelayTolerant {
+	if p.DelayTolerant || p.Movable {
 		m.tolerantTokens += float64(tokens)
-		m.localWork.DelayTolerant += work
 	} else {
 		m.sensitiveTokens += float64(tokens)
-		m.localWork.LatencySensitive += work
+	}
+	if p.DelayTolerant {
+		m.localWork.DelayTolerant += work
+		return
+	}
+	m.localWork.LatencySensitive += work
+	if p.Movable {
+		m.localWork.Movable += work
 	}
 }
 
@@ -128,6 +138,14 @@
 	return int(math.Ceil((r.DelayTolerant/tolerantUtilization + r.LatencySensitive/sensitiveUtilization) / (initialPrefillRate * 1000)))
 }
 
+// DecidePace brings the decision of Pace up to date and reports whether it changed.
+func (m *WorkloadMix) DecidePace() (PaceChange, bool) {
+	return m.Pace.Decide(func() float64 {
+		r := m.TotalRates()
+		return r.DelayTolerant + r.Movable
+	})
+}
+
 // SetPeerRates stores the rates that another instance has sent.
 func (m *WorkloadMix) SetPeerRates(instance string, r WorkRates) {
 	m.mu.Lock()
@@ -149,6 +167,7 @@
 		sum.DelayTolerant += r.DelayTolerant
 		sum.LatencySensitive += r.LatencySensitive
 		sum.Refused += r.Refused
+		sum.Movable += r.Movable
 	}
 	return sum
 }
@@ -163,6 +182,7 @@
 		m.localWork.DelayTolerant *= factor
 		m.localWork.LatencySensitive *= factor
 		m.localWork.Refused *= factor
+		m.localWork.Movable *= factor
 	}
 	m.decayedAt = now
 }
@@ -182,7 +202,8 @@
 	if sum := m.tolerantTokens + sensitiveWeight*m.sensitiveTokens; sum > 0 {
 		targetStep := m.tolerantTokens / sum * shareSteps
 		if servers > 0 {
-			neededServers := m.totalRates(now).LatencySensitive / (sensitiveUtilization * initialPrefillRate * 1000)
+			total := m.totalRates(now)
+			neededServers := (total.LatencySensitive - total.Movable) / (sensitiveUtilization * initialPrefillRate * 1000)
 			targetStep = min(targetStep, (1-neededServers/float64(servers))*shareSteps)
 		}
 		if math.Abs(targetStep-float64(m.shareStep)) > shareHysteresis {
--- a/version/hostroute/table_test.go
+++ b/version/hostroute/table_test.go
@@ -121,3 +121,31 @@
 		assert.Equal(t, fault.Version, 3)
 	}
 }
+
+// With five tokens the servers may be split because of the streams' pauses: then only the routes with nearly the shortest
+// pauses are latency-sensitive. With three, no prefill delays an event for too long.
+func TestSplitForPace(t *testing.T) {
+	cfg := testConfig()
+	table, err := NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, !table.MaySplitForPace("engines"), "the servers are always split")
+	cfg = testConfig()
+	cfg.Pools[0].Engine.TokensPerEvent = 5
+	cfg.Routes[2].MaxEventGap = cfg.Routes[0].MaxEventGap * 3 / 2
+	table, err = NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, table.MaySplitForPace("engines"))
+	chat, draft := &table.Routes()[0], &table.Routes()[2]
+	assert.Assert(t, table.HasShortGap(chat, "engines") && !table.BearsPrefills(chat, "engines"))
+	assert.Assert(t, !table.HasShortGap(draft, "engines") && table.BearsPrefills(draft, "engines"))
+	assert.Assert(t, !table.DelayTolerant(draft, "engines"))
+	cfg.Routes[2].MaxEventGap = cfg.Routes[0].MaxEventGap
+	table, err = NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, !table.MaySplitForPace("engines"), "no request bears the prefills of others")
+	cfg = testConfig()
+	cfg.Pools[0].Engine.TokensPerEvent = 3
+	table, err = NewTable(cfg)
+	assert.NilError(t, err)
+	assert.Assert(t, !table.MaySplitForPace("engines"))
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -267,9 +267,24 @@
 // NewsMix is the rate of work that one instance's requests have lately brought to
 // a pool.
 type NewsMix struct {
+	// Streams with the pool's shortest permitted pauses that began, per 1,000 s.
+	B int `json:"b,omitempty,omitzero"`
+
+	// Server groups that the sender uses to keep the pace of streams: 1 if it doesn't
+	// split the pool's servers, 2 if it does; 0 means that the sender doesn't know
+	// such a split.
+	G int `json:"g,omitempty,omitzero"`
+
 	// Work per second of latency-sensitive requests, in tokens to prefill.
 	H int `json:"h"`
 
+	// Streams among b that have paused for longer than permitted, per 1,000 s.
+	L int `json:"l,omitempty,omitzero"`
+
+	// Part of h that would count as delay-tolerant if the pool's servers were split,
+	// in tokens to prefill.
+	M int `json:"m,omitempty,omitzero"`
+
 	// Work per second of delay-tolerant requests, in tokens to prefill.
 	P int `json:"p"`
 
