registry: cold servers got as many requests as warm ones

Cause: coldRemainingMs was parsed and not used, X-Toucanroute-Cold-Remaining-Ms, coldStartS and coldPerS weren't read.

Change: a server that is cold by its entry, its answers, its start, or since it came back into reach gets the configured number of requests a second of all instances together.

Ruled out: frames of a second (a second that overlaps two of them holds twice the number).

The schemas of routes, workspaces, settings and datagrams also get the fields for homes and evacuations, which aren't used yet.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -203,6 +203,7 @@
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
+		Cold:          g.coldLimit,
 		OnLimitChange: func() { notify(g.limitsChanged) },
 	}
 	g.transport = &upstream.Transport{
--- a/process/gateway/limits.go
+++ b/process/gateway/limits.go
@@ -5,10 +5,24 @@
 	"slices"
 	"time"
 
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/sleep"
 	"github.com/toucanroute/toucanroute/wire"
 )
 
+// coldLimit returns what the cold servers of a pool stand by the configuration in force.
+func (g *Gateway) coldLimit(pool string) registry.ColdLimit {
+	t := g.table.Load()
+	if t == nil {
+		return registry.ColdLimit{}
+	}
+	p, ok := t.Pool(pool)
+	if !ok {
+		return registry.ColdLimit{}
+	}
+	return registry.ColdLimit{Rate: p.ColdRate, StartTime: p.ColdStartTime}
+}
+
 const (
 	// limitsPerDatagram is the largest number of limits of backend servers that are told in one datagram.
 	limitsPerDatagram = 20
--- a/process/registry/entry.go
+++ b/process/registry/entry.go
@@ -25,12 +25,20 @@
 	TimeToExit time.Duration
 	// StartedMs is the server's start time in Unix milliseconds; 0 if unknown.
 	StartedMs int64
-	// WarmupTime is the remaining time for which the server is slow after its start.
+	// WarmupTime is the time for which the server stays cold, as of when it wrote the entry.
 	WarmupTime time.Duration
+	// Revision is the store's version of the entry; 0 if unknown.
+	Revision int
 	// WeightsVersion is the version of the model weights that the server runs; 0 if unknown.
 	WeightsVersion int
 }
 
+// isSame reports whether two entries say the same, whenever they were written.
+func (e Entry) isSame(other Entry) bool {
+	e.Revision = other.Revision
+	return e == other
+}
+
 // Load is the load that a server reports in a response.
 type Load struct {
 	// Running and Waiting are the numbers of running and queued requests.
--- a/process/registry/limit.go
+++ b/process/registry/limit.go
@@ -35,9 +35,30 @@
 	rate float64
 	// observedAt is the time of the answer that told so; zero if there was none yet.
 	observedAt time.Time
-	// frame is the newest frame in which this instance sent a request, and used the number of its requests then.
+	// sent counts this instance's requests.
+	sent usage
+}
+
+// usage counts the requests that this instance sent to a server in the newest frame in which it sent any.
+type usage struct {
 	frame int64
-	used  int
+	n     int
+}
+
+// add counts a request in a frame.
+func (u *usage) add(frame int64) {
+	if frame != u.frame {
+		u.frame, u.n = frame, 0
+	}
+	u.n++
+}
+
+// in returns the number of requests in a frame.
+func (u usage) in(frame int64) int {
+	if frame != u.frame {
+		return 0
+	}
+	return u.n
 }
 
 // isNews reports whether the other instances are told of the limit.
@@ -45,12 +66,12 @@
 	return l.rate > 0 || !l.observedAt.IsZero() && now.Sub(l.observedAt) < limitNewsAge
 }
 
-// frameAt returns the number of the frame at a time.
-func frameAt(t time.Time) int64 { return t.UnixMilli() / limitFrame.Milliseconds() }
+// frameAt returns the number of the frame at a time; length is that of a frame.
+func frameAt(t time.Time, length time.Duration) int64 { return t.UnixMilli() / length.Milliseconds() }
 
-// frameRequests returns the number of requests that a server with the limit rate takes in a frame.
-func frameRequests(rate float64, frame int64) int {
-	perFrame := rate * limitFrame.Seconds()
+// frameRequests returns the number of requests that a server that takes rate a second takes in a frame.
+func frameRequests(rate float64, frame int64, length time.Duration) int {
+	perFrame := rate * length.Seconds()
 	return int(math.Floor(perFrame*float64(frame+1)) - math.Floor(perFrame*float64(frame)))
 }
 
@@ -82,29 +103,30 @@
 // allowance returns the number of requests that this instance may still send to the server in the present frame. The
 // caller holds mu.
 func (srv *Server) allowance(now time.Time) int {
+	return srv.share(now, srv.limit.rate, limitFrame, srv.limit.sent)
+}
+
+// share returns the number of requests that this instance may still send in the frame of a time to a server that takes
+// rate a second of all instances together. The caller holds mu.
+func (srv *Server) share(at time.Time, rate float64, length time.Duration, sent usage) int {
 	position, count := srv.rankOrSingle()
-	frame := frameAt(now)
-	share := frameShare(srv.entry.ID, frame, frameRequests(srv.limit.rate, frame), position, count)
-	if frame == srv.limit.frame {
-		share -= srv.limit.used
-	}
-	return share
+	frame := frameAt(at, length)
+	return frameShare(srv.entry.ID, frame, frameRequests(rate, frame, length), position, count) - sent.in(frame)
 }
 
-// hasAllowance reports whether the server's limit permits a request of this instance now. The caller holds mu.
-func (srv *Server) hasAllowance(now time.Time) bool {
-	return srv.limit.rate == 0 || srv.allowance(now) > 0
+// hasAllowance reports whether the server's limit, and its coldness, permit a request of this instance at a time. The
+// caller holds mu.
+func (srv *Server) hasAllowance(at time.Time) bool {
+	return (srv.limit.rate == 0 || srv.allowance(at) > 0) && srv.coldAllows(at)
 }
 
-// take takes a request from the instance's share of the server's limit, if there is one left. The caller holds mu.
+// take takes a request from the instance's shares of what the server takes, if there is one left. The caller holds mu.
 func (srv *Server) take(now time.Time) bool {
 	if !srv.hasAllowance(now) {
 		return false
 	}
-	if frame := frameAt(now); frame != srv.limit.frame {
-		srv.limit.frame, srv.limit.used = frame, 0
-	}
-	srv.limit.used++
+	srv.limit.sent.add(frameAt(now, limitFrame))
+	srv.cold.sent.add(frameAt(now, coldFrame))
 	return true
 }
 
@@ -190,13 +212,13 @@
 }
 
 // NextAllowance returns the earliest time at which this instance may send a request to a selected server of the pool that
-// has a limit, or maxWait from now if that is earlier; false if there is no such server.
+// has a limit or is cold, or maxWait from now if that is earlier; false if there is no such server.
 func (r *Registry) NextAllowance(pool string, selection Selection, maxWait time.Duration) (time.Time, bool) {
 	now := time.Now()
 	var servers []*Server
 	for _, srv := range r.Serving(pool) {
 		srv.mu.Lock()
-		if srv.limit.rate > 0 && srv.accepts(now) && selection.admits(&srv.entry) {
+		if (srv.limit.rate > 0 || srv.coldRate(now) > 0) && srv.accepts(now) && selection.admits(&srv.entry) {
 			servers = append(servers, srv)
 		}
 		srv.mu.Unlock()
@@ -204,10 +226,10 @@
 	if len(servers) == 0 {
 		return time.Time{}, false
 	}
-	for at := now.Truncate(limitFrame).Add(limitFrame); at.Sub(now) <= maxWait; at = at.Add(limitFrame) {
+	for at := now.Truncate(coldFrame).Add(coldFrame); at.Sub(now) <= maxWait; at = at.Add(coldFrame) {
 		for _, srv := range servers {
 			srv.mu.Lock()
-			ok := srv.allowance(at) > 0
+			ok := srv.hasAllowance(at)
 			srv.mu.Unlock()
 			if ok {
 				return at, true
--- a/process/registry/limit_test.go
+++ b/process/registry/limit_test.go
@@ -163,8 +163,8 @@
 			for position := range n {
 				shift := time.Duration(position%3) * 1300 * time.Millisecond
 				for at := time.Duration(0); at < time.Minute; at += limitFrame {
-					frame := frameAt(start.Add(at + shift))
-					for range frameShare("a", frame, frameRequests(limit, frame), position, n) {
+					frame := frameAt(start.Add(at+shift), limitFrame)
+					for range frameShare("a", frame, frameRequests(limit, frame, limitFrame), position, n) {
 						sent = append(sent, at)
 					}
 				}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -27,6 +27,8 @@
 	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
 	// are divided; nil means that there is no other instance.
 	Rank func() (position, count int)
+	// Cold returns what the cold servers of a pool stand; nil means that none needs care. It must not call the registry.
+	Cold func(pool string) ColdLimit
 	// OnLimitChange is called when the answer of a server changed its limit; it may be nil. It must not call the registry.
 	OnLimitChange func()
 
@@ -79,7 +81,8 @@
 			r.rememberVersion(srv.Entry())
 		}
 		srv = newServer(e, r.Log, r.Probe)
-		srv.rank, srv.onLimitChange, srv.onUnreachable = r.Rank, r.OnLimitChange, r.checkAfterFailure
+		srv.rank, srv.onLimitChange, srv.onUnreachable, srv.coldLimit = r.Rank, r.OnLimitChange, r.checkAfterFailure, r.Cold
+		srv.listCold(e)
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
@@ -100,9 +103,10 @@
 	if e.Draining != srv.entry.Draining {
 		r.Log.Info("server_draining", append(logFields(e), zap.Bool("draining", e.Draining), zap.Duration("leaves_in", e.TimeToExit))...)
 	}
-	if e != srv.entry {
+	if !e.isSame(srv.entry) {
 		srv.addressTaken = false
 	}
+	srv.listCold(e)
 	srv.entry = e
 	srv.missingSince = time.Time{}
 	switch {
@@ -244,15 +248,17 @@
 	Skip map[string]bool
 	// Version is the only software version that is admitted; empty admits all.
 	Version string
+	// DataCentres holds the data centres that are admitted; nil admits all.
+	DataCentres map[string]bool
 }
 
 func (s Selection) admits(e *Entry) bool {
-	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version)
+	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version) && (s.DataCentres == nil || s.DataCentres[e.DataCentre])
 }
 
 // Usable returns the selected serving servers of a pool that count as reachable, or all selected serving ones if none
 // does. Servers whose address belongs to another server, those that accept nothing, those of whose limit this instance has
-// used up its share and full ones of a brittle pool are never included.
+// used up its share, cold ones likewise and full ones of a brittle pool are never included.
 func (r *Registry) Usable(pool string, selection Selection) []*Server {
 	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -49,6 +49,10 @@
 	rank          func() (position, count int)
 	onLimitChange func()
 
+	// cold is what is known of the server's coldness; coldLimit is the field Cold of Registry.
+	cold      coldness
+	coldLimit func(pool string) ColdLimit
+
 	// brittle is what is known of the server's brittleness.
 	brittle brittleness
 	// onUnreachable is called without mu when a request finds the server unreachable.
@@ -85,6 +89,8 @@
 	// connection is retried.
 	suspect    bool
 	probeDelay time.Duration
+	// suspectAt is the time at which the server last became suspect.
+	suspectAt time.Time
 	// moved is set once the requests at the suspect server were moved.
 	moved bool
 	// checking is set while a test connection to a server that counts as reachable is opened; see check.
@@ -159,7 +165,8 @@
 	ended          bool
 }
 
-// TryBegin begins a request like Begin, unless this instance has used up its share of the server's limit.
+// TryBegin begins a request like Begin, unless this instance has used up its share of the server's limit, or of what the
+// cold server stands.
 func (srv *Server) TryBegin(pendingPrefill int) (*Attempt, bool) {
 	srv.mu.Lock()
 	ok := srv.take(time.Now())
@@ -300,7 +307,7 @@
 	if srv.suspect {
 		return
 	}
-	srv.suspect = true
+	srv.suspect, srv.suspectAt = true, time.Now()
 	srv.probeDelay = minProbeDelay
 	srv.log.Info("server_suspected", append(logFields(srv.entry), zap.Int("running", srv.running), zap.Time("heard", srv.lastReceived))...)
 	if srv.probe != nil {
@@ -312,6 +319,9 @@
 func (srv *Server) clearSuspect() {
 	if srv.suspect {
 		srv.log.Info("server_trusted", logFields(srv.entry)...)
+		if time.Since(srv.suspectAt) >= minRestartTime {
+			srv.presumeCold("back")
+		}
 	}
 	srv.suspect, srv.moved, srv.probeDelay = false, false, 0
 }
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -67,6 +67,8 @@
 	// Brittle is the number of requests a second that the server can turn away before it falls over; negative if it isn't
 	// brittle.
 	Brittle float64
+	// ColdTime is the time for which the server states that it stays cold; 0 if it states none.
+	ColdTime time.Duration
 	// Limit is the number of requests a second that the server takes from all instances together; negative if it names
 	// none.
 	Limit float64
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -32,6 +32,9 @@
 	if responseMeta.Leaving {
 		attempt.MarkLeaving()
 	}
+	if responseMeta.ColdTime > 0 && !responseMeta.WrongServer {
+		attempt.MarkCold(responseMeta.ColdTime)
+	}
 	if responseMeta.RetryAfter != "" {
 		attempt.CloseFor(responseMeta.CloseFor, responseMeta.RetryAfter)
 	}
--- a/version/hostroute/config.go
+++ b/version/hostroute/config.go
@@ -53,6 +53,8 @@
 	Affinity bool
 	// Resumable is true if an interrupted stream of the route may continue at another backend server.
 	Resumable bool
+	// Homes names the regions, or data centres, that the requests may reach; none means all.
+	Homes []string
 }
 
 // MayRepeat reports whether a request of the route may run again at another backend server.
@@ -74,6 +76,10 @@
 	HealthPath string
 	// MaxConnections is the maximum number of connections to one server, summed over all instances.
 	MaxConnections int
+	// ColdRate is the number of requests a second, from all instances together, that a cold server stands; 0 means that it
+	// needs no care. ColdStartTime is the time after its start for which a server is cold.
+	ColdRate      float64
+	ColdStartTime time.Duration
 	// Engine describes the model engines of the pool; nil if the servers run no model engine.
 	Engine *Engine
 	// Scaling is nil if the number of servers is fixed.
@@ -108,6 +114,8 @@
 type Workspace struct {
 	Name string
 	Keys []string
+	// Homes names the regions, or data centres, that the requests may reach; none means all. Those of the route bind too.
+	Homes []string
 	// Tier replaces the tier of the routes unless it is nil.
 	Tier *int
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -164,6 +164,10 @@
 	// DataCentre corresponds to the JSON schema field "data_centre".
 	DataCentre string `json:"data_centre"`
 
+	// Store's version at the newest change of an evacuation that the sender knows; 0
+	// means none.
+	Evacuations int `json:"evacuations,omitempty,omitzero"`
+
 	// Name of the sending instance.
 	From string `json:"from"`
 
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -44,6 +44,11 @@
 	// Names of all data centres of the deployment.
 	DataCentres []string `json:"data_centres"`
 
+	// Milliseconds after the store's acknowledgement within which no request may
+	// reach the backend servers of an evacuated data centre any more; 0 if data
+	// centres can't be evacuated.
+	EvacuationMs float64 `json:"evacuation_ms,omitempty,omitzero"`
+
 	// Interval in milliseconds at which backend servers renew their entries in the
 	// store.
 	HeartbeatMs float64 `json:"heartbeat_ms"`
@@ -55,6 +60,10 @@
 	// Memory that the process may use, in megabytes.
 	MemoryMb int `json:"memory_mb"`
 
+	// Region of each data centre, by the name of the data centre. Routes and
+	// workspaces may be restricted to regions.
+	Regions SettingsForwardingRegions `json:"regions,omitempty,omitzero"`
+
 	// Attempts beyond the first that all instances together may make in a window in
 	// addition to retry_ratio.
 	RetryExtra float64 `json:"retry_extra"`
@@ -76,6 +85,10 @@
 	UsageWindowS float64 `json:"usage_window_s"`
 }
 
+// Region of each data centre, by the name of the data centre. Routes and
+// workspaces may be restricted to regions.
+type SettingsForwardingRegions map[string]string
+
 // SettingsListen gives the addresses on which the daemon listens. Without TLS, the
 // peers and operators listeners must be on loopback.
 type SettingsListen struct {
