gateway: evacuations of data centres were read nowhere

Change: where the settings have evacuation_ms, the instances watch the objects of the kind evacuations: the reader instances by a watch that waits for half of that time, the others hear of newer versions in status datagrams and fetch the list from a reader. The servers of an evacuated data centre leave the lists of serving servers, so that no placement, retry, resumption, relay, fetch of cached parts or order reaches them; running requests end. A relayed request tells the other instance which data centres are evacuated. The base size of an evacuated data centre is made up for in the others.

Homes of routes and workspaces (regions or data centres) restrict the servers, the sources of cached parts and the instances to which a request is relayed.

--- a/cmd/toucanrouted/gateway.go
+++ b/cmd/toucanrouted/gateway.go
@@ -41,6 +41,7 @@
 		ConfigKind:       platform.ConfigKind,
 		ConfigName:       platform.ConfigName,
 		ServerKind:       platform.ServerKind,
+		EvacuationKind:   platform.EvacuationKind,
 		Config:           platform.Config,
 		ParseServerEntry: platform.ParseServerEntry,
 		Headers:          platform.Headers(),
--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -256,7 +257,7 @@
 // servers that the operator set up.
 func (f *fleetSizer) countRegularServers(poolConfig *hostroute.Pool) map[string]int {
 	counts := map[string]int{}
-	for _, server := range f.g.registry.Serving(poolConfig.Name) {
+	for _, server := range f.g.registry.Available(poolConfig.Name) {
 		if entry := server.Entry(); !entry.Cheap {
 			counts[entry.DataCentre]++
 		}
@@ -273,6 +274,7 @@
 		baseSizes = f.countRegularServers(poolConfig)
 	}
 	var sites []sizing.PoolSite
+	evacuated := f.g.evacuations.InForce()
 	for _, dc := range f.g.Settings.Forwarding.DataCentres {
 		base, ok := baseSizes[dc]
 		if !ok || base == 0 {
@@ -292,9 +294,10 @@
 				site.Regular++
 			}
 		}
+		site.Evacuated = slices.Contains(evacuated, dc)
 		sites = append(sites, site)
 	}
-	return sites
+	return sizing.WithoutEvacuated(sites)
 }
 
 // order orders count servers of a group; serving is the number of the group's present servers. It sends nothing if the
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/gossip"
 	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/process/evacuation"
 	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/process/lease"
 	"github.com/toucanroute/toucanroute/process/mesh"
@@ -48,6 +49,8 @@
 	ConfigName string
 	// ServerKind is the kind of the objects that describe backend servers.
 	ServerKind string
+	// EvacuationKind is the kind of the objects that name evacuated data centres.
+	EvacuationKind string
 	// Config decodes an object of ConfigKind, and ParseServerEntry one of ServerKind.
 	Config           func(wire.Object) (hostroute.Config, error)
 	ParseServerEntry func(wire.Object) (registry.Entry, error)
@@ -100,6 +103,14 @@
 	// newerConfig and newerServers receive a token when another instance reports a newer configuration or server list.
 	newerConfig  chan struct{}
 	newerServers chan struct{}
+	// newerEvacuations is the same for evacuations. evacuationFeed is nil if data centres can't be evacuated.
+	newerEvacuations chan struct{}
+	evacuationFeed   *feed.Feed
+	evacuations      evacuation.Table
+	firstEvacuations atomic.Pointer[firstEvacuations]
+	// evacuationsReadAt is the time at which a report of another instance last caused a read of the evacuations; only the
+	// goroutine that receives status datagrams uses it.
+	evacuationsReadAt time.Time
 	// limitsChanged receives a token when the answer of a backend server changed its limit of requests.
 	limitsChanged chan struct{}
 	// serverListStaleness tells for how long other instances have known a newer server list; only the goroutine that
@@ -144,7 +155,7 @@
 	}
 	for _, part := range []func(context.Context){
 		g.configFeed.Run, g.serverFeed.Run, g.mesh.Execute, g.usageCounter.Execute, g.lease.Run, g.usageReporter.Execute, (&fleetSizer{g: g}).run,
-		g.quarantineKeeper.Run, g.announceLimits,
+		g.quarantineKeeper.Run, g.announceLimits, g.watchEvacuations,
 	} {
 		group.Go(func() error { part(run); return nil })
 	}
@@ -199,7 +210,8 @@
 	g.retryBudgets = map[string]*attempt.WindowBudget{}
 	g.workloadMixes = map[string]*placement.WorkloadMix{}
 	g.prefillRates = map[string]*placement.PrefillRate{}
-	g.newerConfig, g.newerServers, g.limitsChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	g.newerConfig, g.newerServers, g.newerEvacuations = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	g.limitsChanged = make(chan struct{}, 1)
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
@@ -219,6 +231,7 @@
 	g.buildMesh()
 	g.buildQuarantine()
 	g.configFeed, g.serverFeed = g.newConfigFeed(), g.newServerFeed()
+	g.buildEvacuations()
 	g.lease = g.newLease()
 	g.usageReporter = &requestcount.Reporter{
 		Window: seconds(forwarding.UsageWindowS), Delay: seconds(forwarding.UsageDelayS), Store: g.Platform.Store, Log: g.Log,
@@ -245,8 +258,9 @@
 		FindRelay:    func(pool string, skip map[string]bool) (string, bool) { return g.mesh.Relay(pool, skip) },
 		FindRelayAt:  func(positions []int, skip map[string]bool) (string, bool) { return g.mesh.RelayAt(positions, skip) },
 		SendRelayed:  g.relayTransport.Send,
-		Quarantine:   &g.quarantine,
-		Observe:      g.observeRequest,
+		Regions:      g.regions, InstancesOutside: g.mesh.AddressesOutside, Evacuated: g.evacuations.InForce,
+		Quarantine: &g.quarantine,
+		Observe:    g.observeRequest,
 	}
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -52,6 +52,7 @@
 func (g *Gateway) fillStatus(message *wire.News) {
 	message.Version = g.configVersion()
 	message.Servers = g.serverFeed.ChangedVersion()
+	message.Evacuations = g.evacuationVersion()
 	message.Leaving = g.shuttingDown.Load()
 	message.Unreachable = g.unreachablePools()
 	message.Reads = g.mesh.IsReader()
@@ -111,6 +112,7 @@
 	g.sentWindows.Observe(int64(message.ReportedMs))
 	g.quarantine.Merge(quarantine.ReadUpdate(message))
 	g.registry.MergeLimits(message.From, message.Limits)
+	g.receiveEvacuationVersion(message.Evacuations)
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
@@ -168,6 +170,10 @@
 		return g.configObjects()
 	case g.Platform.ServerKind:
 		return g.serverFeed.Objects()
+	case g.Platform.EvacuationKind:
+		if g.evacuationFeed != nil {
+			return g.evacuationFeed.Objects()
+		}
 	}
 	return wire.ObjectList{}, false
 }
--- a/process/mesh/relay.go
+++ b/process/mesh/relay.go
@@ -31,6 +31,19 @@
 	return candidates[rand.IntN(len(candidates))], true
 }
 
+// AddressesOutside returns the addresses of the other instances that aren't in one of the data centres.
+func (m *Mesh) AddressesOutside(dataCentres map[string]bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for _, p := range m.peers {
+		if !dataCentres[p.dataCentre] {
+			list = append(list, p.address.String())
+		}
+	}
+	return list
+}
+
 // Relay returns the address of a live instance that reaches the backend servers of a pool, for requests that this instance
 // can't send there; false if none is known. Instances whose address is in skip are left out. One of the own data centre is
 // chosen if at least half of its instances reach the servers, otherwise any, so that few of them don't get the requests
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -35,7 +35,10 @@
 	mu sync.Mutex
 	// servers holds the servers by id. A server that restarts under the same id gets a new Server.
 	servers map[string]*Server
-	// pools holds the serving servers, which are those that aren't draining, by pool. It is rebuilt at each change.
+	// evacuated holds the data centres whose servers get no requests.
+	evacuated map[string]bool
+	// pools holds the serving servers, which are those that aren't draining and whose data centre isn't evacuated, by pool. It
+	// is rebuilt at each change.
 	pools map[string][]*Server
 	// byHash holds the servers by the hash that instances use in datagrams; see hashID.
 	byHash map[int]*Server
@@ -207,7 +210,7 @@
 	for id, srv := range r.servers {
 		r.byHash[hashID(id)] = srv
 		e := srv.Entry()
-		if !e.Draining {
+		if !e.Draining && !r.evacuated[e.DataCentre] {
 			pools[e.Pool] = append(pools[e.Pool], srv)
 		}
 	}
@@ -235,7 +238,7 @@
 	}
 }
 
-// Serving returns the servers of a pool that aren't draining. Callers must not modify the slice.
+// Serving returns the servers of a pool that aren't draining and whose data centre isn't evacuated. Callers must not modify the slice.
 func (r *Registry) Serving(pool string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -252,6 +255,9 @@
 	DataCentres map[string]bool
 }
 
+// Admits reports whether the selection admits the server of an entry.
+func (s Selection) Admits(e Entry) bool { return s.admits(&e) }
+
 func (s Selection) admits(e *Entry) bool {
 	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version) && (s.DataCentres == nil || s.DataCentres[e.DataCentre])
 }
@@ -289,7 +295,8 @@
 }
 
 // CacheSources returns the reachable servers of a pool from which cached prompt data can be fetched. This includes
-// servers that have been draining for less than drainingSourceTime.
+// servers that have been draining for less than drainingSourceTime, but none of evacuated data centres: they are to do no work
+// for others either.
 func (r *Registry) CacheSources(pool string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -298,7 +305,7 @@
 	for _, srv := range r.servers {
 		srv.mu.Lock()
 		drainedTooLong := !srv.drainingSince.IsZero() && now.Sub(srv.drainingSince) > drainingSourceTime
-		if srv.entry.Pool == pool && !drainedTooLong && !srv.suspect && !srv.addressTaken {
+		if srv.entry.Pool == pool && !r.evacuated[srv.entry.DataCentre] && !drainedTooLong && !srv.suspect && !srv.addressTaken {
 			list = append(list, srv)
 		}
 		srv.mu.Unlock()
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -22,6 +22,8 @@
 	// CheapUnavailable is set if servers of the cheap kind were reclaimed, or orders for them refused, in this data centre
 	// a short time ago.
 	CheapUnavailable bool
+	// Evacuated is set while no requests are sent to the servers of this data centre.
+	Evacuated bool
 }
 
 // Bounds limits the number of servers in each data centre.
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -130,10 +130,10 @@
 	fetchFrom string
 }
 
-// selection returns the servers that may be tried: those that weren't, and for a stream that has begun, those of the
-// software version that began it.
+// selection returns the servers that may be tried: those that weren't, in the data centres that the request may reach, and
+// for a stream that has begun, those of the software version that began it.
 func (c *call) selection() registry.Selection {
-	return registry.Selection{Skip: c.triedServers, Version: c.origin.Version}
+	return registry.Selection{Skip: c.triedServers, Version: c.origin.Version, DataCentres: c.dataCentres}
 }
 
 // place chooses a server for the next attempt and counts the request as running there. Before the first attempt
@@ -240,10 +240,11 @@
 const newEngineAge = 10 * time.Second
 
 // findCacheSource returns the address of the engine from which the chosen one can fetch the cached tokens of the
-// prompt's shared parts; empty if there is none. Only engines of the same software version can read each other's cache.
+// prompt's shared parts; empty if there is none. Only engines of the same software version can read each other's cache. What
+// is cached of requests with homes is read from there only.
 func (c *call) findCacheSource(chosen *registry.Server) string {
-	version := chosen.Entry().Version
-	servers := slices.DeleteFunc(c.f.Registry.CacheSources(c.pool.Name), func(srv *registry.Server) bool { return srv.Entry().Version != version })
+	selection := registry.Selection{Version: chosen.Entry().Version, DataCentres: c.dataCentres}
+	servers := slices.DeleteFunc(c.f.Registry.CacheSources(c.pool.Name), func(srv *registry.Server) bool { return !selection.Admits(srv.Entry()) })
 	sources := make([]placement.Candidate, len(servers))
 	now, share := time.Now(), 0.0
 	if c.splitsServers {
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -72,7 +72,9 @@
 	if c.origin.Version == "" {
 		return false
 	}
-	return !slices.ContainsFunc(c.f.Registry.Serving(c.pool.Name), func(srv *registry.Server) bool { return srv.Entry().Version == c.origin.Version })
+	return !slices.ContainsFunc(c.f.Registry.Serving(c.pool.Name), func(srv *registry.Server) bool {
+		return registry.Selection{Version: c.origin.Version, DataCentres: c.dataCentres}.Admits(srv.Entry())
+	})
 }
 
 // closedSpread is the share of the time until a server opens again over which the returns of the callers are spread.
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -58,6 +58,13 @@
 	FindRelay func(pool string, skip map[string]bool) (string, bool)
 	// FindRelayAt does the same for the instances at some positions by rank. It must be set if FindRelay is.
 	FindRelayAt func(positions []int, skip map[string]bool) (string, bool)
+	// Regions returns the region of each data centre of the deployment; empty if a data centre has none. It is nil if requests
+	// aren't restricted.
+	Regions func() map[string]string
+	// InstancesOutside returns the addresses of the other instances that aren't in one of some data centres. It may be nil.
+	InstancesOutside func(dataCentres map[string]bool) []string
+	// Evacuated returns the evacuated data centres; it may be nil.
+	Evacuated func() []string
 	// SendRelayed sends a request to the instance at the host of its URL, like Send.
 	SendRelayed func(req *http.Request, id string, fresh bool) (*http.Response, error)
 	// Quarantine keeps requests away from servers that crash under them.
@@ -95,6 +102,9 @@
 	workspace string
 	// identity is what the request is known by if servers crash under it.
 	identity quarantine.Request
+	// homes holds the data centres of the homes of the route and the workspace, and dataCentres those whose backend servers
+	// the request may reach; nil means all.
+	homes, dataCentres map[string]bool
 	// rank is the request's priority; 0 is the most urgent.
 	rank      int
 	body      []byte
@@ -227,6 +237,7 @@
 		}
 		c.workspace = owner.Name
 	}
+	c.restrict(owner)
 	c.rank = c.config.Rank(route, owner)
 	c.pool = c.choosePool()
 	if err := c.findOrigin(); err != nil {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -48,10 +48,10 @@
 		return "", false
 	}
 	if c.f.Registry.IsUnreachable(c.pool.Name) {
-		return c.f.FindRelay(c.pool.Name, c.relays)
+		return c.f.FindRelay(c.pool.Name, c.skippedInstances())
 	}
 	if owners := c.f.Registry.SlotOwners(c.pool.Name); len(owners) > 0 {
-		return c.f.FindRelayAt(owners, c.relays)
+		return c.f.FindRelayAt(owners, c.skippedInstances())
 	}
 	return "", false
 }
@@ -101,6 +101,7 @@
 func (c *call) relayRequest(ctx context.Context, peer string) *http.Request {
 	h := c.r.Header.Clone()
 	request.StripHopHeaders(h)
+	c.tellEvacuated(h)
 	h.Set(headerRelayWaited, strconv.FormatInt(time.Since(c.arrivedAt).Milliseconds(), 10))
 	if !c.firstByteAt.IsZero() {
 		began := c.meta.Resumes
