--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -27,13 +27,18 @@
 	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
 	// are divided; nil means that there is no other instance.
 	Rank func() (position, count int)
+	// Cold returns what the cold servers of a pool stand; nil means that none needs care. It must not call the registry.
+	Cold func(pool string) ColdLimit
 	// OnLimitChange is called when the answer of a server changed its limit; it may be nil. It must not call the registry.
 	OnLimitChange func()
 
 	mu sync.Mutex
 	// servers holds the servers by id. A server that restarts under the same id gets a new Server.
 	servers map[string]*Server
-	// pools holds the serving servers, which are those that aren't draining, by pool. It is rebuilt at each change.
+	// evacuated holds the data centres whose servers get no requests.
+	evacuated map[string]bool
+	// pools holds the serving servers, which are those that aren't draining and whose data centre isn't evacuated, by pool. It
+	// is rebuilt at each change.
 	pools map[string][]*Server
 	// byHash holds the servers by the hash that instances use in datagrams; see hashID.
 	byHash map[int]*Server
@@ -79,7 +84,8 @@
 			r.rememberVersion(srv.Entry())
 		}
 		srv = newServer(e, r.Log, r.Probe)
-		srv.rank, srv.onLimitChange, srv.onUnreachable = r.Rank, r.OnLimitChange, r.checkAfterFailure
+		srv.rank, srv.onLimitChange, srv.onUnreachable, srv.coldLimit = r.Rank, r.OnLimitChange, r.checkAfterFailure, r.Cold
+		srv.listCold(e)
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
@@ -100,12 +106,13 @@
 	if e.Draining != srv.entry.Draining {
 		r.Log.Info("server_draining", append(logFields(e), zap.Bool("draining", e.Draining), zap.Duration("leaves_in", e.TimeToExit))...)
 	}
-	if e != srv.entry {
+	if !e.isSame(srv.entry) {
 		srv.addressTaken = false
 	}
 	if e.Version != srv.entry.Version {
 		r.rememberVersion(srv.entry)
 	}
+	srv.listCold(e)
 	srv.entry = e
 	srv.missingSince = time.Time{}
 	switch {
@@ -206,7 +213,7 @@
 	for id, srv := range r.servers {
 		r.byHash[hashID(id)] = srv
 		e := srv.Entry()
-		if !e.Draining {
+		if !e.Draining && !r.evacuated[e.DataCentre] {
 			pools[e.Pool] = append(pools[e.Pool], srv)
 		}
 	}
@@ -234,7 +241,7 @@
 	}
 }
 
-// Serving returns the servers of a pool that aren't draining. Callers must not modify the slice.
+// Serving returns the servers of a pool that aren't draining and whose data centre isn't evacuated. Callers must not modify the slice.
 func (r *Registry) Serving(pool string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -247,15 +254,20 @@
 	Skip map[string]bool
 	// Version is the only software version that is admitted; empty admits all.
 	Version string
+	// DataCentres holds the data centres that are admitted; nil admits all.
+	DataCentres map[string]bool
 }
 
+// Admits reports whether the selection admits the server of an entry.
+func (s Selection) Admits(e Entry) bool { return s.admits(&e) }
+
 func (s Selection) admits(e *Entry) bool {
-	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version)
+	return !s.Skip[e.ID] && (s.Version == "" || s.Version == e.Version) && (s.DataCentres == nil || s.DataCentres[e.DataCentre])
 }
 
 // Usable returns the selected serving servers of a pool that count as reachable, or all selected serving ones if none
 // does. Servers whose address belongs to another server, those that accept nothing, those of whose limit this instance has
-// used up its share and full ones of a brittle pool are never included.
+// used up its share, cold ones likewise and full ones of a brittle pool are never included.
 func (r *Registry) Usable(pool string, selection Selection) []*Server {
 	serving, now := r.Serving(pool), time.Now()
 	usable := make([]*Server, 0, len(serving))
@@ -286,7 +298,8 @@
 }
 
 // CacheSources returns the reachable servers of a pool from which cached prompt data can be fetched. This includes
-// servers that have been draining for less than drainingSourceTime.
+// servers that have been draining for less than drainingSourceTime, but none of evacuated data centres: they are to do no work
+// for others either.
 func (r *Registry) CacheSources(pool string) []*Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -295,7 +308,7 @@
 	for _, srv := range r.servers {
 		srv.mu.Lock()
 		drainedTooLong := !srv.drainingSince.IsZero() && now.Sub(srv.drainingSince) > drainingSourceTime
-		if srv.entry.Pool == pool && !drainedTooLong && !srv.suspect && !srv.addressTaken {
+		if srv.entry.Pool == pool && !r.evacuated[srv.entry.DataCentre] && !drainedTooLong && !srv.suspect && !srv.addressTaken {
 			list = append(list, srv)
 		}
 		srv.mu.Unlock()
