toucanctl: operators can list, begin and end evacuations

The command writes the objects of the platform's store, refuses unknown data centres and the last one with servers, and waits until the change is in force at the instances that were given; the status shows which evacuations are in force.

--- a/cmd/toucanctl/commands.go
+++ b/cmd/toucanctl/commands.go
@@ -10,6 +10,7 @@
 	addCheck(parser)
 	addClass(parser)
 	addDiff(parser)
+	addEvacuation(parser)
 	addExplain(parser)
 	addGenerate(parser)
 	addKey(parser)
--- a/cmd/toucanctl/operator/force.go
+++ b/cmd/toucanctl/operator/force.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -158,6 +159,16 @@
 	}
 }
 
+// Evacuated checks whether the evacuation of a data centre is in force, or with want unset, that it isn't.
+func Evacuated(dataCentre string, want bool) Check {
+	return func(s wire.Status) (string, Verdict) {
+		if slices.Contains(s.Evacuated, dataCentre) {
+			return dataCentre + " evacuated", verdictOf(want)
+		}
+		return dataCentre + " in use", verdictOf(!want)
+	}
+}
+
 // Draining checks that a backend server is draining or stopped, so that it gets no new requests.
 func Draining(server string) Check {
 	return serverState(server, func(state wire.ServerStatusState) bool {
--- a/cmd/toucanctl/script_test.go
+++ b/cmd/toucanctl/script_test.go
@@ -15,6 +15,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"go.uber.org/zap"
 
+	deployment "github.com/toucanroute/toucanroute/platform"
+	"github.com/toucanroute/toucanroute/platform/platformtest"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/versions"
 	"github.com/toucanroute/toucanroute/standin/objectapi"
@@ -40,9 +42,10 @@
 func setUp(env *testscript.Env) error {
 	objects := httptest.NewServer((&objectapi.Server{}).Handler())
 	env.Defer(objects.Close)
+	store := newStore(env)
 	lifted := &atomic.Bool{}
-	recife := startInstance(env, objects.URL, "recife-1", lifted)
-	fortaleza := startInstance(env, objects.URL, "fortaleza-1", lifted)
+	recife := startInstance(env, objects.URL, store, "recife-1", lifted)
+	fortaleza := startInstance(env, objects.URL, store, "fortaleza-1", lifted)
 	examples, err := filepath.Abs(filepath.Join("..", "..", "examples"))
 	if err != nil {
 		return err
@@ -54,18 +57,42 @@
 	env.Setenv("EXAMPLES", examples)
 	env.Setenv("GOLDEN", golden)
 	env.Setenv("TOUCAN_OBJECTS", strings.TrimPrefix(objects.URL, "http://"))
+	env.Setenv("TOUCAN_STORE", store.Address())
 	env.Setenv("TOUCAN_INSTANCES", recife+","+fortaleza)
 	env.Setenv("USER", "ana")
 	return nil
 }
 
+// newStore starts a stand-in of the platform's store with backend servers in two data centres.
+func newStore(env *testscript.Env) *platformtest.Platform {
+	store := platformtest.New()
+	env.Defer(store.Close)
+	for _, dc := range []string{"recife-a", "fortaleza-b"} {
+		store.WriteObject(deployment.ServerKind, "engine-"+dc, `{"service":"p","address":"127.0.0.1:9","zone":"`+dc+`","version":"v1","capacity":4,"state":"available"}`)
+	}
+	return store
+}
+
+// evacuated returns the data centres that are evacuated in the store.
+func evacuated(store *platformtest.Platform) (names []string) {
+	objects := (&deployment.Store{Client: &platform.Client{BaseURL: "http://" + store.Address()}}).Objects()
+	list, err := objects.List(context.Background(), deployment.EvacuationKind, "")
+	if err != nil {
+		return nil
+	}
+	for _, o := range list.Items {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
 // quarantineID is the id of the quarantine that the instances have.
 const quarantineID = "764358fb683553e4"
 
 // startInstance starts the parts of an instance that read configuration and keyring versions and serve GET /status. It
 // returns the address of the listener.
 // The instances have a quarantine, and lifted is set once one of them was asked to lift it.
-func startInstance(env *testscript.Env, objects, name string, lifted *atomic.Bool) string {
+func startInstance(env *testscript.Env, objects string, evacuations *platformtest.Platform, name string, lifted *atomic.Bool) string {
 	client := &platform.Objects{Client: platform.Client{BaseURL: objects, Instance: name}}
 	store := &versions.Store{Instance: name, Objects: client.Store(), Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -83,6 +110,7 @@
 		if lifted.Load() {
 			status.Quarantines[0].State, status.Quarantines[0].Revision = wire.QuarantineStatusStateLifted, 2
 		}
+		status.Evacuated = evacuated(evacuations)
 		web.WriteJSON(w, http.StatusOK, status)
 	})
 	mux.HandleFunc("DELETE /quarantines/"+quarantineID, func(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -112,6 +112,7 @@
 			writeRow(w, b.Server, b.DataCentre, b.Pool, b.Kind, b.State, b.Running, formatLimit(b.Limit), s.Instance)
 		}
 	}
+	writeEvacuated(w, statuses)
 	if err := w.Flush(); err != nil {
 		return err
 	}
@@ -122,6 +123,21 @@
 	return err
 }
 
+// writeEvacuated writes the evacuated data centres, if there are any.
+func writeEvacuated(w io.Writer, statuses []wire.Status) {
+	hasHeading := false
+	for _, s := range statuses {
+		for _, dc := range s.Evacuated {
+			if !hasHeading {
+				hasHeading = true
+				writeRow(w)
+				writeRow(w, "EVACUATED", "SEEN BY")
+			}
+			writeRow(w, dc, s.Instance)
+		}
+	}
+}
+
 // writeRow writes one line of tab-separated cells.
 func writeRow(w io.Writer, cells ...any) {
 	text := make([]string, len(cells))
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -81,6 +81,7 @@
 		Pools:             []wire.PoolStatus{},
 		Servers:           g.serverStatus(),
 		Quarantines:       g.quarantine.Status(),
+		Evacuated:         g.evacuations.InForce(),
 	}
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -27,6 +27,8 @@
 //	record FILE COMMAND...            run a command and append its output to a file
 //	mask FILE PATTERN TEXT            replace all matches of a pattern in a file by a text
 //	certify AUTHORITY NAME...         create a certificate authority and certificates that it signs
+//	store FILE ADDRESS                start a stand-in of the platform's store with the objects of a file, for the instance
+//	                                  with that operators' listener
 //	client stream|whole|models ADDRESS KEY [MODEL PROMPT]
 //
 // At the end of a script its processes are killed, and the script fails if a log shows a data race or a crash. The
--- a/scenario/session_test.go
+++ b/scenario/session_test.go
@@ -80,6 +80,7 @@
 		"capture": capture,
 		"deploy":  deploy,
 		"mask":    mask,
+		"store":   store,
 	}
 	for name, cmd := range allCommands() {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
--- a/wire/status.go
+++ b/wire/status.go
@@ -150,6 +150,10 @@
 	// DataCentre corresponds to the JSON schema field "data_centre".
 	DataCentre string `json:"data_centre"`
 
+	// Data centres whose backend servers get no requests, since an operator evacuated
+	// them.
+	Evacuated []string `json:"evacuated,omitempty,omitzero"`
+
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance"`
 
