forward: a stream that had begun broke off where only cold servers were left

A request that finds no allowance at any server waits for the instance's next share for up to an eighth of its target time, so that it is still answered in time; one that may have run, or whose stream has begun, for up to a second, since it can't be refused any more. Otherwise it is refused as before.

--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -110,25 +110,33 @@
 	}
 }
 
-// All servers of a data centre were out of reach, and come back cold together. Their entries arrive late, and never at the
+// absences are the ways in which the servers of a data centre got nothing for a while: they were out of reach, or evacuated
+// and became cold shortly before the end.
+var absences = map[string]struct{ begin, end func(*Registry) }{
+	"out of reach": {func(r *Registry) { r.SuspectDataCentre("one") }, func(r *Registry) { r.TrustDataCentre("one") }},
+	"evacuated":    {func(r *Registry) { r.SetEvacuated(map[string]bool{"one": true}) }, func(r *Registry) { r.SetEvacuated(nil) }},
+}
+
+// All servers of a data centre got nothing for a while, and come back cold together. Their entries arrive late, and never at the
 // last instance, which is cut off from the store and the others; one instance stops and one is frozen at times.
 func TestReturnedServersGetWhatTheyStand(t *testing.T) {
-	for _, n := range []int{9, 78} {
-		for _, warm := range []int{60, 0} {
-			for seed := range uint64(3) {
-				t.Run(fmt.Sprintf("%d/%d/%d", n, warm, seed), func(t *testing.T) {
+	for name, absence := range absences {
+		for _, n := range []int{9, 78} {
+			for seed := range uint64(4) {
+				warm := 60 * int(seed%2)
+				t.Run(fmt.Sprintf("%s/%d/%d", name, n, seed), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						entries := coldServers(30, warm)
 						f := newColdFleet(seed, n, entries)
 						time.Sleep(10 * time.Second)
 						for _, r := range f.instances {
-							r.SuspectDataCentre("one")
+							absence.begin(r)
 						}
 						time.Sleep(2 * time.Second)
 						coldUntil := time.Now().Add(testColdStart)
 						f.frozen = 0
 						for i, r := range f.instances {
-							r.TrustDataCentre("one")
+							absence.end(r)
 							if i == n-1 {
 								continue
 							}
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -151,10 +151,13 @@
 }
 
 // tryPlace chooses a server like place. It returns no attempt if other requests of this instance have just used up its
-// share of the server's limit.
+// share of what the server takes, or if it has waited for one.
 func (c *call) tryPlace() (assignment, error) {
 	servers := c.f.Registry.Usable(c.pool.Name, c.selection())
 	if len(servers) == 0 {
+		if c.awaitAllowance() {
+			return assignment{}, nil
+		}
 		return assignment{}, c.noServerLeftError()
 	}
 	candidates := c.f.candidates(servers, c.tolerantShare(len(servers)))
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -135,6 +135,8 @@
 	sends, possibleRuns int
 	// lost is the number of attempts that were lost with the connection to their server, which may have crashed.
 	lost int
+	// allowanceWait is the time for which the request has waited for servers that are cold or limited.
+	allowanceWait time.Duration
 	// startReported is set once the request was reported to Forwarder.OnStarted.
 	startReported bool
 	// maxEventGap is the longest time between two events of the response.
