registry: an older copy of the store ended a server's coldness

The list of a store that came back older may hold an entry from before the server became cold.

Two gauges: servers that count as cold, data centres that are evacuated.

--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -59,6 +59,12 @@
 		ConfigVersion: g.configVersion(),
 		Fleet:         metrics.Lease{Held: held, Fence: fence},
 		Usage:         metrics.Lease{Held: held, Fence: fence},
+		Evacuated:     len(g.evacuations.InForce()),
+	}
+	for _, server := range g.registry.Servers() {
+		if server.IsCold() {
+			values.ColdServers++
+		}
 	}
 	if callerServer := g.callerServer.Load(); callerServer != nil {
 		values.Running = callerServer.Running()
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -19,6 +19,8 @@
 	nameWaiting        = "toucanroute_requests_waiting"
 	nameMembers        = "toucanroute_members"
 	nameConfigVersion  = "toucanroute_config_version"
+	nameServersCold    = "toucanroute_servers_cold"
+	nameEvacuated      = "toucanroute_data_centres_evacuated"
 	nameKeyringVersion = "toucanroute_keyring_version"
 	nameVersionsAge    = "toucanroute_versions_age_seconds"
 	nameLeaseHeld      = "toucanroute_lease_held"
@@ -55,6 +57,8 @@
 		{nameWaiting, "gauge", "requests", nil, "Requests in the queues of the pools whose home is this instance."},
 		{nameMembers, "gauge", "instances", []string{"state"}, "Other instances by their state as this instance sees it. `state` is `live`, `suspect` or `leaving`."},
 		{nameConfigVersion, "gauge", "version", nil, "Version of the configuration in force; 0 if there is none."},
+		{nameServersCold, "gauge", "servers", nil, "Backend servers that this forwarding instance takes for cold, so that they get few requests."},
+		{nameEvacuated, "gauge", "data centres", nil, "Data centres whose evacuation is in force at this forwarding instance."},
 		{nameKeyringVersion, "gauge", "version", nil, "Newest object version of the keyrings in force."},
 		{nameVersionsAge, "gauge", "seconds", nil, "Time since the versions in force were confirmed to be the newest; -1 if they never were."},
 		{nameLeaseHeld, "gauge", "0 or 1", []string{"job"}, "1 if this instance holds the lease of its data centre for the job."},
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -38,6 +38,8 @@
 	Live, Suspect, Leaving int
 	// ConfigVersion and KeyringVersion are the versions in force; 0 means that there is none.
 	ConfigVersion, KeyringVersion int
+	// ColdServers is the number of backend servers that count as cold, and Evacuated that of evacuated data centres.
+	ColdServers, Evacuated int
 	// VersionsAge is the time since the versions in force were confirmed to be the newest; negative if they never were.
 	VersionsAge time.Duration
 	// Fleet and Usage are the states of the leases for these two jobs of the data centre.
@@ -111,6 +113,8 @@
 	vm.WriteGaugeUint64(w, nameMembers+`{state="suspect"}`, uint64(max(g.Suspect, 0)))
 	vm.WriteGaugeUint64(w, nameMembers+`{state="leaving"}`, uint64(max(g.Leaving, 0)))
 	vm.WriteGaugeUint64(w, nameConfigVersion, uint64(max(g.ConfigVersion, 0)))
+	vm.WriteGaugeUint64(w, nameServersCold, uint64(max(g.ColdServers, 0)))
+	vm.WriteGaugeUint64(w, nameEvacuated, uint64(max(g.Evacuated, 0)))
 	vm.WriteGaugeUint64(w, nameKeyringVersion, uint64(max(g.KeyringVersion, 0)))
 	vm.WriteGaugeFloat64(w, nameVersionsAge, ageSeconds(g.VersionsAge))
 	g.Fleet.write(w, `{job="fleet"}`)
--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -95,8 +95,9 @@
 }
 
 // listCold records how long the server stays cold by an entry that has just arrived, also if it was written a while ago. An
-// entry that arrived before says nothing new. The caller holds mu.
-func (srv *Server) listCold(e Entry) {
+// entry that arrived before says nothing new, and one of a store that has just come back from an older copy doesn't end a
+// coldness that was known. The caller holds mu.
+func (srv *Server) listCold(e Entry, rewound bool) {
 	now := time.Now()
 	if srv.cold.startedAt.IsZero() {
 		srv.cold.startedAt = now.Add(-maxColdTime)
@@ -109,7 +110,11 @@
 	} else if e.Revision != 0 && e.Revision == srv.entry.Revision {
 		return
 	}
-	srv.setCold("entry", e.WarmupTime, func(until time.Time) { srv.cold.listedUntil = until })
+	srv.setCold("entry", e.WarmupTime, func(until time.Time) {
+		if !rewound || until.After(srv.cold.listedUntil) {
+			srv.cold.listedUntil = until
+		}
+	})
 }
 
 // setCold has set store the end of a time for which the server was stated to be cold, and logs a change. The caller holds
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -276,6 +276,24 @@
 	})
 }
 
+// A store that comes back from an older copy lists an entry from before the server became cold.
+func TestColdServerOutlivesRewind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Registry{Log: zap.NewNop(), Cold: testColdLimit}
+		older := Entry{ID: "a", Pool: "p", Revision: 1}
+		r.Reset([]Entry{older}, false)
+		newer := older
+		newer.WarmupTime, newer.Revision = 4*time.Second, 2
+		r.Put(newer)
+		time.Sleep(time.Second)
+		older.Revision = 3
+		r.Rewind([]Entry{older})
+		assert.Assert(t, server(r, "a").IsCold())
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !server(r, "a").IsCold())
+	})
+}
+
 // Bad numbers in the configuration never shut a pool.
 func TestColdLimitIsBounded(t *testing.T) {
 	for _, rate := range []float64{math.NaN(), -1, 0, math.Inf(1), math.MaxFloat64, 1e-9} {
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -85,7 +85,7 @@
 		}
 		srv = newServer(e, r.Log, r.Probe)
 		srv.rank, srv.onLimitChange, srv.onUnreachable, srv.coldLimit = r.Rank, r.OnLimitChange, r.checkAfterFailure, r.Cold
-		srv.listCold(e)
+		srv.listCold(e, false)
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
@@ -109,7 +109,7 @@
 	if !e.isSame(srv.entry) {
 		srv.addressTaken = false
 	}
-	srv.listCold(e)
+	srv.listCold(e, time.Now().Before(r.lenientUntil))
 	srv.entry = e
 	srv.missingSince = time.Time{}
 	switch {
