--- /dev/null
+++ b/process/gateway/peers_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/request/placement"
+	"github.com/toucanroute/toucanroute/version/hostroute"
+	"github.com/toucanroute/toucanroute/wire"
+)
+
+// The work and the streams of one instance reach another one, and a datagram of an older build, which has none of the
+// newer fields, counts as before.
+func TestWorkloadsReachPeers(t *testing.T) {
+	table, err := hostroute.NewTable(hostroute.Config{Version: 1, Pools: []hostroute.Pool{{Name: "p"}}})
+	assert.NilError(t, err)
+	sender := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}}
+	receiver := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}}
+	receiver.table.Store(table)
+	mix := sender.workloadMix("p")
+	for range 30 {
+		mix.AddRequest(&placement.Prompt{Movable: true}, 6000)
+		mix.Pace.ObserveBegin()
+		mix.Pace.ObserveLate()
+	}
+	data, err := json.Marshal(sender.ownWorkloads())
+	assert.NilError(t, err)
+	var received []wire.NewsMix
+	assert.NilError(t, json.Unmarshal(data, &received))
+	receiver.receiveWorkloads("sender", received)
+	rates := receiver.workloadMix("p").TotalRates()
+	assert.Assert(t, rates.Movable > 59_000 && rates.Movable == rates.LatencySensitive, "%+v", rates)
+
+	own := receiver.workloadMix("p")
+	own.DecidePace()
+	time.Sleep(600 * time.Millisecond)
+	change, ok := own.DecidePace()
+	assert.Assert(t, ok && change.Split && change.Late == change.Began && change.Began > 9, "%+v", change)
+
+	var old []wire.NewsMix
+	assert.NilError(t, json.Unmarshal([]byte(`[{"s":"p","p":500,"h":700}]`), &old))
+	receiver.receiveWorkloads("old", old)
+	withOld := receiver.workloadMix("p").TotalRates()
+	assert.Equal(t, withOld.DelayTolerant, 500.0)
+	assert.Equal(t, withOld.Movable, rates.Movable)
+	assert.Equal(t, old[0].G, int(placement.PaceUnknown))
+}
