placement: a split at the begin of a burst ends after the burst

Cause: the work that must halve before a split ends was taken at the moment of the split. In the first seconds the rates still rise, so that a split then would have lasted for as long as the process.

Measured: TestSplitAtTheBeginOfABurst fails without the change (9 of 9 instances still split).

--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -15,6 +15,8 @@
 	// splitDelay is the time for which too many streams must be late before the servers are split: the instances learn
 	// of each other's late streams within a second.
 	splitDelay = 500 * time.Millisecond
+	// riseTime is the time in which the rates of a burst that has just begun reach their full size.
+	riseTime = 2 * rateDecay
 	// mergeWorkRatio is the part of the delay-tolerant work at the time of the split that must be left to end it.
 	mergeWorkRatio = 0.5
 	// mergeDelay is the time for which the work must have been that low. Like shareDecay it is longer than the time
@@ -50,7 +52,7 @@
 	// lateSince is the time since which too many streams have been late, calmSince the time since which a split hasn't
 	// been needed; zero if that isn't so.
 	lateSince, calmSince time.Time
-	// splitWork and splitWorkPerInstance are the delay-tolerant work when the servers were split.
+	// splitWork and splitWorkPerInstance are the most delay-tolerant work until riseTime after the servers were split.
 	splitWork, splitWorkPerInstance float64
 }
 
@@ -168,15 +170,17 @@
 	state, splitVotes, mixedVotes := p.sum(now)
 	state.Work = work()
 	state.Split, state.Reason = p.next(now, state, splitVotes, mixedVotes)
-	if state.Split == p.isSplit {
-		return PaceChange{}, false
+	isChanged := state.Split != p.isSplit
+	if isChanged {
+		p.isSplit, p.changedAt = state.Split, now
+		p.lateSince, p.calmSince = time.Time{}, time.Time{}
+		p.splitWork, p.splitWorkPerInstance = 0, 0
 	}
-	p.isSplit, p.changedAt = state.Split, now
-	p.lateSince, p.calmSince = time.Time{}, time.Time{}
-	if state.Split {
-		p.splitWork, p.splitWorkPerInstance = state.Work, state.Work/float64(1+state.Peers)
+	if p.isSplit && now.Sub(p.changedAt) <= riseTime {
+		p.splitWork = max(p.splitWork, state.Work)
+		p.splitWorkPerInstance = max(p.splitWorkPerInstance, state.Work/float64(1+state.Peers))
 	}
-	return state, true
+	return state, isChanged
 }
 
 // next returns the decision for the present state and the reason for it.
--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -94,6 +94,20 @@
 	})
 }
 
+// A split in the first second of a burst lasts while the burst does, and ends after it, though the rates of the work were
+// still rising then.
+func TestSplitAtTheBeginOfABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPaceFleet(9)
+		f.run(3, 0.5, 30_000)
+		assert.Equal(t, f.splits(), 9)
+		f.run(30, 0.01, 25_000)
+		assert.Equal(t, f.splits(), 9)
+		f.run(30, 0.01, 10_000)
+		assert.Equal(t, f.splits(), 0)
+	})
+}
+
 // With half of the datagrams lost, the instances still decide alike, and none changes back and forth.
 func TestPaceWithLostDatagrams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
