placement: only instances that decide vote on the split of a pool

Cause: an instance that had no request for a pool yet, such as one that has just started, told the others that it doesn't split the pool, and reports on pools that are never split were kept.

Change: its report says that it doesn't decide, and is dropped.

Tested: TestOnlyDecidingInstancesVote, TestWorkloadsReachPeers; packages placement, gateway and forward pass.

--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -26,6 +26,7 @@
 		mix.Pace.ObserveBegin()
 		mix.Pace.ObserveLate()
 	}
+	mix.DecidePace()
 	data, err := json.Marshal(sender.ownWorkloads())
 	assert.NilError(t, err)
 	var received []wire.NewsMix
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -69,7 +69,8 @@
 type PaceGroups int
 
 const (
-	// PaceUnknown is reported by instances that can't split servers because of pauses.
+	// PaceUnknown is reported by instances that don't decide: their build can't split servers because of pauses, or they
+	// have had no request for a pool of which this may be due.
 	PaceUnknown PaceGroups = iota
 	// PaceMixed means that the servers aren't split.
 	PaceMixed
@@ -120,20 +121,26 @@
 	p.decayedAt = now
 }
 
-// Report returns what the other instances are told.
+// Report returns what the other instances are told. An instance that hasn't decided yet has no vote.
 func (p *StreamPace) Report() PaceReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decay(time.Now())
-	r := PaceReport{Began: p.began / rateDecay.Seconds(), Late: p.late / rateDecay.Seconds(), Groups: PaceMixed}
-	if p.isSplit {
+	r := PaceReport{Began: p.began / rateDecay.Seconds(), Late: p.late / rateDecay.Seconds()}
+	switch {
+	case p.isSplit:
 		r.Groups = PaceSplit
+	case !p.decidedAt.IsZero():
+		r.Groups = PaceMixed
 	}
 	return r
 }
 
-// SetPeer stores the report of another instance.
+// SetPeer stores the report of another instance, unless that one doesn't decide.
 func (p *StreamPace) SetPeer(instance string, r PaceReport) {
+	if r.Groups == PaceUnknown {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -162,6 +162,19 @@
 	})
 }
 
+// An instance that has had no request for the pool yet has no vote, and neither has one of an older build.
+func TestOnlyDecidingInstancesVote(t *testing.T) {
+	m, silent := &WorkloadMix{}, &WorkloadMix{}
+	for i := range 5 {
+		m.Pace.SetPeer(fmt.Sprint("silent", i), silent.Pace.Report())
+	}
+	for i := range minFollowed {
+		m.Pace.SetPeer(fmt.Sprint("split", i), PaceReport{Groups: PaceSplit})
+	}
+	m.DecidePace()
+	assert.Assert(t, m.Pace.IsSplit())
+}
+
 // The share of the servers for delay-tolerant work counts what a split moves there from its first moment on.
 func TestShareAtTheBeginOfASplit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
