--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -94,6 +94,20 @@
 	})
 }
 
+// A split in the first second of a burst lasts while the burst does, and ends after it, though the rates of the work were
+// still rising then.
+func TestSplitAtTheBeginOfABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPaceFleet(9)
+		f.run(3, 0.5, 30_000)
+		assert.Equal(t, f.splits(), 9)
+		f.run(30, 0.01, 25_000)
+		assert.Equal(t, f.splits(), 9)
+		f.run(30, 0.01, 10_000)
+		assert.Equal(t, f.splits(), 0)
+	})
+}
+
 // With half of the datagrams lost, the instances still decide alike, and none changes back and forth.
 func TestPaceWithLostDatagrams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -148,6 +162,19 @@
 	})
 }
 
+// An instance that has had no request for the pool yet has no vote, and neither has one of an older build.
+func TestOnlyDecidingInstancesVote(t *testing.T) {
+	m, silent := &WorkloadMix{}, &WorkloadMix{}
+	for i := range 5 {
+		m.Pace.SetPeer(fmt.Sprint("silent", i), silent.Pace.Report())
+	}
+	for i := range minFollowed {
+		m.Pace.SetPeer(fmt.Sprint("split", i), PaceReport{Groups: PaceSplit})
+	}
+	m.DecidePace()
+	assert.Assert(t, m.Pace.IsSplit())
+}
+
 // The share of the servers for delay-tolerant work counts what a split moves there from its first moment on.
 func TestShareAtTheBeginOfASplit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
