placement: engines of different speed were taken for the same

A plain service's servers were chosen by the lowest known load, so that many instances with the same old figures took the same one.

Change: placement.Speed takes the lasting speed (the second lowest of the last 8 reports) and, apart from it, how long work takes at this moment (weight falls to a third in 300 ms). Rendezvous hashing assigns shared parts in proportion to the lasting speed, in levels of 1.25; waits and costs count both. A plain service draws two servers by slots and speed and takes the less loaded. Reports are told within the data centre in the loads that are sent anyway; to others the datagrams have not a byte more (test). A speed that the steps contradict threefold isn't believed, none above twice the usual. The request line has speed, work_time and load_age. Candidate.Slowdown is gone.

--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -13,6 +13,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -230,11 +231,41 @@
 	for heartbeat := true; heartbeat || len(loads) > 0; heartbeat = false {
 		n := min(len(loads), loadsPerDatagram)
 		datagram.Loads, loads = loads[:n], loads[n:]
-		m.send(targets, datagram)
+		m.sendLoads(targets, datagram)
 		datagram.Mix = nil
 	}
 }
 
+// sendLoads sends a datagram with loads. Work times are of use for less than a second and go to the instances of the own
+// data centre only.
+func (m *Mesh) sendLoads(targets []netip.AddrPort, datagram wire.News) {
+	if !slices.ContainsFunc(datagram.Loads, func(l wire.NewsLoad) bool { return l.W > 0 }) {
+		m.send(targets, datagram)
+		return
+	}
+	near := m.nearAddresses()
+	far := slices.DeleteFunc(slices.Clone(targets), func(to netip.AddrPort) bool { return near[to] })
+	m.send(slices.DeleteFunc(slices.Clone(targets), func(to netip.AddrPort) bool { return !near[to] }), datagram)
+	datagram.Loads = slices.Clone(datagram.Loads)
+	for i := range datagram.Loads {
+		datagram.Loads[i].W = 0
+	}
+	m.send(far, datagram)
+}
+
+// nearAddresses returns the addresses of the other instances of the own data centre.
+func (m *Mesh) nearAddresses() map[netip.AddrPort]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	near := map[netip.AddrPort]bool{}
+	for _, p := range m.peers {
+		if p.dataCentre == m.DataCentre {
+			near[p.address] = true
+		}
+	}
+	return near
+}
+
 func (m *Mesh) send(targets []netip.AddrPort, datagram wire.News) {
 	data, err := json.Marshal(datagram)
 	if err != nil {
--- a/process/registry/load_test.go
+++ b/process/registry/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -24,3 +25,20 @@
 	assert.Equal(t, lines.FilterMessage("load_unreadable").Len(), 2)
 	assert.Equal(t, len(lines.All()[0].ContextMap()["report"].(string)), maxLoggedReport)
 }
+
+// A work time that a server reported to one instance is told to others once, and counts there like an own report.
+func TestWorkTimesAreTold(t *testing.T) {
+	here, there := &Registry{Log: zap.NewNop()}, &Registry{Log: zap.NewNop()}
+	for _, r := range []*Registry{here, there} {
+		r.Put(Entry{ID: "a", Pool: "p"})
+	}
+	here.Servers()[0].Begin(0).RecordLoad(Load{Slots: 4, WorkTime: 1.6})
+	told := here.LocalLoads(false)
+	assert.Equal(t, told[0].W, 160)
+	assert.Equal(t, here.LocalLoads(true)[0].W, 0)
+	there.UpdateRemoteLoads("here", told)
+	state := there.Servers()[0].State(time.Now())
+	assert.Equal(t, state.Speed, 1/1.6)
+	assert.Equal(t, state.WorkTime, 1.0)
+	assert.Assert(t, state.LoadAge < 0)
+}
--- a/process/registry/remote.go
+++ b/process/registry/remote.go
@@ -13,6 +13,9 @@
 // It is twice the shortest interval between the instances' heartbeats.
 const minSilentTime = 500 * time.Millisecond
 
+// maxToldWorkTime bounds the work times that instances tell each other, in percent of the usual time.
+const maxToldWorkTime = 10000
+
 // hashID returns the hash that identifies a server in datagrams between instances.
 func hashID(id string) int { return int(uint32(xxhash.Sum64String(id))) }
 
@@ -26,7 +29,8 @@
 		srv.mu.Lock()
 		if srv.loadChanged || all && (srv.running > 0 || srv.pendingPrefill > 0) {
 			isFull := time.Since(srv.brittle.rejectedAt) < fullNewsAge
-			loads = append(loads, wire.NewsLoad{S: key, R: srv.running, U: srv.pendingPrefill, F: isFull})
+			loads = append(loads, wire.NewsLoad{S: key, R: srv.running, U: srv.pendingPrefill, F: isFull, W: int(min(srv.untoldWorkTime*100, maxToldWorkTime))})
+			srv.untoldWorkTime = 0
 		}
 		srv.loadChanged = false
 		srv.mu.Unlock()
@@ -52,6 +56,9 @@
 			// A request of another instance made progress, so the server is responding.
 			srv.lastReceived = now
 		}
+		if l.W > 0 {
+			srv.speed.ObserveWorkTime(float64(l.W)/100, now)
+		}
 		if l.F {
 			srv.brittle.pause(now, fullPause)
 		}
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/request/placement"
 )
 
 const (
@@ -16,8 +18,6 @@
 	maxProbeDelay = 1600 * time.Millisecond
 	// outcomeWeight is the weight of the newest outcome in the moving average of failures.
 	outcomeWeight = 0.15
-	// stepTimeWeight is the weight of the newest step time in its moving average; see RecordStepTime.
-	stepTimeWeight = 0.1
 	// failureHalfLife is the time after which the failure rate has decayed to half if there are no new outcomes, so that
 	// an avoided server is tried again.
 	failureHalfLife = 3 * time.Second
@@ -77,8 +77,10 @@
 	// failureRate is the moving average of the outcomes, with 1 for a failure, at the time lastOutcomeAt.
 	failureRate   float64
 	lastOutcomeAt time.Time
-	// stepTimeMs is the moving average of the server's step time in milliseconds; 0 if unknown.
-	stepTimeMs float64
+	// speed is what is known of the server's speed, and untoldWorkTime the work time that it reported to this instance since
+	// LocalLoads last returned it; 0 if none.
+	speed          placement.Speed
+	untoldWorkTime float64
 
 	// addressTaken is set when another server answered at this server's address. A successful connection then doesn't show
 	// that this server is reachable, so it gets no requests until its entry changes.
@@ -220,6 +222,8 @@
 	a.srv.brittle.waiting = l.Waiting
 	a.srv.reportedAt = time.Now()
 	a.srv.lastReceived = a.srv.reportedAt
+	a.srv.speed.ObserveWorkTime(l.WorkTime, a.srv.reportedAt)
+	a.srv.untoldWorkTime = l.WorkTime
 }
 
 // maxLoggedReport is the number of bytes of an unreadable load report that are logged.
@@ -241,12 +245,7 @@
 	a.srv.mu.Lock()
 	defer a.srv.mu.Unlock()
 	a.srv.lastReceived = time.Now()
-	ms := float64(d) / float64(time.Millisecond)
-	if a.srv.stepTimeMs == 0 {
-		a.srv.stepTimeMs = ms
-		return
-	}
-	a.srv.stepTimeMs += stepTimeWeight * (ms - a.srv.stepTimeMs)
+	a.srv.speed.ObserveStep(d)
 }
 
 // End records the outcome of the request and removes it from the load. Calls after the first have no effect.
@@ -370,8 +369,13 @@
 	Position float64
 	// FailureRate is the decaying average of failed requests, from 0 to 1.
 	FailureRate float64
-	// StepMs is the average step time in milliseconds; 0 if unknown.
+	// StepMs is the step time in milliseconds; 0 if unknown. See placement.Speed.
 	StepMs float64
+	// Speed is the lasting speed relative to the usual server, and WorkTime how long work takes at this moment, relative to
+	// the lasting time; both are 0 if the server doesn't report work times.
+	Speed, WorkTime float64
+	// LoadAge is the time since the server reported its load to this instance; negative if it hasn't.
+	LoadAge time.Duration
 	// Suspect is set if the server counts as unreachable.
 	Suspect bool
 	// Brittle is the number of requests a second that the server can turn away before it falls over; 0 if it isn't brittle.
@@ -384,10 +388,13 @@
 func (srv *Server) State(now time.Time) State {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	s := State{OwnRunning: srv.running, Running: srv.running, Slots: srv.slots(), PendingPrefill: srv.pendingPrefill, Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.stepTimeMs, Suspect: srv.suspect, Limit: srv.limit.rate}
+	s := State{OwnRunning: srv.running, Running: srv.running, Slots: srv.slots(), PendingPrefill: srv.pendingPrefill, Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.speed.StepMs(), Speed: srv.speed.Lasting(), WorkTime: srv.speed.WorkTime(now), LoadAge: -1, Suspect: srv.suspect, Limit: srv.limit.rate}
 	if srv.brittle.isStated(now) {
 		s.Brittle = srv.brittle.rejections
 	}
+	if !srv.reportedAt.IsZero() {
+		s.LoadAge = now.Sub(srv.reportedAt)
+	}
 	runningOthers := 0
 	for _, l := range srv.remoteLoads {
 		if now.Sub(l.receivedAt) < remoteLoadMaxAge {
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -250,12 +250,15 @@
 		share = c.f.WorkloadMix(c.pool.Name).ShareBefore(newEngineAge)
 	}
 	newSinceMs := now.Add(-newEngineAge).UnixMilli()
+	stepTimes := make([]float64, len(servers))
 	for i, m := range servers {
-		entry := m.Entry()
+		entry, state := m.Entry(), m.State(now)
 		sources[i] = placement.Candidate{
-			Name: entry.ID, JustStarted: entry.StartedMs > newSinceMs, DelayTolerant: m.State(now).Position < share,
+			Name: entry.ID, JustStarted: entry.StartedMs > newSinceMs, DelayTolerant: state.Position < share, Speed: state.Speed, WorkTime: state.WorkTime,
 		}
+		stepTimes[i] = state.StepMs
 	}
+	placement.SetSpeeds(sources, stepTimes)
 	i, ok := placement.ChoosePrefixSource(c.meta.Prompt, sources)
 	if !ok || servers[i] == chosen {
 		return ""
@@ -264,29 +267,23 @@
 }
 
 // candidates returns the state of the servers for the choice of one. The failure rates are relative to the lowest one
-// of these servers, and the step times (the times between two events of a stream) to their median.
+// of these servers; the speeds come from the step times, the times between two events of a stream.
 func (f *Forwarder) candidates(servers []*registry.Server, share float64) []placement.Candidate {
 	now := time.Now()
 	list := make([]placement.Candidate, len(servers))
-	stepTimes := make([]float64, 0, len(servers))
+	stepTimes := make([]float64, len(servers))
 	lowestFailureRate := 1.0
 	for i, m := range servers {
 		state, entry := m.State(now), m.Entry()
 		list[i] = placement.Candidate{
-			Name: entry.ID, Running: state.Running, Slots: state.Slots, PendingPrefill: state.PendingPrefill, FailureRate: state.FailureRate, Slowdown: state.StepMs,
+			Name: entry.ID, Running: state.Running, Slots: state.Slots, PendingPrefill: state.PendingPrefill, FailureRate: state.FailureRate, Speed: state.Speed, WorkTime: state.WorkTime, LoadAge: state.LoadAge,
 			SameDataCentre: entry.DataCentre == f.DataCentre, DelayTolerant: state.Position < share,
 		}
-		lowestFailureRate = min(lowestFailureRate, state.FailureRate)
-		if state.StepMs > 0 {
-			stepTimes = append(stepTimes, state.StepMs)
-		}
+		lowestFailureRate, stepTimes[i] = min(lowestFailureRate, state.FailureRate), state.StepMs
 	}
-	medianStepTime := placement.Median(stepTimes)
+	placement.SetSpeeds(list, stepTimes)
 	for i := range list {
 		list[i].FailureRate -= lowestFailureRate
-		if medianStepTime > 0 {
-			list[i].Slowdown /= medianStepTime
-		}
 	}
 	return list
 }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -325,10 +326,13 @@
 	return max(time.Until(c.arrivedAt.Add(c.meta.CallerTimeout)), time.Millisecond)
 }
 
+// roundHundredths shortens a number for the log.
+func roundHundredths(v float64) float64 { return math.Round(v*100) / 100 }
+
 // logRequest writes the log line of a finished request and passes its summary to the metrics.
 func (c *call) logRequest() {
 	summary := Summary{ErrorCode: c.errorCode, Attempts: c.sends, TotalTime: time.Since(c.arrivedAt), Outcome: c.outcome}
-	fields := make([]zap.Field, 0, 26)
+	fields := make([]zap.Field, 0, 29)
 	fields = append(fields,
 		zap.String("request_id", c.meta.ID),
 		zap.String("outcome", string(c.outcome)),
@@ -353,6 +357,9 @@
 				zap.Int("cost", int(c.serverChoice.cost)),
 				zap.Int("running", c.serverChoice.server.Running),
 				zap.Int("unread", c.serverChoice.server.PendingPrefill),
+				zap.Float64("speed", roundHundredths(c.serverChoice.server.Speed)),
+				zap.Float64("work_time", roundHundredths(c.serverChoice.server.WorkTime)),
+				zap.Duration("load_age", c.serverChoice.server.LoadAge.Round(time.Millisecond)),
 				zap.Bool("owner", c.serverChoice.isCacheOwner),
 				zap.String("fetched", c.cacheSource),
 			)
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -86,8 +86,13 @@
 	PendingPrefill int
 	// FailureRate is the ratio of recent requests that the server failed, from 0 to 1.
 	FailureRate float64
-	// Slowdown is the ratio of the server's recent response time to the median of its pool; 1 is usual, 0 unknown.
-	Slowdown float64
+	// Speed is the server's lasting speed relative to the usual server of its pool; 1 is usual, 0 unknown.
+	Speed float64
+	// WorkTime is how long work takes on the server at this moment, relative to its usual time; 1 is usual, 0 means that
+	// the server doesn't report it.
+	WorkTime float64
+	// LoadAge is the time since the server reported its load and work time; negative if it hasn't. It is only logged.
+	LoadAge time.Duration
 	// SameDataCentre reports that the server is in the instance's own data centre.
 	SameDataCentre bool
 	// DelayTolerant reports that the server belongs to the group for delay-tolerant requests.
@@ -180,9 +185,13 @@
 
 // cost returns the expected time until the candidate has prefilled the prompt, plus penalties, in prefill tokens.
 func (p *Prompt) cost(c *Candidate, isOwner bool) float64 {
-	cost := p.waitCost(expectedWait(c)) + float64(p.Tokens-p.SharedTokens())
+	work := float64(p.Tokens - p.SharedTokens())
 	if !isOwner {
-		cost += sharedMissFactor * float64(p.SharedTokens())
+		work += sharedMissFactor * float64(p.SharedTokens())
+	}
+	cost := p.waitCost(expectedWait(c)) + work*c.slowness()
+	if c.reportsWorkTime() {
+		cost += outputTokenCost * float64(p.MaxOutput) * c.slowness()
 	}
 	if !c.SameDataCentre {
 		cost += remoteCost
@@ -215,8 +224,8 @@
 	return sum / float64(max(n, 1))
 }
 
-// ranking returns the indices of the candidates, those of the prompt's own group first, by descending
-// rendezvous hash of the prompt's affinity key and their names.
+// ranking returns the indices of the candidates, those of the prompt's own group first, by descending rendezvous hash of
+// the prompt's affinity key and their names. An engine that is known to be twice as fast comes first twice as often.
 func (p *Prompt) ranking(candidates []Candidate) []int {
 	keyHash := xxhash.Sum64String(p.AffinityKey())
 	hashes := make([]uint64, len(candidates))
@@ -231,7 +240,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(hashes[b], hashes[a])
+		return compareRanks(hashes[a], hashes[b], candidates[a].level(), candidates[b].level())
 	})
 	return ranking
 }
@@ -281,10 +290,7 @@
 	if c.Slots > 0 && c.Running >= c.Slots {
 		wait += queuedRequestCost * float64(c.Running-c.Slots+1)
 	}
-	if c.Slowdown > 1 {
-		wait *= c.Slowdown
-	}
-	return wait
+	return wait * c.waitFactor()
 }
 
 // rendezvousOwner returns the index of the eligible candidate with the highest rendezvous hash of the affinity key and
@@ -296,7 +302,7 @@
 		if !eligible(&candidates[i]) {
 			continue
 		}
-		if h := rendezvousHash(keyHash, candidates[i].Name); owner < 0 || h > highest {
+		if h := rendezvousHash(keyHash, candidates[i].Name); owner < 0 || compareRanks(h, highest, candidates[i].level(), candidates[owner].level()) < 0 {
 			owner, highest = i, h
 		}
 	}
@@ -313,14 +319,17 @@
 
 // ChooseServer chooses a server of a plain service: the one with the lowest load per slot, where failures and
 // slowness count as load. A hash of the request's id decides between equal servers, so that instances don't all choose
-// the same one.
+// the same one. If the servers report work times, see drawServer.
 func ChooseServer(id string, candidates []Candidate) Choice {
+	if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.reportsWorkTime() }) {
+		return drawServer(id, candidates)
+	}
 	best, chosen := math.Inf(1), -1
 	idHash := xxhash.Sum64String(id)
 	bestHash := uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		load := float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.Slowdown, 1) * (1 + failureCost*c.FailureRate)
+		load := float64(c.Running+1) / float64(max(c.Slots, 1)) * c.waitFactor() * (1 + failureCost*c.FailureRate)
 		if h := rendezvousHash(idHash, c.Name); load < best || load == best && h > bestHash {
 			best, chosen, bestHash = load, i, h
 		}
@@ -328,6 +337,32 @@
 	return Choice{Index: chosen, Owner: -1, Cost: best}
 }
 
+// drawServer draws two servers by the hash of the request's id, in proportion to their slots and to the square of
+// their speed at this moment, since a request also stays longer on a slow one, and chooses the one with the lower load. This handles many instances that choose at the same moment by the same
+// outdated loads: each sees another pair, so that they don't all choose the server with the lowest load.
+func drawServer(id string, candidates []Candidate) Choice {
+	idHash := xxhash.Sum64String(id)
+	load := func(i int) float64 {
+		c := &candidates[i]
+		return float64(c.Running+1) / float64(max(c.Slots, 1)) * c.slowness() * (1 + failureCost*c.FailureRate)
+	}
+	first, second, firstScore, secondScore := -1, -1, -1.0, -1.0
+	for i := range candidates {
+		c := &candidates[i]
+		weight := float64(max(c.Slots, 1)) / (c.slowness() * c.slowness()) / (1 + failureCost*c.FailureRate)
+		switch score := weightedScore(rendezvousHash(idHash, c.Name), weight); {
+		case score > firstScore:
+			first, second, firstScore, secondScore = i, first, score, firstScore
+		case score > secondScore:
+			second, secondScore = i, score
+		}
+	}
+	if second >= 0 && load(second) < load(first) {
+		first = second
+	}
+	return Choice{Index: first, Owner: -1, Cost: load(first)}
+}
+
 // ChoosePool returns the name of the pool for the request with the id. Each pool gets a part of the requests in
 // proportion to its weight.
 func ChoosePool(id string, names []string, weights []float64) string {
--- a/request/placement/placement_test.go
+++ b/request/placement/placement_test.go
@@ -107,7 +107,7 @@
 func TestHealthyServersArePreferred(t *testing.T) {
 	for name, worse := range map[string]Candidate{
 		"failing": {Name: "worse", Slots: 8, SameDataCentre: true, FailureRate: 0.5},
-		"slow":    {Name: "worse", Slots: 8, SameDataCentre: true, Slowdown: 5, Running: 2, PendingPrefill: 8000},
+		"slow":    {Name: "worse", Slots: 8, SameDataCentre: true, Speed: 0.2, Running: 2, PendingPrefill: 8000},
 		"full":    {Name: "worse", Slots: 8, SameDataCentre: true, Running: 8},
 		"far":     {Name: "worse", Slots: 8},
 	} {
--- /dev/null
+++ b/request/placement/speed.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// stepTimeWeight is the weight of the newest step time in its moving average.
+	stepTimeWeight = 0.1
+	// recentReports is the number of reported work times from which the lasting one is taken. At two reports a second from
+	// all instances of a data centre they cover four seconds, longer than a machine is busy with something else.
+	recentReports = 8
+	// reportsToOutvote is the number of reports from which a single low one isn't believed.
+	reportsToOutvote = 4
+	// workTimeDecay is the time in which a reported work time loses two thirds of its weight: it changes many times a
+	// second.
+	workTimeDecay = 300 * time.Millisecond
+	// maxWorkTime bounds a reported work time relative to the server's lasting one, so that a false report can't keep all
+	// work away.
+	maxWorkTime = 8
+	// minSpeed and maxSpeed bound the lasting speed that is believed: a false report attracts at most twice the usual work.
+	minSpeed, maxSpeed = 0.25, 2
+	// maxStepExcess is the ratio of a server's mean step time to the median of its pool, counted for its reported speed,
+	// above which the report isn't believed. Prefills lengthen the mean step of a busy server up to threefold.
+	maxStepExcess = 3
+	// speedStep is the ratio of two levels of the lasting speed by which shared parts of prompts are assigned, so that
+	// instances with slightly different figures assign them to the same servers. A server within one step of the usual
+	// speed counts as usual.
+	speedStep = 1.25
+)
+
+// Speed is what an instance knows of the speed of one server: apart from each other the lasting speed and how long work
+// takes at this moment, both by the server's reports, and the mean step time of the requests there. The zero value knows
+// nothing. It isn't safe for concurrent use.
+//
+// It handles pools whose servers differ in speed, on machines that are shared with others, and reports that are false.
+// A server that reports no work times is judged by its mean step time only.
+type Speed struct {
+	// stepMs is the moving average of the step times in milliseconds; 0 if unknown.
+	stepMs float64
+	// reports holds the newest reported work times, count of them, the last one in front. It came at reportedAt.
+	reports    [recentReports]float64
+	count      int
+	reportedAt time.Time
+}
+
+// ObserveStep records the duration of one step: the time between two events of a stream.
+func (s *Speed) ObserveStep(d time.Duration) {
+	ms := float64(d) / float64(time.Millisecond)
+	if s.stepMs == 0 {
+		s.stepMs = ms
+		return
+	}
+	s.stepMs += stepTimeWeight * (ms - s.stepMs)
+}
+
+// ObserveWorkTime records how long work took at a time, relative to the usual time of all servers, as the server
+// reported it. A report that is older than the newest one is ignored.
+func (s *Speed) ObserveWorkTime(workTime float64, at time.Time) {
+	if !(workTime > 0) || math.IsInf(workTime, 0) || at.Before(s.reportedAt) {
+		return
+	}
+	copy(s.reports[1:], s.reports[:])
+	s.reports[0], s.reportedAt = workTime, at
+	s.count = min(s.count+1, recentReports)
+}
+
+// StepMs returns the mean step time in milliseconds; 0 if unknown.
+func (s *Speed) StepMs() float64 { return s.stepMs }
+
+// lastingWorkTime returns the work time without what is momentary: the lowest of the recent reports, or the second
+// lowest if there are enough to outvote one.
+func (s *Speed) lastingWorkTime() float64 {
+	recent := s.reports
+	slices.Sort(recent[:s.count])
+	if s.count >= reportsToOutvote {
+		return recent[1]
+	}
+	return recent[0]
+}
+
+// Lasting returns the lasting speed, relative to the usual server; 0 if the server reported no work time.
+func (s *Speed) Lasting() float64 {
+	if s.count == 0 {
+		return 0
+	}
+	return min(max(1/s.lastingWorkTime(), minSpeed), maxSpeed)
+}
+
+// WorkTime returns how long work takes at this moment, relative to the lasting work time; 0 if the server reported none.
+// A report counts the less the older it is.
+func (s *Speed) WorkTime(now time.Time) float64 {
+	if s.count == 0 {
+		return 0
+	}
+	ratio := min(max(s.reports[0]/s.lastingWorkTime(), 1.0/maxWorkTime), maxWorkTime)
+	return 1 + (ratio-1)*math.Exp(-float64(now.Sub(s.reportedAt))/float64(workTimeDecay))
+}
+
+// reportsWorkTime reports whether the server says how long work takes. Only then its speed counts in full; otherwise a
+// slow server's waits are longer, and that is all.
+func (c *Candidate) reportsWorkTime() bool { return c.WorkTime > 0 }
+
+// slowness returns how long work takes on the server at this moment, relative to the usual time of its pool; 1 if the
+// server doesn't report work times.
+func (c *Candidate) slowness() float64 {
+	switch {
+	case !c.reportsWorkTime():
+		return 1
+	case c.Speed <= 0:
+		return c.WorkTime
+	default:
+		return c.WorkTime / c.Speed
+	}
+}
+
+// waitFactor returns the factor by which waits at the server are longer than usual.
+func (c *Candidate) waitFactor() float64 {
+	if !c.reportsWorkTime() {
+		if c.Speed > 0 && c.Speed < 1 {
+			return 1 / c.Speed
+		}
+		return 1
+	}
+	return c.slowness()
+}
+
+// level returns the lasting speed, rounded to a power of speedStep.
+func (c *Candidate) level() float64 {
+	if !c.reportsWorkTime() || c.Speed <= 0 {
+		return 1
+	}
+	steps := math.Round(math.Log(c.Speed) / math.Log(speedStep))
+	if math.Abs(steps) <= 1 {
+		return 1
+	}
+	return math.Pow(speedStep, steps)
+}
+
+// weightedScore turns the rendezvous hash of a server into one by which servers are chosen in proportion to their
+// weights. Servers of the same weight keep the order of their hashes.
+func weightedScore(hash uint64, weight float64) float64 {
+	return weight / -math.Log((float64(hash>>11)+0.5)/(1<<53))
+}
+
+// compareRanks orders servers by descending weighted score and, where rounding makes these equal, by descending hash.
+func compareRanks(hashA, hashB uint64, levelA, levelB float64) int {
+	if levelA == levelB {
+		return cmp.Compare(hashB, hashA)
+	}
+	return cmp.Compare(weightedScore(hashB, levelB), weightedScore(hashA, levelA))
+}
+
+// SetSpeeds completes the speeds of the candidates by their mean step times in milliseconds, 0 if unknown. If a server
+// of the pool reports work times, its speed is already set, and the step times only show reports that are false; a
+// server that hasn't reported yet counts as usual. In other pools the speeds are the ratios of the median step time to
+// those of the servers.
+func SetSpeeds(candidates []Candidate, stepMs []float64) {
+	known := make([]float64, 0, len(stepMs))
+	for _, ms := range stepMs {
+		if ms > 0 {
+			known = append(known, ms)
+		}
+	}
+	usualMs := Median(known)
+	isReported := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.reportsWorkTime() })
+	for i, ms := range stepMs {
+		c := &candidates[i]
+		bySteps := 0.0
+		if ms > 0 && usualMs > 0 {
+			bySteps = usualMs / ms
+		}
+		switch {
+		case !isReported:
+			c.Speed = bySteps
+		case !c.reportsWorkTime():
+			c.Speed, c.WorkTime = 1, 1
+		case bySteps > 0 && bySteps*maxStepExcess < c.Speed:
+			c.Speed = max(bySteps, minSpeed)
+		}
+	}
+}
--- /dev/null
+++ b/request/placement/speed_test.go
@@ -0,0 +1,225 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// The lasting speed is that of the moments in which the machine does nothing else; what is momentary counts for less
+// than a second.
+func TestSpeed(t *testing.T) {
+	var s Speed
+	now := time.Unix(100, 0)
+	assert.Equal(t, s.Lasting(), 0.0)
+	assert.Equal(t, s.WorkTime(now), 0.0)
+	for _, workTime := range []float64{1.6, 1.6, 4, 1.6, 4} {
+		now = now.Add(100 * time.Millisecond)
+		s.ObserveWorkTime(workTime, now)
+	}
+	assert.Equal(t, s.Lasting(), 1/1.6)
+	assert.Equal(t, s.WorkTime(now), 2.5)
+	// The reports of a second are lost: the moment is forgotten, the lasting speed isn't.
+	assert.Assert(t, s.WorkTime(now.Add(time.Second)) < 1.1)
+	assert.Equal(t, s.Lasting(), 1/1.6)
+	// A single false report, and one that came late, change nothing for long.
+	s.ObserveWorkTime(0.01, now.Add(-time.Second))
+	s.ObserveWorkTime(0.01, now)
+	assert.Equal(t, s.Lasting(), 1/1.6)
+	// The server gets fast: two reports are enough. It gets slow: within recentReports of them.
+	for range 2 {
+		s.ObserveWorkTime(0.6, now)
+	}
+	assert.Equal(t, s.Lasting(), 1/0.6)
+	for range recentReports {
+		s.ObserveWorkTime(1.6, now)
+	}
+	assert.Equal(t, s.Lasting(), 1/1.6)
+}
+
+// A server that reports three times its speed is judged by its steps.
+func TestFalseSpeedIsSeenBySteps(t *testing.T) {
+	list := []Candidate{{Speed: 2, WorkTime: 1}, {Speed: 1, WorkTime: 1}, {Speed: 0.6, WorkTime: 1}, {}}
+	SetSpeeds(list, []float64{150, 50, 80, 0})
+	assert.DeepEqual(t, []float64{list[0].Speed, list[1].Speed, list[2].Speed, list[3].Speed}, []float64{80.0 / 150, 1, 0.6, 1})
+	assert.Equal(t, list[3].WorkTime, 1.0)
+}
+
+// referenceEngine is the choice of builds that know no speeds.
+func referenceEngine(p *Prompt, list []Candidate) int {
+	wait := func(c *Candidate) float64 {
+		wait := float64(c.PendingPrefill) + runningRequestCost*float64(c.Running)
+		if c.Slots > 0 && c.Running >= c.Slots {
+			wait += queuedRequestCost * float64(c.Running-c.Slots+1)
+		}
+		return wait
+	}
+	cost := func(c *Candidate, isOwner bool) float64 {
+		cost := p.waitCost(wait(c)) + float64(p.Tokens-p.SharedTokens())
+		if !isOwner {
+			cost += sharedMissFactor * float64(p.SharedTokens())
+		}
+		if !c.SameDataCentre {
+			cost += remoteCost
+		}
+		return cost * (1 + failureCost*c.FailureRate)
+	}
+	keyHash := xxhash.Sum64String(p.AffinityKey())
+	ranking := make([]int, len(list))
+	sum := 0.0
+	for i := range list {
+		ranking[i] = i
+		sum += wait(&list[i])
+	}
+	slices.SortFunc(ranking, func(a, b int) int {
+		if rendezvousHash(keyHash, list[a].Name) > rendezvousHash(keyHash, list[b].Name) {
+			return -1
+		}
+		return 1
+	})
+	for compared := initialChoices; ; compared *= 2 {
+		best, bestCost, near := -1, 0.0, 0
+		for rank, i := range ranking {
+			if list[i].SameDataCentre {
+				near++
+			}
+			if rank >= compared && (!list[i].SameDataCentre || near > compared) {
+				continue
+			}
+			if c := cost(&list[i], i == ranking[0]); best < 0 || c < bestCost {
+				best, bestCost = i, c
+			}
+		}
+		c := &list[best]
+		if compared >= len(ranking) || c.FailureRate <= maxFailureRatio && wait(c) <= max(p.harmlessWait(), maxIdlePrefill, hotServerFactor*sum/float64(len(list))) {
+			return best
+		}
+	}
+}
+
+// Where no server reports work times and none is slow, the choice is that of builds that know no speeds.
+func TestEqualSpeedsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := make([]Candidate, rapid.IntRange(1, 30).Draw(t, "servers"))
+		for i := range list {
+			list[i] = Candidate{
+				Name: fmt.Sprint("s", i), Slots: 8, Running: rapid.IntRange(0, 12).Draw(t, "running"), PendingPrefill: rapid.IntRange(0, 60000).Draw(t, "pending"),
+				SameDataCentre: rapid.Bool().Draw(t, "near"), FailureRate: rapid.SampledFrom([]float64{0, 0, 0.1, 0.5}).Draw(t, "failures"), Speed: rapid.SampledFrom([]float64{0, 1}).Draw(t, "speed"),
+			}
+		}
+		p := &Prompt{Parts: []Part{{fmt.Sprint(rapid.IntRange(0, 99).Draw(t, "key")), 600}, {"own", 900}}, Tokens: 1500, MaxOutput: 200, FirstEventTarget: time.Second}
+		assert.Equal(t, ChooseEngine(p, list).Index, referenceEngine(p, list))
+	})
+}
+
+// waitTail returns the 99th percentile of the waits after the first quarter of the requests.
+func (f *fleet) waitTail() time.Duration {
+	mean, ratio := meanAndTail(f.waits)
+	return time.Duration(float64(mean) * ratio)
+}
+
+// Whatever a server reports, the 99th percentile of the waits is no longer than if no report were read.
+func TestFalseReports(t *testing.T) {
+	reports := map[string]func(now time.Duration, workTime float64) float64{
+		"lies":         func(time.Duration, float64) float64 { return 0.1 },
+		"lies slow":    func(time.Duration, float64) float64 { return 10 },
+		"stands still": func(time.Duration, float64) float64 { return 1 },
+		"jumps":        func(now time.Duration, _ float64) float64 { return []float64{0.1, 10, 1}[now/loadTick%3] },
+	}
+	for name, report := range reports {
+		t.Run(name, func(t *testing.T) {
+			before, now := newFleet(5, 78, 60, 64, true), newFleet(5, 78, 60, 64, true)
+			before.ignoresReports = true
+			now.servers[2].report = report
+			before.run(6, 700, chooseEngine)
+			now.run(6, 700, chooseEngine)
+			logFleets(t, before, now)
+			assert.Assert(t, now.waitTail() <= before.waitTail())
+		})
+	}
+}
+
+// The reports of one server are lost for a second: the waits stay shorter than without any reports.
+func TestLostReports(t *testing.T) {
+	before, now := newFleet(6, 78, 60, 64, true), newFleet(6, 78, 60, 64, true)
+	before.ignoresReports = true
+	before.run(6, 700, chooseEngine)
+	now.run(3, 700, chooseEngine)
+	now.reportsLost = true
+	now.run(1, 700, chooseEngine)
+	now.reportsLost = false
+	now.run(2, 700, chooseEngine)
+	assert.Assert(t, now.waitTail() <= before.waitTail())
+}
+
+// An instance that hears of no other instance's requests, only of what servers report to it, is no worse off with the
+// reports than without.
+func TestDeafInstances(t *testing.T) {
+	before, now := newFleet(7, 78, 60, 64, true), newFleet(7, 78, 60, 64, true)
+	before.ignoresReports, before.deaf, now.deaf = true, 8, 8
+	before.run(6, 700, chooseEngine)
+	now.run(6, 700, chooseEngine)
+	logFleets(t, before, now)
+	assert.Assert(t, now.waitTail() <= before.waitTail())
+}
+
+// The slow and the fast servers change places: two seconds later the waits are shorter than without reports again.
+func TestSpeedsChangePlaces(t *testing.T) {
+	run := func(ignoresReports bool) *fleet {
+		f := newFleet(8, 78, 60, 64, true)
+		f.ignoresReports = ignoresReports
+		f.run(4, 700, chooseEngine)
+		for _, s := range f.servers {
+			s.speed = 0.96 / s.speed
+		}
+		f.run(2, 700, chooseEngine)
+		f.waits = nil
+		f.run(4, 700, chooseEngine)
+		return f
+	}
+	before, now := run(true), run(false)
+	t.Logf("99th percentile of waits %v, without reports %v", now.waitTail(), before.waitTail())
+	assert.Assert(t, now.waitTail() <= before.waitTail())
+}
+
+// A server that was five times slower than the others for four seconds gets its part of the work again within a second.
+func TestServerGetsFastAgain(t *testing.T) {
+	f := newFleet(9, 78, 60, 64, true)
+	for _, s := range f.servers {
+		s.speed = 1
+	}
+	f.servers[0].speed = 0.2
+	f.run(4, 700, chooseEngine)
+	f.servers[0].speed = 1
+	f.run(1, 700, chooseEngine)
+	f.run(2, 700, chooseEngine)
+	mean := 0.0
+	for _, s := range f.servers {
+		mean += (s.busy[5] + s.busy[6]).Seconds() / float64(len(f.servers))
+	}
+	got := (f.servers[0].busy[5] + f.servers[0].busy[6]).Seconds()
+	t.Logf("busy for %.2f s of two, mean %.2f s", got, mean)
+	assert.Assert(t, got >= mean/2)
+}
+
+// The expected time until a prompt is prefilled is closer to what comes than without speeds, in the median and in the
+// 95th percentile.
+func TestPredictedFirstEvent(t *testing.T) {
+	score := func(ignoresReports bool) (median, high time.Duration) {
+		f := newFleet(10, 78, 60, 64, true)
+		f.ignoresReports = ignoresReports
+		f.run(8, 700, chooseEngine)
+		errors := slices.Sorted(slices.Values(f.errors[len(f.errors)/4:]))
+		return errors[len(errors)/2], errors[len(errors)*95/100]
+	}
+	beforeMedian, beforeHigh := score(true)
+	median, high := score(false)
+	t.Logf("error in the median %v, 95th percentile %v; without speeds %v, %v", median, high, beforeMedian, beforeHigh)
+	assert.Assert(t, median < beforeMedian)
+	assert.Assert(t, high < beforeHigh)
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -262,6 +262,11 @@
 
 	// Prompt tokens that the backend server still has to prefill.
 	U int `json:"u"`
+
+	// How long work took at the backend server when it last reported that to the
+	// sender, in percent of the usual time; 0 means that there was no such report
+	// since the sender's previous datagram. It is told within a data centre only.
+	W int `json:"w,omitempty,omitzero"`
 }
 
 // NewsMix is the rate of work that one instance's requests have lately brought to
