metrics: the spread of load over a pool's servers and the age of what is known

The pauses of streams that aren't delay-tolerant count in the cost where servers report work times (trial, being measured).

--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/toucanroute/toucanroute/connection/operator"
 	"github.com/toucanroute/toucanroute/process/metrics"
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/request/forward"
 	"github.com/toucanroute/toucanroute/wire"
@@ -59,6 +61,7 @@
 		ConfigVersion: g.configVersion(),
 		Fleet:         metrics.Lease{Held: held, Fence: fence},
 		Usage:         metrics.Lease{Held: held, Fence: fence},
+		Pools:         g.poolLoads(),
 	}
 	if callerServer := g.callerServer.Load(); callerServer != nil {
 		values.Running = callerServer.Running()
@@ -66,6 +69,44 @@
 	return values
 }
 
+// poolLoads returns the loads of the pools, sorted by name.
+func (g *Gateway) poolLoads() []metrics.PoolLoad {
+	byPool := map[string][]registry.State{}
+	now := time.Now()
+	for _, server := range g.registry.Servers() {
+		pool := server.Entry().Pool
+		byPool[pool] = append(byPool[pool], server.State(now))
+	}
+	list := make([]metrics.PoolLoad, 0, len(byPool))
+	for _, pool := range slices.Sorted(maps.Keys(byPool)) {
+		list = append(list, poolLoad(pool, byPool[pool]))
+	}
+	return list
+}
+
+// poolLoad returns the load of a pool by the states of its servers. A pool without requests counts as even.
+func poolLoad(pool string, states []registry.State) metrics.PoolLoad {
+	load := metrics.PoolLoad{Pool: pool, Spread: 1, ReportAge: -1}
+	highest, total, age, reports := 0.0, 0.0, time.Duration(0), 0
+	for _, s := range states {
+		perSlot := float64(s.Running) / float64(max(s.Slots, 1))
+		if s.Speed > 0 {
+			perSlot /= s.Speed
+		}
+		highest, total = max(highest, perSlot), total+perSlot
+		if s.LoadAge >= 0 {
+			age, reports = age+s.LoadAge, reports+1
+		}
+	}
+	if total > 0 {
+		load.Spread = highest * float64(len(states)) / total
+	}
+	if reports > 0 {
+		load.ReportAge = age / time.Duration(reports)
+	}
+	return load
+}
+
 // Status returns this instance's view of the deployment, for operators. It must not be called before Run has begun.
 func (g *Gateway) Status() wire.Status {
 	return wire.Status{
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -1,6 +1,6 @@
 // Package metrics holds the Prometheus metrics of an instance, in families with stable names and units.
 //
-// The labels are class, result, reason, data centre, state and job, which have few values. No label names a workspace,
+// The labels are class, result, reason, data centre, state, job and pool, which have few values. No label names a workspace,
 // a key, a backend server or an instance.
 //
 // No other lock is taken while Metrics.mu is held, and the function Gauges is called without it.
@@ -42,6 +42,17 @@
 	VersionsAge time.Duration
 	// Fleet and Usage are the states of the leases for these two jobs of the data centre.
 	Fleet, Usage Lease
+	// Pools holds the loads of the pools of backend servers, of which the first MaxClasses get series.
+	Pools []PoolLoad
+}
+
+// PoolLoad is the load of a pool's backend servers as the instance knows it.
+type PoolLoad struct {
+	Pool string
+	// Spread is the highest load of a server over the mean load, per slot and with the servers' speeds counted; 1 is even.
+	Spread float64
+	// ReportAge is the mean time since the servers' last reports of their load; negative if none reported one.
+	ReportAge time.Duration
 }
 
 // Lease is the state of a lease as the instance knows it: whether the instance holds it, and the newest fencing token.
@@ -115,6 +126,11 @@
 	vm.WriteGaugeFloat64(w, nameVersionsAge, ageSeconds(g.VersionsAge))
 	g.Fleet.write(w, `{job="fleet"}`)
 	g.Usage.write(w, `{job="usage"}`)
+	for _, p := range g.Pools[:min(len(g.Pools), MaxClasses)] {
+		label := fmt.Sprintf("{pool=%q}", p.Pool)
+		vm.WriteGaugeFloat64(w, nameLoadSpread+label, p.Spread)
+		vm.WriteGaugeFloat64(w, nameReportAge+label, ageSeconds(p.ReportAge))
+	}
 }
 
 // write writes the gauges of the lease.
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -374,7 +374,8 @@
 	// Speed is the lasting speed relative to the usual server, and WorkTime how long work takes at this moment, relative to
 	// the lasting time; both are 0 if the server doesn't report work times.
 	Speed, WorkTime float64
-	// LoadAge is the time since the server reported its load to this instance; negative if it hasn't.
+	// LoadAge is the time since the server reported its load to this instance, or its work time to another one that told
+	// so; negative if neither happened.
 	LoadAge time.Duration
 	// Suspect is set if the server counts as unreachable.
 	Suspect bool
@@ -392,7 +393,9 @@
 	if srv.brittle.isStated(now) {
 		s.Brittle = srv.brittle.rejections
 	}
-	if !srv.reportedAt.IsZero() {
+	if at := srv.speed.ReportedAt(); at.After(srv.reportedAt) {
+		s.LoadAge = now.Sub(at)
+	} else if !srv.reportedAt.IsZero() {
 		s.LoadAge = now.Sub(srv.reportedAt)
 	}
 	runningOthers := 0
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -133,6 +133,10 @@
 	// idle. It exceeds any wait, so that such a server is used only if no other is left: a sequence of long prompts
 	// would delay each token of all streams there.
 	streamDelayCost = 1e7
+	// streamTokenCost is the cost of one permitted token of an answer on a usual server, in prefill tokens. Generating a
+	// token takes as long as prefilling some hundreds, and answers have less than half of the permitted length; the time
+	// matters less than that to the first event, unless the pauses get too long.
+	streamTokenCost = 50
 	// maxIdleRunning is the number of running requests up to which a server counts as idle, if its pending prefill is
 	// at most maxIdlePrefill: only few streams are delayed then.
 	maxIdleRunning = 4
@@ -162,7 +166,7 @@
 	if len(ranking) > 0 && candidates[ranking[0]].DelayTolerant == p.DelayTolerant {
 		best.Owner = ranking[0]
 	}
-	usualWait := p.meanWait(candidates)
+	usual := p.usualLoad(candidates)
 	for compared := initialChoices; ; compared *= 2 {
 		// sameDataCentreCount counts the servers of the instance's own data centre in the ranking so far.
 		sameDataCentreCount := 0
@@ -173,25 +177,27 @@
 			if rank >= compared && (!candidates[i].SameDataCentre || sameDataCentreCount > compared) {
 				continue
 			}
-			if cost := p.cost(&candidates[i], i == best.Owner); best.Index < 0 || cost < best.Cost {
+			if cost := p.cost(&candidates[i], i == best.Owner, usual); best.Index < 0 || cost < best.Cost {
 				best.Index, best.Cost = i, cost
 			}
 		}
-		if compared >= len(ranking) || !p.needsAlternative(&candidates[best.Index], usualWait) {
+		if compared >= len(ranking) || !p.needsAlternative(&candidates[best.Index], usual.wait) {
 			return best
 		}
 	}
 }
 
-// cost returns the expected time until the candidate has prefilled the prompt, plus penalties, in prefill tokens.
-func (p *Prompt) cost(c *Candidate, isOwner bool) float64 {
+// cost returns the expected time until the candidate has prefilled the prompt, plus penalties, in prefill tokens. Where
+// servers report work times, the pauses of a stream that isn't delay-tolerant count too: they get longer with the time
+// that work takes there, and with the requests that run there, whose prompts are prefilled between the stream's tokens.
+func (p *Prompt) cost(c *Candidate, isOwner bool, usual usualLoad) float64 {
 	work := float64(p.Tokens - p.SharedTokens())
 	if !isOwner {
 		work += sharedMissFactor * float64(p.SharedTokens())
 	}
 	cost := p.waitCost(expectedWait(c)) + work*c.slowness()
-	if c.reportsWorkTime() {
-		cost += outputTokenCost * float64(p.MaxOutput) * c.slowness()
+	if c.reportsWorkTime() && !p.DelayTolerant {
+		cost += streamTokenCost * float64(p.MaxOutput) * c.slowness() * (1 + float64(c.Running)/max(usual.running, 1)) / 2
 	}
 	if !c.SameDataCentre {
 		cost += remoteCost
@@ -212,16 +218,24 @@
 	return c.FailureRate > maxFailureRatio || c.DelayTolerant != p.DelayTolerant || expectedWait(c) > max(p.harmlessWait(), maxIdlePrefill, hotServerFactor*usualWait)
 }
 
-// meanWait returns the mean wait of a new prompt at the servers of its group, in prefill tokens.
-func (p *Prompt) meanWait(candidates []Candidate) float64 {
-	sum, n := 0.0, 0
+// usualLoad is the mean load of the servers of a prompt's group.
+type usualLoad struct {
+	// wait is the wait of a new prompt in prefill tokens, and running the number of running requests.
+	wait, running float64
+}
+
+// usualLoad returns the mean load of the servers of the prompt's group.
+func (p *Prompt) usualLoad(candidates []Candidate) usualLoad {
+	sum, n := usualLoad{}, 0
 	for i := range candidates {
 		if candidates[i].DelayTolerant == p.DelayTolerant {
-			sum += expectedWait(&candidates[i])
+			sum.wait += expectedWait(&candidates[i])
+			sum.running += float64(candidates[i].Running)
 			n++
 		}
 	}
-	return sum / float64(max(n, 1))
+	count := float64(max(n, 1))
+	return usualLoad{sum.wait / count, sum.running / count}
 }
 
 // ranking returns the indices of the candidates, those of the prompt's own group first, by descending rendezvous hash of
--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -90,6 +90,9 @@
 	return min(max(1/s.lastingWorkTime(), minSpeed), maxSpeed)
 }
 
+// ReportedAt returns the time of the newest report; zero if there was none.
+func (s *Speed) ReportedAt() time.Time { return s.reportedAt }
+
 // WorkTime returns how long work takes at this moment, relative to the lasting work time; 0 if the server reported none.
 // A report counts the less the older it is.
 func (s *Speed) WorkTime(now time.Time) float64 {
