registry: groups of servers follow their speeds

Servers are split between delay-tolerant and latency-sensitive requests by position, which followed the hashed ids alone, so that slow servers got streams that must keep coming, and a group's share was one of servers, not of speed. Positions now go by level of speed first, and a faster server takes more room. Without reports of work times they are as before (test). Set anew once a second at most, in LocalLoads, if a level changed.

--- a/process/registry/load_test.go
+++ b/process/registry/load_test.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -42,3 +44,32 @@
 	assert.Equal(t, state.WorkTime, 1.0)
 	assert.Assert(t, state.LoadAge >= 0)
 }
+
+// The servers are split by their speeds: the slow ones serve delay-tolerant requests, and the groups have their parts of
+// the speed of all. Without reports the order is that of the hashed ids, each server with the same room.
+func TestPositionsFollowSpeed(t *testing.T) {
+	r := &Registry{Log: zap.NewNop()}
+	for i := range 6 {
+		r.Put(Entry{ID: fmt.Sprint("s", i), Pool: "p"})
+	}
+	positions := func() []float64 {
+		var list []float64
+		for _, srv := range r.Servers() {
+			list = append(list, srv.State(time.Now()).Position)
+		}
+		slices.Sort(list)
+		return list
+	}
+	even := positions()
+	assert.DeepEqual(t, even, []float64{0.5 / 6, 1.5 / 6, 2.5 / 6, 3.5 / 6, 4.5 / 6, 5.5 / 6})
+	r.LocalLoads(true)
+	assert.DeepEqual(t, positions(), even)
+	for i, srv := range r.Servers() {
+		srv.Begin(0).RecordLoad(Load{Slots: 4, WorkTime: []float64{0.6, 1.6}[i%2]})
+	}
+	r.LocalLoads(true)
+	for _, srv := range r.Servers() {
+		state := srv.State(time.Now())
+		assert.Equal(t, state.Speed > 1, state.Position > 0.3, "speed %.2f at %.2f", state.Speed, state.Position)
+	}
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/request/placement"
 )
 
 // missingEntryGracePeriod is the time after an outage of the store within which a live server whose entry has expired
@@ -211,8 +213,10 @@
 	setPositions(pools)
 }
 
-// setPositions sets the positions of the serving servers of each pool and data centre, in the order of their hashed
-// ids. The servers of a pool are split by position between delay-tolerant and latency-sensitive requests.
+// setPositions sets the positions of the serving servers of each pool and data centre, the slow ones first and those of
+// equal speed in the order of their hashed ids. A faster server takes more room between 0 and 1. The servers of a pool
+// are split by position between delay-tolerant and latency-sensitive requests, so that the latter, whose streams must
+// not pause for long, get the fast ones, and each group its part of the speed of all.
 func setPositions(pools map[string][]*Server) {
 	for _, servers := range pools {
 		byDataCentre := map[string][]*Server{}
@@ -221,16 +225,37 @@
 			byDataCentre[dc] = append(byDataCentre[dc], srv)
 		}
 		for _, list := range byDataCentre {
-			slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(hashID(a.Entry().ID), hashID(b.Entry().ID)) })
-			for i, srv := range list {
+			levels, total := make(map[*Server]float64, len(list)), 0.0
+			for _, srv := range list {
+				levels[srv] = srv.updateLevel()
+				total += levels[srv]
+			}
+			slices.SortFunc(list, func(a, b *Server) int {
+				return cmp.Or(cmp.Compare(levels[a], levels[b]), cmp.Compare(hashID(a.Entry().ID), hashID(b.Entry().ID)))
+			})
+			before := 0.0
+			for _, srv := range list {
 				srv.mu.Lock()
-				srv.position = (float64(i) + 0.5) / float64(len(list))
+				srv.position = (before + levels[srv]/2) / total
 				srv.mu.Unlock()
+				before += levels[srv]
 			}
 		}
 	}
 }
 
+// updateLevel sets the level of the server's speed by which positions are set, and returns it.
+func (srv *Server) updateLevel() float64 {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	srv.level = placement.SpeedLevel(srv.speed.Lasting())
+	return srv.level
+}
+
+// levelChanged reports whether the server's speed has another level than when positions were last set. The caller holds
+// mu.
+func (srv *Server) levelChanged() bool { return placement.SpeedLevel(srv.speed.Lasting()) != srv.level }
+
 // Serving returns the servers of a pool that aren't draining. Callers must not modify the slice.
 func (r *Registry) Serving(pool string) []*Server {
 	r.mu.Lock()
--- a/process/registry/remote.go
+++ b/process/registry/remote.go
@@ -20,13 +20,15 @@
 func hashID(id string) int { return int(uint32(xxhash.Sum64String(id))) }
 
 // LocalLoads returns this instance's load on each server where the load changed since the last call. With all, it also
-// returns the unchanged loads that aren't zero.
+// returns the unchanged loads that aren't zero, and sets the positions of the servers anew if their speeds have changed.
 func (r *Registry) LocalLoads(all bool) []wire.NewsLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var loads []wire.NewsLoad
+	levelsChanged := false
 	for key, srv := range r.byHash {
 		srv.mu.Lock()
+		levelsChanged = levelsChanged || srv.levelChanged()
 		if srv.loadChanged || all && (srv.running > 0 || srv.pendingPrefill > 0) {
 			isFull := time.Since(srv.brittle.rejectedAt) < fullNewsAge
 			loads = append(loads, wire.NewsLoad{S: key, R: srv.running, U: srv.pendingPrefill, F: isFull, W: int(min(srv.untoldWorkTime*100, maxToldWorkTime))})
@@ -35,6 +37,9 @@
 		srv.loadChanged = false
 		srv.mu.Unlock()
 	}
+	if all && levelsChanged {
+		setPositions(r.pools)
+	}
 	return loads
 }
 
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -27,8 +27,8 @@
 type Server struct {
 	mu    sync.Mutex
 	entry Entry
-	// position is the relative position, from 0 to 1, of the server among the serving servers of its pool and data centre,
-	// in the order of their hashed ids.
+	// position is the relative position, from 0 to 1, of the server among the serving servers of its pool and data centre;
+	// see setPositions.
 	position float64
 	// removed is set when the entry was removed.
 	removed bool
@@ -79,7 +79,9 @@
 	lastOutcomeAt time.Time
 	// speed is what is known of the server's speed, and untoldWorkTime the work time that it reported to this instance since
 	// LocalLoads last returned it; 0 if none.
-	speed          placement.Speed
+	speed placement.Speed
+	// level is the level of speed by which position was set.
+	level          float64
 	untoldWorkTime float64
 
 	// addressTaken is set when another server answered at this server's address. A successful connection then doesn't show
--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -26,8 +26,8 @@
 	// maxStepExcess is the ratio of a server's mean step time to the median of its pool, counted for its reported speed,
 	// above which the report isn't believed. Prefills lengthen the mean step of a busy server up to threefold.
 	maxStepExcess = 3
-	// speedStep is the ratio of two levels of the lasting speed by which shared parts of prompts are assigned, so that
-	// instances with slightly different figures assign them to the same servers. A server within one step of the usual
+	// speedStep is the ratio of two levels of the lasting speed by which shared parts of prompts are assigned and servers
+	// split into groups, so that instances with slightly different figures do that alike. A server within one step of the usual
 	// speed counts as usual.
 	speedStep = 1.25
 )
@@ -131,12 +131,20 @@
 	return c.slowness()
 }
 
-// level returns the lasting speed, rounded to a power of speedStep.
+// level returns the level of the lasting speed; 1 if the server doesn't report work times.
 func (c *Candidate) level() float64 {
-	if !c.reportsWorkTime() || c.Speed <= 0 {
+	if !c.reportsWorkTime() {
+		return 1
+	}
+	return SpeedLevel(c.Speed)
+}
+
+// SpeedLevel returns a lasting speed, rounded to a power of speedStep; 1 if the speed is unknown.
+func SpeedLevel(speed float64) float64 {
+	if speed <= 0 {
 		return 1
 	}
-	steps := math.Round(math.Log(c.Speed) / math.Log(speedStep))
+	steps := math.Round(math.Log(speed) / math.Log(speedStep))
 	if math.Abs(steps) <= 1 {
 		return 1
 	}
