--- a/process/registry/remote.go
+++ b/process/registry/remote.go
@@ -13,24 +13,33 @@
 // It is twice the shortest interval between the instances' heartbeats.
 const minSilentTime = 500 * time.Millisecond
 
+// maxToldWorkTime bounds the work times that instances tell each other, in percent of the usual time.
+const maxToldWorkTime = 10000
+
 // hashID returns the hash that identifies a server in datagrams between instances.
 func hashID(id string) int { return int(uint32(xxhash.Sum64String(id))) }
 
 // LocalLoads returns this instance's load on each server where the load changed since the last call. With all, it also
-// returns the unchanged loads that aren't zero.
+// returns the unchanged loads that aren't zero, and sets the positions of the servers anew if their speeds have changed.
 func (r *Registry) LocalLoads(all bool) []wire.NewsLoad {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var loads []wire.NewsLoad
+	levelsChanged := false
 	for key, srv := range r.byHash {
 		srv.mu.Lock()
+		levelsChanged = levelsChanged || srv.levelChanged()
 		if srv.loadChanged || all && (srv.running > 0 || srv.pendingPrefill > 0) {
 			isFull := time.Since(srv.brittle.rejectedAt) < fullNewsAge
-			loads = append(loads, wire.NewsLoad{S: key, R: srv.running, U: srv.pendingPrefill, F: isFull})
+			loads = append(loads, wire.NewsLoad{S: key, R: srv.running, U: srv.pendingPrefill, F: isFull, W: int(min(srv.untoldWorkTime*100, maxToldWorkTime))})
+			srv.untoldWorkTime = 0
 		}
 		srv.loadChanged = false
 		srv.mu.Unlock()
 	}
+	if all && levelsChanged {
+		setPositions(r.pools)
+	}
 	return loads
 }
 
@@ -52,6 +61,9 @@
 			// A request of another instance made progress, so the server is responding.
 			srv.lastReceived = now
 		}
+		if l.W > 0 {
+			srv.speed.ObserveWorkTime(float64(l.W)/100, now)
+		}
 		if l.F {
 			srv.brittle.pause(now, fullPause)
 		}
--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -88,8 +88,13 @@
 	PendingPrefill int
 	// FailureRate is the ratio of recent requests that the server failed, from 0 to 1.
 	FailureRate float64
-	// Slowdown is the ratio of the server's recent response time to the median of its pool; 1 is usual, 0 unknown.
-	Slowdown float64
+	// Speed is the server's lasting speed relative to the usual server of its pool; 1 is usual, 0 unknown.
+	Speed float64
+	// WorkTime is how long work takes on the server at this moment, relative to its usual time; 1 is usual, 0 means that
+	// the server doesn't report it.
+	WorkTime float64
+	// LoadAge is the time since the server reported its load and work time; negative if it hasn't. It is only logged.
+	LoadAge time.Duration
 	// SameDataCentre reports that the server is in the instance's own data centre.
 	SameDataCentre bool
 	// DelayTolerant reports that the server belongs to the group for delay-tolerant requests.
@@ -130,6 +135,10 @@
 	// idle. It exceeds any wait, so that such a server is used only if no other is left: a sequence of long prompts
 	// would delay each token of all streams there.
 	streamDelayCost = 1e7
+	// streamTokenCost is the cost of one permitted token of an answer on a usual server, in prefill tokens. Generating a
+	// token takes as long as prefilling some hundreds, and answers have less than half of the permitted length; the time
+	// matters less than that to the first event, unless the pauses get too long.
+	streamTokenCost = 50
 	// maxIdleRunning is the number of running requests up to which a server counts as idle, if its pending prefill is
 	// at most maxIdlePrefill: only few streams are delayed then.
 	maxIdleRunning = 4
@@ -159,7 +168,7 @@
 	if len(ranking) > 0 && candidates[ranking[0]].DelayTolerant == p.DelayTolerant {
 		best.Owner = ranking[0]
 	}
-	usualWait := p.meanWait(candidates)
+	usual := p.usualLoad(candidates)
 	for compared := initialChoices; ; compared *= 2 {
 		// sameDataCentreCount counts the servers of the instance's own data centre in the ranking so far.
 		sameDataCentreCount := 0
@@ -170,21 +179,27 @@
 			if rank >= compared && (!candidates[i].SameDataCentre || sameDataCentreCount > compared) {
 				continue
 			}
-			if cost := p.cost(&candidates[i], i == best.Owner); best.Index < 0 || cost < best.Cost {
+			if cost := p.cost(&candidates[i], i == best.Owner, usual); best.Index < 0 || cost < best.Cost {
 				best.Index, best.Cost = i, cost
 			}
 		}
-		if compared >= len(ranking) || !p.needsAlternative(&candidates[best.Index], usualWait) {
+		if compared >= len(ranking) || !p.needsAlternative(&candidates[best.Index], usual.wait) {
 			return best
 		}
 	}
 }
 
-// cost returns the expected time until the candidate has prefilled the prompt, plus penalties, in prefill tokens.
-func (p *Prompt) cost(c *Candidate, isOwner bool) float64 {
-	cost := p.waitCost(expectedWait(c)) + float64(p.Tokens-p.SharedTokens())
+// cost returns the expected time until the candidate has prefilled the prompt, plus penalties, in prefill tokens. Where
+// servers report work times, the pauses of a stream that isn't delay-tolerant count too: they get longer with the time
+// that work takes there, and with the requests that run there, whose prompts are prefilled between the stream's tokens.
+func (p *Prompt) cost(c *Candidate, isOwner bool, usual usualLoad) float64 {
+	work := float64(p.Tokens - p.SharedTokens())
 	if !isOwner {
-		cost += sharedMissFactor * float64(p.SharedTokens())
+		work += sharedMissFactor * float64(p.SharedTokens())
+	}
+	cost := p.waitCost(expectedWait(c)) + work*c.slowness()
+	if c.reportsWorkTime() && !p.DelayTolerant {
+		cost += streamTokenCost * float64(p.MaxOutput) * c.slowness() * (1 + float64(c.Running)/max(usual.running, 1)) / 2
 	}
 	if !c.SameDataCentre {
 		cost += remoteCost
@@ -205,20 +220,28 @@
 	return c.FailureRate > maxFailureRatio || c.DelayTolerant != p.DelayTolerant || expectedWait(c) > max(p.harmlessWait(), maxIdlePrefill, hotServerFactor*usualWait)
 }
 
-// meanWait returns the mean wait of a new prompt at the servers of its group, in prefill tokens.
-func (p *Prompt) meanWait(candidates []Candidate) float64 {
-	sum, n := 0.0, 0
+// usualLoad is the mean load of the servers of a prompt's group.
+type usualLoad struct {
+	// wait is the wait of a new prompt in prefill tokens, and running the number of running requests.
+	wait, running float64
+}
+
+// usualLoad returns the mean load of the servers of the prompt's group.
+func (p *Prompt) usualLoad(candidates []Candidate) usualLoad {
+	sum, n := usualLoad{}, 0
 	for i := range candidates {
 		if candidates[i].DelayTolerant == p.DelayTolerant {
-			sum += expectedWait(&candidates[i])
+			sum.wait += expectedWait(&candidates[i])
+			sum.running += float64(candidates[i].Running)
 			n++
 		}
 	}
-	return sum / float64(max(n, 1))
+	count := float64(max(n, 1))
+	return usualLoad{sum.wait / count, sum.running / count}
 }
 
-// ranking returns the indices of the candidates, those of the prompt's own group first, by descending
-// rendezvous hash of the prompt's affinity key and their names.
+// ranking returns the indices of the candidates, those of the prompt's own group first, by descending rendezvous hash of
+// the prompt's affinity key and their names. An engine that is known to be twice as fast comes first twice as often.
 func (p *Prompt) ranking(candidates []Candidate) []int {
 	keyHash := xxhash.Sum64String(p.AffinityKey())
 	hashes := make([]uint64, len(candidates))
@@ -233,7 +256,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(hashes[b], hashes[a])
+		return compareRanks(hashes[a], hashes[b], candidates[a].level(), candidates[b].level())
 	})
 	return ranking
 }
@@ -283,10 +306,7 @@
 	if c.Slots > 0 && c.Running >= c.Slots {
 		wait += queuedRequestCost * float64(c.Running-c.Slots+1)
 	}
-	if c.Slowdown > 1 {
-		wait *= c.Slowdown
-	}
-	return wait
+	return wait * c.waitFactor()
 }
 
 // rendezvousOwner returns the index of the eligible candidate with the highest rendezvous hash of the affinity key and
@@ -298,7 +318,7 @@
 		if !eligible(&candidates[i]) {
 			continue
 		}
-		if h := rendezvousHash(keyHash, candidates[i].Name); owner < 0 || h > highest {
+		if h := rendezvousHash(keyHash, candidates[i].Name); owner < 0 || compareRanks(h, highest, candidates[i].level(), candidates[owner].level()) < 0 {
 			owner, highest = i, h
 		}
 	}
@@ -315,14 +335,17 @@
 
 // ChooseServer chooses a server of a plain service: the one with the lowest load per slot, where failures and
 // slowness count as load. A hash of the request's id decides between equal servers, so that instances don't all choose
-// the same one.
+// the same one. If the servers report work times, see drawServer.
 func ChooseServer(id string, candidates []Candidate) Choice {
+	if slices.ContainsFunc(candidates, func(c Candidate) bool { return c.reportsWorkTime() }) {
+		return drawServer(id, candidates)
+	}
 	best, chosen := math.Inf(1), -1
 	idHash := xxhash.Sum64String(id)
 	bestHash := uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
-		load := float64(c.Running+1) / float64(max(c.Slots, 1)) * max(c.Slowdown, 1) * (1 + failureCost*c.FailureRate)
+		load := float64(c.Running+1) / float64(max(c.Slots, 1)) * c.waitFactor() * (1 + failureCost*c.FailureRate)
 		if h := rendezvousHash(idHash, c.Name); load < best || load == best && h > bestHash {
 			best, chosen, bestHash = load, i, h
 		}
@@ -330,6 +353,32 @@
 	return Choice{Index: chosen, Owner: -1, Cost: best}
 }
 
+// drawServer draws two servers by the hash of the request's id, in proportion to their slots and to the square of
+// their speed at this moment, since a request also stays longer on a slow one, and chooses the one with the lower load. This handles many instances that choose at the same moment by the same
+// outdated loads: each sees another pair, so that they don't all choose the server with the lowest load.
+func drawServer(id string, candidates []Candidate) Choice {
+	idHash := xxhash.Sum64String(id)
+	load := func(i int) float64 {
+		c := &candidates[i]
+		return float64(c.Running+1) / float64(max(c.Slots, 1)) * c.slowness() * (1 + failureCost*c.FailureRate)
+	}
+	first, second, firstScore, secondScore := -1, -1, -1.0, -1.0
+	for i := range candidates {
+		c := &candidates[i]
+		weight := float64(max(c.Slots, 1)) / (c.slowness() * c.slowness()) / (1 + failureCost*c.FailureRate)
+		switch score := weightedScore(rendezvousHash(idHash, c.Name), weight); {
+		case score > firstScore:
+			first, second, firstScore, secondScore = i, first, score, firstScore
+		case score > secondScore:
+			second, secondScore = i, score
+		}
+	}
+	if second >= 0 && load(second) < load(first) {
+		first = second
+	}
+	return Choice{Index: first, Owner: -1, Cost: load(first)}
+}
+
 // ChoosePool returns the name of the pool for the request with the id. Each pool gets a part of the requests in
 // proportion to its weight.
 func ChoosePool(id string, names []string, weights []float64) string {
