registry: a path that opens connections and carries nothing counts as broken

An instance whose connections to all servers are accepted and then hang, or are reset at the first byte, lost all of its callers' requests: a hanging server didn't count as unresponsive, since the progress of other instances' requests shows that it lives, and a suspect one was cleared by the next connection.

Requests to two servers that get nothing within 2 s, with nothing from any other server, while other instances are answered, now have three servers asked for their health. If none answers within 0.5 s, all count as unreachable until they answer, and the others serve the requests. One server is asked at growing intervals up to 3.2 s, and all once it answers. A suspect server whose connection failed is cleared by a connection as before: with an answer wanted there too, a loaded server whose health check waits for a slot would stay away for longer.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -4,10 +4,12 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -204,7 +206,7 @@
 	g.prefillRates = map[string]*placement.PrefillRate{}
 	g.newerConfig, g.newerServers, g.limitsChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	g.registry = &registry.Registry{
-		Log: g.Log, Probe: g.checkReachable,
+		Log: g.Log, Probe: g.checkReachable, Ask: g.askServer,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
 		OnLimitChange: func() { notify(g.limitsChanged) },
 	}
@@ -255,8 +257,57 @@
 	}
 }
 
+// askTimeout bounds the time in which a backend server answers a health check: many times its usual time, and a fraction of
+// that after which callers give up.
+const askTimeout = 500 * time.Millisecond
+
+// askServer asks a backend server for its health, and returns an error if no answer came, whatever it says. For a pool
+// without health checks it returns an error if no connection can be opened.
+func (g *Gateway) askServer(pool, address string) error {
+	t := g.table.Load()
+	if t == nil {
+		return errNoHealthCheck
+	}
+	p, ok := t.Pool(pool)
+	if !ok {
+		return errNoHealthCheck
+	}
+	if p.HealthPath == "" {
+		return g.checkReachable(address)
+	}
+	conn, err := g.dialServer(address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
+		return err
+	}
+	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: p.HealthPath}, Header: http.Header{"Connection": {"close"}}}
+	if err := req.Write(conn); err != nil {
+		return err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// errNoHealthCheck reports that a pool isn't in the configuration.
+var errNoHealthCheck = errors.New("the pool is not configured")
+
 // checkReachable opens a TCP connection to a backend server and closes it again.
 func (g *Gateway) checkReachable(address string) error {
+	conn, err := g.dialServer(address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+// dialServer opens a connection to a backend server.
+func (g *Gateway) dialServer(address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	dial := g.Dial
@@ -266,11 +317,7 @@
 			return d.DialContext(ctx, "tcp", address)
 		}
 	}
-	conn, err := dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
+	return dial(ctx, address)
 }
 
 // newReadinessServer returns the server that answers the readiness probes of the load balancer.
--- /dev/null
+++ b/process/registry/path_test.go
@@ -0,0 +1,154 @@
+package registry
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// pathFixture is a registry of some servers of the pool "p" to which connections can always be opened.
+type pathFixture struct {
+	*Registry
+	// carries is set while the path of the instance carries answers.
+	carries atomic.Bool
+	asked   atomic.Int32
+}
+
+func newPathFixture(n int) *pathFixture {
+	f := &pathFixture{Registry: &Registry{Log: zap.NewNop()}}
+	f.Probe = func(string) error { return nil }
+	f.Ask = func(pool, _ string) error {
+		f.asked.Add(1)
+		if pool != "p" || !f.carries.Load() {
+			time.Sleep(500 * time.Millisecond)
+			return syscall.ETIMEDOUT
+		}
+		return nil
+	}
+	var entries []Entry
+	for i := range n {
+		entries = append(entries, newEntry(fmt.Sprint("a", i)))
+	}
+	f.Reset(entries, false)
+	return f
+}
+
+// othersProgress records that each server has answered another instance.
+func (f *pathFixture) othersProgress() {
+	for _, srv := range f.Servers() {
+		srv.mu.Lock()
+		srv.lastReceived, srv.heardElsewhere = time.Now(), time.Now()
+		srv.mu.Unlock()
+	}
+}
+
+// wait begins requests at the first n servers and reports after a second that they have got nothing.
+func (f *pathFixture) wait(n int) {
+	var attempts []*Attempt
+	for _, srv := range f.Servers()[:n] {
+		attempts = append(attempts, srv.Begin(0))
+	}
+	time.Sleep(time.Second)
+	f.othersProgress()
+	for _, a := range attempts {
+		a.CheckUnresponsive()
+	}
+	time.Sleep(time.Second)
+}
+
+// Requests to two servers get nothing, while other instances are answered: the servers count as unreachable until they
+// answer, though connections to them can be opened.
+func TestBrokenPathIsFoundAndRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPathFixture(12)
+		f.wait(2)
+		assert.Assert(t, f.IsUnreachable("p"))
+		f.Put(newEntry("late"))
+		assert.Assert(t, f.IsUnreachable("p"), "a server that appears meanwhile")
+		f.asked.Store(0)
+		time.Sleep(time.Minute)
+		assert.Assert(t, f.IsUnreachable("p"))
+		assert.Assert(t, f.asked.Load() <= 20, "asked %d times in a minute", f.asked.Load())
+		f.carries.Store(true)
+		time.Sleep(maxAskDelay + time.Second)
+		assert.Equal(t, len(f.Usable("p", Selection{})), 13)
+		assert.Assert(t, !f.path.broken)
+	})
+}
+
+// The same, if requests are reset at once.
+func TestBrokenPathIsFoundByFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPathFixture(12)
+		f.othersProgress()
+		crashed := f.Servers()[0]
+		for range 2 {
+			crashed.Begin(0).End(OutcomeFailed)
+		}
+		synctest.Wait()
+		assert.Equal(t, f.asked.Load(), int32(0), "one server may only have crashed")
+		for _, srv := range f.Servers()[:2] {
+			srv.Begin(0).End(OutcomeFailed)
+		}
+		time.Sleep(600 * time.Millisecond)
+		assert.Assert(t, f.IsUnreachable("p"))
+		assert.Equal(t, f.asked.Load(), int32(askedServers))
+		f.carries.Store(true)
+		time.Sleep(maxAskDelay + time.Second)
+		assert.Assert(t, !f.IsUnreachable("p"))
+	})
+}
+
+// What isn't a fault of the path leaves all servers reachable.
+func TestSoundPathIsKept(t *testing.T) {
+	for name, happen := range map[string]func(*pathFixture){
+		"one server answers nothing": func(f *pathFixture) { f.wait(1) },
+		"servers that are slow, and answer when they are asked": func(f *pathFixture) {
+			f.carries.Store(true)
+			f.wait(6)
+		},
+		"another server answered meanwhile": func(f *pathFixture) {
+			go func() {
+				time.Sleep(500 * time.Millisecond)
+				f.Servers()[0].Begin(0).End(OutcomeAnswered)
+			}()
+			f.wait(6)
+		},
+		"another server answers while some are asked": func(f *pathFixture) {
+			go func() {
+				time.Sleep(1200 * time.Millisecond)
+				f.Servers()[0].Begin(0).End(OutcomeAnswered)
+			}()
+			f.wait(6)
+		},
+		"servers that answer nobody": func(f *pathFixture) {
+			for _, srv := range f.Servers() {
+				srv.Begin(0).End(OutcomeFailed)
+			}
+		},
+		"failures far apart": func(f *pathFixture) {
+			for _, srv := range f.Servers() {
+				f.othersProgress()
+				srv.Begin(0).End(OutcomeFailed)
+				time.Sleep(pathWindow + time.Millisecond)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newPathFixture(12)
+				happen(f)
+				time.Sleep(time.Second)
+				for _, srv := range f.Servers() {
+					assert.Assert(t, !srv.IsSuspect())
+				}
+			})
+		})
+	}
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -24,6 +24,9 @@
 	// Probe opens and closes a connection to a server's address. If it is nil, a suspect server stays so until a request
 	// to it succeeds.
 	Probe func(address string) error
+	// Ask sends a request that has no effect to a server of a pool at an address; an error means that no answer came. If it is
+	// nil, the path to the servers isn't tested.
+	Ask func(pool, address string) error
 	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
 	// are divided; nil means that there is no other instance.
 	Rank func() (position, count int)
@@ -42,6 +45,7 @@
 	// goneVersions holds the software versions of the servers that were removed or restarted, with the times of that, by
 	// pool.
 	goneVersions map[string]map[string]time.Time
+	path         path
 	// failedID is the id of the server that became unreachable last, at failedAt, and sweptAt the time at which all others were
 	// checked because of that.
 	failedID          string
@@ -80,9 +84,14 @@
 		}
 		srv = newServer(e, r.Log, r.Probe)
 		srv.rank, srv.onLimitChange, srv.onUnreachable = r.Rank, r.OnLimitChange, r.checkAfterFailure
+		srv.onUnanswered = r.noteUnanswered
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
+		if r.path.broken {
+			srv.unanswered = true
+			srv.markSuspect()
+		}
 		r.servers[e.ID] = srv
 		r.Log.Info("server_in", logFields(e)...)
 		return
--- a/process/registry/remote.go
+++ b/process/registry/remote.go
@@ -50,7 +50,7 @@
 		}
 		if previous := srv.remoteLoads[instance]; l.R < previous.running || l.U < previous.pendingPrefill {
 			// A request of another instance made progress, so the server is responding.
-			srv.lastReceived = now
+			srv.lastReceived, srv.heardElsewhere = now, now
 		}
 		if l.F {
 			srv.brittle.pause(now, fullPause)
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -72,6 +72,11 @@
 	// lastReceived is the time when the server last sent anything.
 	lastReceived time.Time
 
+	// heardHere and heardElsewhere are the times when the server last sent something to this instance and to another one.
+	heardHere, heardElsewhere time.Time
+	// onUnanswered is called without mu when a request, which began at the time, has got nothing from the server.
+	onUnanswered func(id string, beganAt time.Time)
+
 	// failureRate is the moving average of the outcomes, with 1 for a failure, at the time lastOutcomeAt.
 	failureRate   float64
 	lastOutcomeAt time.Time
@@ -87,6 +92,8 @@
 	probeDelay time.Duration
 	// moved is set once the requests at the suspect server were moved.
 	moved bool
+	// unanswered is set while the server is suspect because of this instance's path: only an answer shows that it is reachable.
+	unanswered bool
 	// checking is set while a test connection to a server that counts as reachable is opened; see check.
 	checking bool
 	log      *zap.Logger
@@ -190,7 +197,7 @@
 	a.srv.pendingPrefill -= a.pendingPrefill
 	a.pendingPrefill = 0
 	a.srv.loadChanged = true
-	a.srv.lastReceived = time.Now()
+	a.srv.markHeard(time.Now())
 }
 
 // CheckUnresponsive reports whether the server has sent nothing at all, to any request, since this request began. If
@@ -199,6 +206,9 @@
 func (a *Attempt) CheckUnresponsive() bool {
 	a.srv.mu.Lock()
 	defer a.srv.mu.Unlock()
+	if !a.ended {
+		a.noteUnanswered()
+	}
 	if a.ended || !a.srv.lastReceived.Before(a.startedAt) {
 		return false
 	}
@@ -217,14 +227,14 @@
 	a.srv.reportedSlots = l.Slots
 	a.srv.brittle.waiting = l.Waiting
 	a.srv.reportedAt = time.Now()
-	a.srv.lastReceived = a.srv.reportedAt
+	a.srv.markHeard(a.srv.reportedAt)
 }
 
 // RecordStepTime records the duration of one step of the server: the time between two events of a stream.
 func (a *Attempt) RecordStepTime(d time.Duration) {
 	a.srv.mu.Lock()
 	defer a.srv.mu.Unlock()
-	a.srv.lastReceived = time.Now()
+	a.srv.markHeard(time.Now())
 	ms := float64(d) / float64(time.Millisecond)
 	if a.srv.stepTimeMs == 0 {
 		a.srv.stepTimeMs = ms
@@ -247,11 +257,12 @@
 	now := time.Now()
 	switch o {
 	case OutcomeAnswered, OutcomeRefused:
-		a.srv.lastReceived = now
+		a.srv.markHeard(now)
 		a.srv.clearSuspect()
 		a.srv.addOutcome(0, now)
 	case OutcomeFailed:
 		a.srv.addOutcome(1, now)
+		a.noteUnanswered()
 	case OutcomeUnreachable:
 		a.srv.addOutcome(1, now)
 		if !a.srv.suspect && a.srv.onUnreachable != nil {
@@ -313,14 +324,14 @@
 	if srv.suspect {
 		srv.log.Info("server_trusted", logFields(srv.entry)...)
 	}
-	srv.suspect, srv.moved, srv.probeDelay = false, false, 0
+	srv.suspect, srv.moved, srv.unanswered, srv.probeDelay = false, false, false, 0
 }
 
 // retryProbe opens a test connection to a suspect server, so that no request is lost on a server that is still
 // unreachable.
 func (srv *Server) retryProbe() {
 	srv.mu.Lock()
-	address, due := srv.entry.Address, srv.suspect && !srv.removed
+	address, due := srv.entry.Address, srv.suspect && !srv.unanswered && !srv.removed
 	srv.mu.Unlock()
 	if !due {
 		return
@@ -328,7 +339,7 @@
 	err := srv.probe(address)
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	if !srv.suspect || srv.removed {
+	if !srv.suspect || srv.unanswered || srv.removed {
 		return
 	}
 	if err == nil {
