forward: a stalled stream that sends a byte now and then ends

Once a stream had begun nothing ended it but its caller's leaving: a server that sends comments or a part of an event now and then, and no event, held request, connection and slot for good (shown: TestStalledStreamIsGivenUp without the mend times out after 30 s). A stream without an event with data for 30 s, eight of the route's pauses or the route's timeout, whichever is longest, is given up and goes on elsewhere where it may, as in the completions form. Time in which the caller doesn't read doesn't count.

--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -57,6 +57,9 @@
 	OnlyOrigin func(route string) (streamorigin.Origin, bool)
 	// ObserveTakeUp is called with the result of each stream that a caller takes up; it may be nil.
 	ObserveTakeUp func(result string)
+	// StallTimeout is the shortest time without an event after which a stream that has begun counts as stalled; 0 means
+	// 30 s. Longer timeouts and pauses of a route go before it.
+	StallTimeout time.Duration
 	// FindRelay returns the address of another instance that reaches the backend servers of a pool, except for those in skip;
 	// false if there is none. It may be nil.
 	FindRelay func(pool string, skip map[string]bool) (string, bool)
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -27,13 +27,17 @@
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.BufferBudget, maxBytes: maxEventBytes}}
 	defer events.event.reset()
+	stalls := c.watchForStall()
+	defer stalls.timer.Stop()
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if err == nil {
+			stalls.pause()
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
 			}
+			stalls.resume(hasDataField(event))
 			if index > 0 {
 				pause := time.Since(lastEventAt)
 				c.maxEventGap = max(c.maxEventGap, pause)
