--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -27,10 +27,13 @@
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.BufferBudget, maxBytes: maxEventBytes}}
 	defer events.event.reset()
+	stalls := c.watchForStall()
+	defer stalls.timer.Stop()
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if err == nil {
+			stalls.pause()
 			pause := time.Duration(0)
 			if index > 0 {
 				// The time that the caller takes to read isn't part of the pause.
@@ -42,6 +45,7 @@
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
 			}
+			stalls.resume(hasDataField(event))
 			lastEventAt = time.Now()
 			if id != "" {
 				c.meta.LastEventID = id
