forward: requests took memory without a bound

Request bodies were read whole without a budget and copied once more for each attempt; a caller that read slowly kept its backend server, which cuts off what stays unread, and every plain response was held beside its server's slot.

One budget, a third of memory_mb, is granted before memory is taken and returned on every way out. Bodies take it as they arrive. What a caller's socket doesn't take at once is held in it, so that the server is free; the end of the response, the proper close of the connection and a planned stop wait for what is held. A caller that accepts nothing for 30 s is reset. New requests leave a tenth to a quarter of the budget to running and more urgent ones and are refused as not run. Large bodies are written to servers without a second copy.

--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -12,10 +12,13 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/memory"
 )
 
 // Server is the HTTP server for callers. Set its exported fields before Run.
@@ -31,9 +34,17 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds the time between two requests of a connection.
 	IdleTimeout time.Duration
+	// Budget is the memory in which responses are held for callers that read slowly; nil lets these delay the backend
+	// servers.
+	Budget *memory.Budget
+	// StallTimeout is the time in which a caller must accept something of a response that is held for it; 0 means 30 s.
+	StallTimeout time.Duration
 
 	draining atomic.Bool
 	running  atomic.Int64
+	heldMu   sync.Mutex
+	// held contains the connections for which a response is held.
+	held map[*heldConn]struct{}
 	// http is nil until Run has opened the listener.
 	http *http.Server
 }
@@ -64,6 +75,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
+	if s.Budget != nil {
+		ln = heldListener{ln, s}
+		defer func() {
+			for _, c := range s.heldConns() {
+				c.abort()
+			}
+		}()
+	}
 	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -110,12 +129,26 @@
 // BeginDrain closes each connection after its next response, so that callers connect to other instances.
 func (s *Server) BeginDrain() { s.draining.Store(true) }
 
-// Drain closes the listener and the idle connections, and waits until the running requests have finished or ctx ends.
+// heldPollInterval is the interval at which Drain looks whether slow callers have their responses.
+const heldPollInterval = 10 * time.Millisecond
+
+// Drain closes the listener and the idle connections, and waits until the running requests have finished and slow callers
+// have their responses, or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	if s.http == nil {
 		return nil
 	}
-	return s.http.Shutdown(ctx)
+	err := s.http.Shutdown(ctx)
+	ticker := time.NewTicker(heldPollInterval)
+	defer ticker.Stop()
+	for err == nil && s.SlowCallers() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	return err
 }
 
 // logWriter logs the lines of net/http's server, which describe failures of single connections.
--- a/connection/upstream/dial.go
+++ b/connection/upstream/dial.go
@@ -39,24 +39,24 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// writeRequest writes a request and returns the number of bytes that may have been sent. A request longer than
-// maxSequentialBytes is written in the background while its response is read; a write error then shows as a read error.
-func (c *conn) writeRequest(buf *bytes.Buffer) (int, error) {
+// writeRequest writes a request and returns the number of bytes that may have been sent. A request whose body is longer
+// than maxSequentialBytes is written in the background while its response is read, without a copy of the body; a write
+// error then shows as a read error.
+func (c *conn) writeRequest(req *http.Request) (int, error) {
 	c.writeDone = nil
-	n := buf.Len()
-	if n <= maxSequentialBytes {
-		defer bufferPool.Put(buf)
-		return c.Write(buf.Bytes())
+	if req.ContentLength > maxSequentialBytes {
+		done := make(chan error, 1)
+		c.writeDone = done
+		go func() { done <- req.Write(c.Conn) }()
+		return int(req.ContentLength), nil
 	}
-	// The writing goroutine owns the buffer from here on and returns it to the pool.
-	done := make(chan error, 1)
-	c.writeDone = done
-	go func() {
-		_, err := c.Write(buf.Bytes())
-		bufferPool.Put(buf)
-		done <- err
-	}()
-	return n, nil
+	buf := bufferPool.Get().(*bytes.Buffer)
+	buf.Reset()
+	defer bufferPool.Put(buf)
+	if err := req.Write(buf); err != nil {
+		return 0, err
+	}
+	return c.Write(buf.Bytes())
 }
 
 // writeFinished reports whether the whole request was written.
--- a/connection/upstream/transport.go
+++ b/connection/upstream/transport.go
@@ -145,13 +145,7 @@
 
 // exchange writes the request and reads the headers of its response.
 func (t *Transport) exchange(c *conn, req *http.Request, id string) (*http.Response, error) {
-	buf := bufferPool.Get().(*bytes.Buffer)
-	buf.Reset()
-	if err := req.Write(buf); err != nil {
-		bufferPool.Put(buf)
-		return nil, request.ErrAttempt{Err: err}
-	}
-	if n, err := c.writeRequest(buf); err != nil {
+	if n, err := c.writeRequest(req); err != nil {
 		return nil, request.ErrAttempt{Sent: n > 0, Err: contextCause(req.Context(), err)}
 	}
 	for skipped := 0; ; skipped++ {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -16,13 +16,13 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/gossip"
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/memory"
 	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
@@ -86,6 +86,7 @@
 	relayTransport   *upstream.Transport
 	relayListener    *gossip.Listener
 	relayServer      atomic.Pointer[entry.Server]
+	requestMemory    *memory.Budget
 	forwarder        *forward.Forwarder
 	callerServer     atomic.Pointer[entry.Server]
 	metrics          *metrics.Metrics
@@ -175,6 +176,10 @@
 // this limit, the runtime collects garbage more often.
 const memoryLimitShare = 0.7
 
+// requestMemoryShare is the share of the configured memory that requests may take together. With what a process needs
+// without any and the garbage of a collection it stays below memoryLimitShare.
+const requestMemoryShare = 1.0 / 3
+
 // bufferShare is the share of the configured memory that large responses and events together may take.
 const bufferShare = 0.125
 
@@ -225,6 +230,7 @@
 		Report: g.reportUsage,
 		Sent:   &g.sentWindows, StartedAt: time.Now(),
 	}
+	g.requestMemory = memory.NewBudget(int64(requestMemoryShare * float64(forwarding.MemoryMb) * (1 << 20)))
 	g.forwarder = &forward.Forwarder{
 		Headers:      g.Platform.Headers,
 		Send:         g.transport.Send,
@@ -237,7 +243,8 @@
 		OnStarted:    g.usageCounter.CountRequest,
 		DataCentre:   g.Settings.DataCentre,
 		OnLoadChange: g.mesh.NotifyLoadChanged,
-		BufferBudget: semaphore.NewWeighted(int64(bufferShare * float64(g.Settings.Forwarding.MemoryMb) * (1 << 20))),
+		Memory:       g.requestMemory,
+		Buffers:      g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  g.beginStream,
 		FindStream:   g.findStream,
@@ -294,7 +301,7 @@
 	callerServer := &entry.Server{
 		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)),
+		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)), Budget: g.requestMemory,
 	}
 	g.callerServer.Store(callerServer)
 	return callerServer.Run(ctx)
@@ -315,6 +322,7 @@
 	server := &entry.Server{
 		Handler: http.HandlerFunc(g.forwarder.ServeRelayed), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes + relayHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		Budget: g.requestMemory,
 	}
 	g.relayServer.Store(server)
 	return server.Serve(ctx, g.relayListener)
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -60,8 +60,9 @@
 		Fleet:         metrics.Lease{Held: held, Fence: fence},
 		Usage:         metrics.Lease{Held: held, Fence: fence},
 	}
+	values.Memory = g.requestMemory.Stats()
 	if callerServer := g.callerServer.Load(); callerServer != nil {
-		values.Running = callerServer.Running()
+		values.Running, values.SlowCallers = callerServer.Running(), callerServer.SlowCallers()
 	}
 	return values
 }
--- /dev/null
+++ b/process/memory/budget.go
@@ -0,0 +1,93 @@
+// Package memory shares out the memory that an instance holds for its callers and backend servers.
+package memory
+
+import "sync"
+
+// Use is what memory is taken for: the part of a budget, from 0 to 1, beyond which nothing more is granted for it. What
+// can be refused or can wait leaves room for what can't.
+type Use float64
+
+const (
+	// Running is the use of requests that were sent to a backend server. They get whatever there is: giving one of them
+	// up would waste what the server has done.
+	Running Use = 1
+	// Held is the use of responses that slow callers haven't accepted yet. The other half of a budget is left to requests
+	// of other callers; without a grant the response waits at the backend server.
+	Held Use = 0.5
+)
+
+const (
+	// leastUrgent is the use of new requests of the lowest priority, and urgentExtra what those of the highest get beyond
+	// it: new requests leave a tenth to running ones, and less urgent ones leave room to more urgent ones.
+	leastUrgent = 0.75
+	urgentExtra = 0.15
+)
+
+// NewRequest returns the use of a new request of a rank; 0 is the most urgent.
+func NewRequest(rank int) Use { return leastUrgent + Use(urgentExtra)/Use(1+max(rank, 0)) }
+
+// Budget grants memory before it is taken. What is granted must be returned. It is safe for concurrent use.
+//
+// It handles many callers or backend servers that read slowly, and bursts of large requests: the newest and least urgent
+// requests find no room, while running ones go on.
+type Budget struct {
+	size int64
+	// whole is the budget of which this one is a part; nil if there is none. What is taken here is taken there too.
+	whole *Budget
+
+	mu sync.Mutex
+	// taken is at least 0 and at most size; peak is the most that was taken at a time.
+	taken, peak int64
+	// refused counts the grants that were refused.
+	refused int64
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(size int64) *Budget { return &Budget{size: size} }
+
+// NewPart returns a budget of a number of bytes that is a part of this one.
+func (b *Budget) NewPart(size int64) *Budget { return &Budget{size: size, whole: b} }
+
+// Size returns the size in bytes.
+func (b *Budget) Size() int64 { return b.size }
+
+// TryTake grants n bytes for a use and reports whether there was room for them.
+func (b *Budget) TryTake(n int64, use Use) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if float64(b.taken+n) > float64(use)*float64(b.size) || b.whole != nil && !b.whole.TryTake(n, use) {
+		b.refused++
+		return false
+	}
+	b.taken += n
+	b.peak = max(b.peak, b.taken)
+	return true
+}
+
+// Return gives back n granted bytes.
+func (b *Budget) Return(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken -= n
+	if b.taken < 0 {
+		panic("memory: more was returned than granted")
+	}
+	if b.whole != nil {
+		b.whole.Return(n)
+	}
+}
+
+// Stats describes a budget.
+type Stats struct {
+	// Size, Taken and Peak are the size, what is granted now and the most that was granted at a time, in bytes.
+	Size, Taken, Peak int64
+	// Refused is the number of grants that were refused.
+	Refused int64
+}
+
+// Stats returns the current figures.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{Size: b.size, Taken: b.taken, Peak: b.peak, Refused: b.refused}
+}
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -13,6 +13,10 @@
 	nameTokens         = "toucanroute_tokens_delivered_total"
 	nameWasted         = "toucanroute_tokens_wasted_total"
 	nameRunning        = "toucanroute_requests_running"
+	nameMemory         = "toucanroute_request_memory_bytes"
+	nameMemoryTaken    = "toucanroute_request_memory_taken_bytes"
+	nameMemoryRefused  = "toucanroute_request_memory_refused_total"
+	nameSlowCallers    = "toucanroute_slow_callers"
 	nameGrants         = "toucanroute_grants_total"
 	nameSlots          = "toucanroute_slots"
 	nameSlotsBusy      = "toucanroute_slots_busy"
@@ -49,6 +53,10 @@
 		{nameTokens, "counter", "tokens", []string{"class"}, "Generated tokens of complete responses."},
 		{nameWasted, "counter", "tokens", []string{"class"}, "Generated tokens that are not part of a complete response."},
 		{nameRunning, "gauge", "requests", nil, "Requests of callers that have not ended, including waiting ones."},
+		{nameMemory, "gauge", "bytes", nil, "Memory that the requests of a forwarding instance may take together; 0 if it has no such bound."},
+		{nameMemoryTaken, "gauge", "bytes", nil, "Part of it that is taken."},
+		{nameMemoryRefused, "counter", "grants", nil, "Times that a request, a part of its body or of its response found no room there. New requests are then refused as not run; responses wait at their backend server."},
+		{nameSlowCallers, "gauge", "connections", nil, "Callers' connections for which a part of a response is held until the caller accepts it."},
 		{nameGrants, "counter", "grants", []string{"data_centre", "result"}, "Slot requests of this instance. `result` is `granted`, the reason of the refusal, or `cancelled`; `data_centre` is that of the backend server, or of this instance if no slot was granted."},
 		{nameSlots, "gauge", "slots", nil, "Slots of the pools whose home is this instance."},
 		{nameSlotsBusy, "gauge", "slots", nil, "Busy slots of the pools whose home is this instance."},
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -13,6 +13,8 @@
 	"time"
 
 	vm "github.com/VictoriaMetrics/metrics"
+
+	"github.com/toucanroute/toucanroute/process/memory"
 )
 
 // MaxClasses is the maximum number of classes that get a label value of their own.
@@ -31,6 +33,9 @@
 type Gauges struct {
 	// Running is the number of callers' requests that have not ended, including those that wait for a slot.
 	Running int64
+	// Memory is the memory of requests, and SlowCallers the number of connections for which a response is held.
+	Memory      memory.Stats
+	SlowCallers int
 	// Slots, Busy and Waiting are the numbers of slots, busy slots and waiting requests of the pools whose home is this
 	// instance.
 	Slots, Busy, Waiting int
@@ -104,6 +109,10 @@
 // write writes all gauges in the Prometheus text format.
 func (g Gauges) write(w io.Writer) {
 	vm.WriteGaugeUint64(w, nameRunning, uint64(max(g.Running, 0)))
+	vm.WriteGaugeUint64(w, nameMemory, uint64(g.Memory.Size))
+	vm.WriteGaugeUint64(w, nameMemoryTaken, uint64(g.Memory.Taken))
+	vm.WriteCounterUint64(w, nameMemoryRefused, uint64(g.Memory.Refused))
+	vm.WriteGaugeUint64(w, nameSlowCallers, uint64(max(g.SlowCallers, 0)))
 	vm.WriteGaugeUint64(w, nameSlots, uint64(max(g.Slots, 0)))
 	vm.WriteGaugeUint64(w, nameSlotsBusy, uint64(max(g.Busy, 0)))
 	vm.WriteGaugeUint64(w, nameWaiting, uint64(max(g.Waiting, 0)))
--- /dev/null
+++ b/request/forward/body.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/memory"
+	"github.com/toucanroute/toucanroute/request"
+)
+
+const (
+	// requestBytes is the memory that a running request takes beside its body and response: its headers, the buffers and
+	// goroutines of the caller's and the server's connection.
+	requestBytes = 24 << 10
+	// bodyStallTimeout is the time in which some of a body must arrive. A caller that sends it byte by byte is served as
+	// long as its time limit and the route's last.
+	bodyStallTimeout = 10 * time.Second
+	// refusalReadTimeout is the time for which the rest of a body is read and dropped before its request is refused for
+	// lack of memory: a caller that still sends may not read the refusal.
+	refusalReadTimeout = 100 * time.Millisecond
+	// memoryRetryAfter and memoryRetrySpread are the shortest Retry-After and its random part if there is no memory for a
+	// request: another instance probably serves it at once, and the callers mustn't return together.
+	memoryRetryAfter, memoryRetrySpread = retryAfterNoServer, 200 * time.Millisecond
+)
+
+// takeMemory takes the memory of a request, or refuses it.
+func (c *call) takeMemory() error {
+	if !c.f.Memory.TryTake(requestBytes, memory.NewRequest(c.rank)) {
+		return c.memoryError(requestBytes)
+	}
+	c.memory = requestBytes
+	return nil
+}
+
+// returnMemory returns the memory of a request and its body.
+func (c *call) returnMemory() {
+	c.requestBody.reset()
+	c.f.Memory.Return(c.memory)
+	c.memory = 0
+}
+
+// memoryError returns the error of a request for which there is no memory. What arrives of its body is dropped.
+func (c *call) memoryError(wanted int) error {
+	stats := c.f.Memory.Stats()
+	if c.r.Body != nil && c.r.ContentLength != 0 {
+		body := patientReader{body: c.r.Body, rc: http.NewResponseController(c.w)}
+		body.discard(refusalReadTimeout)
+	}
+	c.f.Log.Info("request_without_memory", zap.String("request_id", c.meta.ID), zap.Int("rank", c.rank),
+		zap.Int("wanted", wanted), zap.Int64("taken", stats.Taken), zap.Int64("size", stats.Size))
+	return request.ErrResponse{
+		Status: http.StatusServiceUnavailable, Code: request.CodeOverload, Message: "the instance has no memory left for the request",
+		NotRun: true, RetryAfter: memoryRetryAfter + rand.N(memoryRetrySpread),
+	}
+}
+
+// errBodyTooLarge is the refusal of a request whose body is too large.
+func errBodyTooLarge() error {
+	return request.NewRefusal(http.StatusRequestEntityTooLarge, request.CodeBodyTooLarge, "the request's body is too large")
+}
+
+// readBody buffers the body, so that it can be sent again to another server. Its memory is taken as it arrives.
+func (c *call) readBody() error {
+	limit := c.config.Limits().BodyBytes
+	if limit > 0 && c.r.ContentLength > int64(limit) {
+		return errBodyTooLarge()
+	}
+	if c.r.Body == nil || c.r.ContentLength == 0 {
+		return nil
+	}
+	// One byte more than the body lets its end be read.
+	c.requestBody = buffer{budget: c.f.Memory, use: memory.NewRequest(c.rank), maxBytes: math.MaxInt}
+	switch {
+	case c.r.ContentLength > 0:
+		c.requestBody.maxBytes = int(c.r.ContentLength) + 1
+	case limit > 0:
+		c.requestBody.maxBytes = limit + 1
+	}
+	body := patientReader{body: c.r.Body, rc: http.NewResponseController(c.w), until: c.callerLimit()}
+	err := c.requestBody.readAll(&body)
+	switch size := len(c.requestBody.data); {
+	case limit > 0 && size > limit:
+		return errBodyTooLarge()
+	case errors.Is(err, errBufferFull):
+		c.requestBody.reset()
+		return c.memoryError(bufferGrowth * size)
+	case err != nil:
+		return c.bodyError(err, &body)
+	}
+	body.setDeadline(time.Time{})
+	c.body = c.requestBody.data
+	return nil
+}
+
+// bodyError returns the error of a request whose body could not be read.
+func (c *call) bodyError(err error, body *patientReader) error {
+	response := request.ErrResponse{Status: http.StatusBadRequest, Code: request.CodeBadRequest, Message: "the request's body didn't arrive whole", NotRun: true, Cause: err}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		response.Status = http.StatusRequestTimeout
+		if !body.until.IsZero() && !time.Now().Before(body.until) {
+			response.Status, response.Code, response.RetryAfter = http.StatusServiceUnavailable, request.CodeDeadline, retryAfterNoServer
+		}
+	}
+	return response
+}
+
+// callerLimit returns the time at which the request's time is over; zero if it has no limit.
+func (c *call) callerLimit() time.Time {
+	limit := c.responseLimit()
+	if limit == 0 {
+		return time.Time{}
+	}
+	return c.arrivedAt.Add(limit)
+}
+
+// patientReader reads a request's body as long as some of it keeps arriving and the request's time isn't over.
+type patientReader struct {
+	body io.Reader
+	rc   *http.ResponseController
+	// until is the time at which the request's time is over; zero if there is no limit.
+	until time.Time
+}
+
+// Read reads from the body. It returns an os.ErrDeadlineExceeded if nothing arrives.
+func (r *patientReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(bodyStallTimeout)
+	if !r.until.IsZero() && r.until.Before(deadline) {
+		deadline = r.until
+	}
+	r.setDeadline(deadline)
+	return r.body.Read(p)
+}
+
+// setDeadline sets the time until which the next read waits. A response writer without deadlines isn't a connection.
+func (r *patientReader) setDeadline(t time.Time) { _ = r.rc.SetReadDeadline(t) }
+
+// discard drops what arrives of the body for a time. The connection closes after the response if more is left.
+func (r *patientReader) discard(d time.Duration) {
+	r.setDeadline(time.Now().Add(d))
+	_, _ = io.Copy(io.Discard, r.body)
+	r.setDeadline(time.Unix(1, 0))
+}
--- a/request/forward/buffer.go
+++ b/request/forward/buffer.go
@@ -1,10 +1,11 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
 	"io"
 
-	"golang.org/x/sync/semaphore"
+	"github.com/toucanroute/toucanroute/process/memory"
 )
 
 const (
@@ -14,10 +15,12 @@
 	bufferGrowth = 4
 )
 
-// buffer collects a part of a response. Beyond freeBufferBytes it takes its memory from a budget that all responses
-// share, since servers in trouble may send without end to many requests at a time.
+// buffer collects the body of a request or a part of a response. Beyond freeBufferBytes it takes its memory from a budget
+// that all requests share, since servers in trouble may send without end to many requests at a time.
 type buffer struct {
-	budget *semaphore.Weighted
+	budget *memory.Budget
+	// use is what the memory is for; 0 means memory.Running.
+	use memory.Use
 	// maxBytes bounds the size.
 	maxBytes int
 	data     []byte
@@ -27,12 +30,12 @@
 
 // grow makes room for more data. It returns false at maxBytes, or if the budget is used up.
 func (b *buffer) grow() bool {
-	size := max(freeBufferBytes, min(bufferGrowth*cap(b.data), b.maxBytes))
+	size := min(max(freeBufferBytes, bufferGrowth*cap(b.data)), b.maxBytes)
 	if size <= cap(b.data) {
 		return false
 	}
 	if size > freeBufferBytes {
-		if !b.budget.TryAcquire(int64(size) - b.taken) {
+		if !b.budget.TryTake(int64(size)-b.taken, cmp.Or(b.use, memory.Running)) {
 			return false
 		}
 		b.taken = int64(size)
@@ -80,6 +83,6 @@
 		b.data = b.data[:0]
 		return
 	}
-	b.budget.Release(b.taken)
+	b.budget.Return(b.taken)
 	b.data, b.taken = nil, 0
 }
--- a/request/forward/buffer_test.go
+++ b/request/forward/buffer_test.go
@@ -6,12 +6,13 @@
 	"strings"
 	"testing"
 
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/process/memory"
 )
 
 func TestBufferTakesFromBudget(t *testing.T) {
-	budget := semaphore.NewWeighted(64 << 10)
+	budget := memory.NewBudget(64 << 10)
 	small := buffer{budget: budget, maxBytes: maxEventBytes}
 	assert.NilError(t, small.append(make([]byte, freeBufferBytes)))
 	assert.Equal(t, small.taken, int64(0))
@@ -26,8 +27,8 @@
 	other.reset()
 	assert.NilError(t, large.append([]byte("x")), "what another buffer took is back")
 	large.reset()
-	assert.Assert(t, budget.TryAcquire(64<<10), "all of it is back")
-	budget.Release(64 << 10)
+	assert.Assert(t, budget.TryTake(64<<10, memory.Running), "all of it is back")
+	budget.Return(64 << 10)
 	assert.NilError(t, large.append(make([]byte, 64<<10)))
 	large.reset()
 	limited := buffer{budget: budget, maxBytes: 8 << 10}
@@ -47,13 +48,13 @@
 	}
 	for _, size := range []int64{1 << 20, 0} {
 		f := newFixture(t, signedResponse(http.StatusOK, large))
-		f.forwarder.BufferBudget = semaphore.NewWeighted(size)
+		f.setMemory(2<<20, size)
 		status, body, _ := f.do(t, f.request(t, "POST", "/once/", "b"))
 		assert.Equal(t, status, http.StatusOK)
 		assert.Assert(t, body == large)
 
 		f = newFixture(t, stream)
-		f.forwarder.BufferBudget = semaphore.NewWeighted(size)
+		f.setMemory(2<<20, size)
 		_, body, _ = f.do(t, f.request(t, "POST", "/fixed/", "b"))
 		events, _, interrupted := strings.Cut(body, "|")
 		assert.Equal(t, interrupted, size == 0)
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/process/memory"
 	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
@@ -52,12 +52,9 @@
 	return r
 }
 
-// newFixture starts a backend server with each of the handlers. Server i is registered as "s<i>" in pool "p" and as
-// "e<i>" in pool "engines". Earlier servers of pool "p" have more slots and are chosen first.
-func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
-	t.Helper()
-	f := &fixture{started: map[string]int{}}
-	table, err := hostroute.NewTable(hostroute.Config{
+// testConfig returns the configuration of the tests.
+func testConfig() hostroute.Config {
+	return hostroute.Config{
 		Version: 1,
 		Routes: []hostroute.Route{
 			testRoute("once"),
@@ -76,7 +73,15 @@
 		Pools:      []hostroute.Pool{{Name: "p"}, {Name: "engines", Engine: &hostroute.Engine{Slots: 64}}},
 		Workspaces: []hostroute.Workspace{{Name: "alba", Keys: []string{"k"}}},
 		Limits:     hostroute.Limits{BodyBytes: 1 << 20},
-	})
+	}
+}
+
+// newFixture starts a backend server with each of the handlers. Server i is registered as "s<i>" in pool "p" and as
+// "e<i>" in pool "engines". Earlier servers of pool "p" have more slots and are chosen first.
+func newFixture(t *testing.T, handlers ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := &fixture{started: map[string]int{}}
+	table, err := hostroute.NewTable(testConfig())
 	assert.NilError(t, err)
 	reg := &registry.Registry{Log: zap.NewNop()}
 	var entries []registry.Entry
@@ -104,7 +109,6 @@
 		WorkloadMix: func(string) *placement.WorkloadMix { return &placement.WorkloadMix{} },
 		PrefillRate: func(string) *placement.PrefillRate { return &placement.PrefillRate{} },
 
-		BufferBudget: semaphore.NewWeighted(smallestMemory / 8),
 		Quarantine:   &quarantine.Table{Log: zap.NewNop(), Probe: func(string) error { return nil }},
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  f.origins.Add,
@@ -115,6 +119,7 @@
 			f.started[w]++
 		},
 	}
+	f.setMemory(smallestMemory/3, smallestMemory/8)
 	f.proxy = httptest.NewUnstartedServer(f.forwarder)
 	f.proxy.Config.ConnContext = entry.WithConn
 	f.proxy.Start()
@@ -122,6 +127,12 @@
 	return f
 }
 
+// setMemory sets the memory of requests and the part of it for large responses and events, in bytes.
+func (f *fixture) setMemory(size, buffers int64) {
+	f.forwarder.Memory = memory.NewBudget(size)
+	f.forwarder.Buffers = f.forwarder.Memory.NewPart(buffers)
+}
+
 // request returns a request to the forwarder with a request id and a valid key.
 func (f *fixture) request(t *testing.T, method, path, body string) *http.Request {
 	t.Helper()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/toucanroute/toucanroute/process/memory"
 	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
@@ -38,8 +37,9 @@
 	PrefillRate func(pool string) *placement.PrefillRate
 	// OnStarted is called once for each request of a workspace that a backend server may have started to run.
 	OnStarted func(workspace string, at time.Time)
-	// BufferBudget is the memory in bytes that all large responses and events together may take.
-	BufferBudget *semaphore.Weighted
+	// Memory is the memory that all requests, their bodies, large responses and events together may take, and Buffers the
+	// part of it for large responses and events: servers in trouble may send without end.
+	Memory, Buffers *memory.Budget
 	// DataCentre is the name of the instance's own data centre.
 	DataCentre string
 	// OnLoadChange is called when this instance's load on a server has changed; it may be nil.
@@ -96,9 +96,12 @@
 	// identity is what the request is known by if servers crash under it.
 	identity quarantine.Request
 	// rank is the request's priority; 0 is the most urgent.
-	rank      int
-	body      []byte
-	arrivedAt time.Time
+	rank int
+	// requestBody holds the body, and memory is granted for the request beside it.
+	requestBody buffer
+	memory      int64
+	body        []byte
+	arrivedAt   time.Time
 	// isRelayed is set for a request that another instance relayed.
 	isRelayed bool
 	// relays holds the addresses of the instances to which the request was relayed, the last one in relayedTo.
@@ -168,6 +171,7 @@
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(nil)
 	c.ctx, c.cancel = ctx, cancel
+	defer c.returnMemory()
 	err := c.prepare()
 	if err == nil {
 		err = c.run()
@@ -236,6 +240,9 @@
 		c.classifyPrompt()
 		c.meta.Prompt.FirstEventTarget = route.FirstEventTarget
 	}
+	if err := c.takeMemory(); err != nil {
+		return err
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
@@ -275,45 +282,20 @@
 	return pool
 }
 
-// readBody buffers the body, so that it can be sent again to another server.
-func (c *call) readBody() error {
-	limit := int64(c.config.Limits().BodyBytes)
-	if limit > 0 && c.r.ContentLength > limit {
-		return request.NewRefusal(http.StatusRequestEntityTooLarge, request.CodeBodyTooLarge, "the request's body is too large")
-	}
-	if c.r.Body == nil || c.r.ContentLength == 0 {
-		return nil
-	}
-	reader := io.Reader(c.r.Body)
-	if limit > 0 {
-		reader = io.LimitReader(c.r.Body, limit+1)
-	}
-	var body []byte
-	var err error
-	if c.r.ContentLength > 0 {
-		body = make([]byte, c.r.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
-	if err != nil {
-		return request.ErrResponse{Status: http.StatusBadRequest, Code: request.CodeBadRequest, Message: "the request's body didn't arrive whole", NotRun: true, Cause: err}
-	}
-	if limit > 0 && int64(len(body)) > limit {
-		return request.NewRefusal(http.StatusRequestEntityTooLarge, request.CodeBodyTooLarge, "the request's body is too large")
-	}
-	c.body = body
-	return nil
-}
-
-// startTimeout limits the time until the response starts to the shorter of the route's timeout and the caller's own.
-func (c *call) startTimeout() {
+// responseLimit returns the time until the response must start: the shorter of the route's timeout and the caller's own;
+// 0 means no limit.
+func (c *call) responseLimit() time.Duration {
 	limit := c.route.Timeout
 	if c.meta.CallerTimeout > 0 && (limit == 0 || c.meta.CallerTimeout < limit) {
 		limit = c.meta.CallerTimeout
 	}
-	if c.timeLimit = limit; limit > 0 {
-		c.timeoutTimer = time.AfterFunc(time.Until(c.arrivedAt.Add(limit)), func() { c.cancel(errTimeout) })
+	return limit
+}
+
+// startTimeout limits the time until the response starts.
+func (c *call) startTimeout() {
+	if c.timeLimit = c.responseLimit(); c.timeLimit > 0 {
+		c.timeoutTimer = time.AfterFunc(time.Until(c.arrivedAt.Add(c.timeLimit)), func() { c.cancel(errTimeout) })
 	}
 }
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -181,7 +181,7 @@
 	if !c.firstByteAt.IsZero() {
 		return errUnusable
 	}
-	body := buffer{budget: c.f.BufferBudget, maxBytes: maxBufferedBytes}
+	body := buffer{budget: c.f.Buffers, maxBytes: maxBufferedBytes}
 	defer body.reset()
 	err := body.readAll(resp.Body)
 	if err != nil && !errors.Is(err, errBufferFull) {
@@ -210,7 +210,7 @@
 
 // copyRelayedStream forwards an event stream that another instance relays, one event at a time.
 func (c *call) copyRelayedStream(resp *http.Response) error {
-	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.BufferBudget, maxBytes: maxEventBytes}}
+	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -111,7 +111,7 @@
 func (c *call) forwardPlain(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	c.reportStarted()
 	attempt.MarkPrefilled()
-	body := buffer{budget: c.f.BufferBudget, maxBytes: maxBufferedBytes}
+	body := buffer{budget: c.f.Buffers, maxBytes: maxBufferedBytes}
 	defer body.reset()
 	err := body.readAll(resp.Body)
 	complete := err == nil
@@ -131,6 +131,12 @@
 	if complete && !hasNoBody(resp) && !c.endsWithConnection {
 		h.Set("Content-Length", strconv.Itoa(len(body.data)))
 	}
+	if complete {
+		// The server is free for its next request while a slow caller accepts the response.
+		attempt.End(registry.OutcomeAnswered)
+		c.recordAnswered(attempt.Server(), resp)
+		_ = resp.Body.Close()
+	}
 	c.w.WriteHeader(resp.StatusCode)
 	if _, err := c.w.Write(body.data); err != nil {
 		attempt.End(registry.OutcomeCallerGone)
@@ -138,8 +144,6 @@
 		return nil
 	}
 	if complete {
-		attempt.End(registry.OutcomeAnswered)
-		c.recordAnswered(attempt.Server(), resp)
 		return nil
 	}
 	body.reset()
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -25,7 +25,7 @@
 // forwardStream forwards an event stream (server-sent events), one event at a time. A stream that ends inside an event,
 // or with its connection before its first event, has been broken off.
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
-	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.BufferBudget, maxBytes: maxEventBytes}}
+	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
