placement: a workspace could take the room of all others

Admission knew one server's pending prefill and one limit. A workspace that sent six times its usual to a pool at 1.3 of its room had all workspaces refused alike, and all clients that were refused together were told to return together.

What a workspace asks for beyond its part is admitted only up to half of the wait limit. Instances tell each other the rates of the four largest workspaces while a pool is strained. Refused clients return spread over the time in which the backlog ends, more urgent ones first, within a third of the time left to them.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -120,6 +120,8 @@
 	workloadMixes map[string]*placement.WorkloadMix
 	// prefillRates holds the rate at which each pool's engines process prompts.
 	prefillRates map[string]*placement.PrefillRate
+	// shares holds what workspaces ask for of each pool.
+	shares map[string]*placement.WorkspaceShares
 }
 
 const (
@@ -204,6 +206,7 @@
 	g.retryBudgets = map[string]*attempt.WindowBudget{}
 	g.workloadMixes = map[string]*placement.WorkloadMix{}
 	g.prefillRates = map[string]*placement.PrefillRate{}
+	g.shares = map[string]*placement.WorkspaceShares{}
 	g.newerConfig, g.newerServers, g.limitsChanged = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable,
@@ -240,6 +243,7 @@
 		RetryBudget:  g.retryBudget,
 		WorkloadMix:  g.workloadMix,
 		PrefillRate:  g.prefillRate,
+		Shares:       g.workspaceShares,
 		OnStarted:    g.usageCounter.CountRequest,
 		DataCentre:   g.Settings.DataCentre,
 		OnLoadChange: g.mesh.NotifyLoadChanged,
@@ -341,6 +345,11 @@
 	return getOrCreateForPool(g, g.workloadMixes, pool, func() *placement.WorkloadMix { return &placement.WorkloadMix{} })
 }
 
+// workspaceShares returns what workspaces ask for of a pool.
+func (g *Gateway) workspaceShares(pool string) *placement.WorkspaceShares {
+	return getOrCreateForPool(g, g.shares, pool, func() *placement.WorkspaceShares { return &placement.WorkspaceShares{} })
+}
+
 // prefillRate returns the rate at which a pool's engines process prompts.
 func (g *Gateway) prefillRate(pool string) *placement.PrefillRate {
 	return getOrCreateForPool(g, g.prefillRates, pool, func() *placement.PrefillRate { return &placement.PrefillRate{} })
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -78,7 +78,15 @@
 	list := make([]wire.NewsMix, 0, len(g.workloadMixes))
 	for pool, m := range g.workloadMixes {
 		r := m.LocalRates()
-		list = append(list, wire.NewsMix{S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused)})
+		news := wire.NewsMix{S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused)}
+		if shares := g.shares[pool]; shares != nil {
+			all, told := shares.Told()
+			news.A = int(all)
+			for _, w := range told {
+				news.W = append(news.W, wire.NewsShare{K: w.Hash, F: int(w.Recent), U: int(w.Usual)})
+			}
+		}
+		list = append(list, news)
 	}
 	return list
 }
@@ -92,6 +100,11 @@
 		}
 		if _, ok := t.Pool(n.S); ok {
 			g.workloadMix(n.S).SetPeerRates(instance, placement.WorkRates{DelayTolerant: float64(n.P), LatencySensitive: float64(n.H), Refused: float64(n.R)})
+			told := make([]placement.WorkspaceRate, len(n.W))
+			for i, w := range n.W {
+				told[i] = placement.WorkspaceRate{Hash: w.K, Recent: float64(max(w.F, 0)), Usual: float64(max(w.U, 0))}
+			}
+			g.workspaceShares(n.S).SetPeer(instance, float64(max(n.A, 0)), told)
 		}
 	}
 }
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -165,6 +166,9 @@
 		prefillTokens = c.meta.Prompt.Tokens - c.meta.Prompt.SharedTokens()
 		if c.sends == 0 {
 			c.f.WorkloadMix(c.pool.Name).AddRequest(c.meta.Prompt, prefillTokens)
+			if c.workspace != "" {
+				c.f.Shares(c.pool.Name).Add(c.workspace, c.meta.Prompt.Work(prefillTokens))
+			}
 			var err error
 			if choice, err = c.admit(choice, candidates); err != nil {
 				return assignment{}, err
@@ -190,13 +194,22 @@
 	return target, nil
 }
 
-// admit returns the choice if its expected wait is within the limit. If not, admit chooses a server of the group for
+// admit returns the choice if its expected wait is within the limit, which is lower for what a workspace asks for beyond
+// its part. If not, admit chooses a server of the group for
 // delay-tolerant requests, where the request goes ahead of less urgent ones. If the wait is too long there too, the
 // first event would come too late, and admit returns an overload error. A request that was already sent to a server is
 // not checked again.
 func (c *call) admit(choice placement.Choice, candidates []placement.Candidate) (placement.Choice, error) {
 	limit, rate := c.config.WaitLimit(c.route, c.pool.Name, c.rank), c.f.PrefillRate(c.pool.Name).TokensPerMs()
 	refusal, ok := placement.Admit(&candidates[choice.Index], rate, limit)
+	excess := 0.0
+	if shares := c.f.Shares(c.pool.Name); c.workspace != "" {
+		shares.ObserveWait(refusal.Wait, limit)
+		if excess = shares.Excess(c.workspace); ok && placement.IsAmong(c.meta.ID, excess) {
+			limit = time.Duration(placement.ExcessFactor * float64(limit))
+			refusal, ok = placement.Admit(&candidates[choice.Index], rate, limit)
+		}
+	}
 	if ok {
 		return choice, nil
 	}
@@ -205,11 +218,11 @@
 			return displacedChoice, nil
 		}
 	}
-	return choice, c.overloadError(&candidates[choice.Index], refusal, limit)
+	return choice, c.overloadError(&candidates[choice.Index], refusal, limit, excess)
 }
 
 // overloadError records a refused request and returns its error.
-func (c *call) overloadError(chosen *placement.Candidate, refusal placement.Refusal, limit time.Duration) error {
+func (c *call) overloadError(chosen *placement.Candidate, refusal placement.Refusal, limit time.Duration, excess float64) error {
 	c.f.WorkloadMix(c.pool.Name).AddRefused(c.meta.Prompt.Tokens - c.meta.Prompt.SharedTokens())
 	c.serverChoice = serverChoice{server: *chosen}
 	c.f.Log.Info("request_not_admitted",
@@ -219,10 +232,12 @@
 		zap.Int("running", chosen.Running),
 		zap.Duration("wait", refusal.Wait),
 		zap.Duration("limit", limit),
+		zap.String("workspace", c.workspace),
+		zap.Float64("excess", excess),
 	)
 	return request.ErrResponse{
 		Status: http.StatusServiceUnavailable, Code: request.CodeOverload, Message: "the backend servers have more work than they can do in time",
-		NotRun: true, RetryAfter: refusal.RetryAfter,
+		NotRun: true, RetryAfter: refusal.ReturnAfter(limit, c.remainingTime(), c.config.RankShare(c.route, c.pool.Name, c.rank), rand.Float64()),
 	}
 }
 
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -36,6 +36,7 @@
 	// onReceived is called with each request that arrived at a backend server; it may be nil.
 	onReceived func(*http.Request)
 	origins    streamorigin.Table
+	shares     placement.WorkspaceShares
 	mu         sync.Mutex
 	// started counts the calls of Forwarder.OnStarted by workspace.
 	started map[string]int
@@ -108,6 +109,7 @@
 		RetryBudget: func(string) *attempt.WindowBudget { return budget },
 		WorkloadMix: func(string) *placement.WorkloadMix { return &placement.WorkloadMix{} },
 		PrefillRate: func(string) *placement.PrefillRate { return &placement.PrefillRate{} },
+		Shares:      func(string) *placement.WorkspaceShares { return &f.shares },
 
 		Quarantine:   &quarantine.Table{Log: zap.NewNop(), Probe: func(string) error { return nil }},
 		ResetOnClose: entry.ResetOnClose,
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -33,6 +33,8 @@
 	RetryBudget func(pool string) *attempt.WindowBudget
 	// WorkloadMix returns the recent workload of a pool, by kind of request.
 	WorkloadMix func(pool string) *placement.WorkloadMix
+	// Shares returns what workspaces ask for of a pool.
+	Shares func(pool string) *placement.WorkspaceShares
 	// PrefillRate returns the estimated prefill rate of a pool's engines.
 	PrefillRate func(pool string) *placement.PrefillRate
 	// OnStarted is called once for each request of a workspace that a backend server may have started to run.
--- a/request/placement/admit.go
+++ b/request/placement/admit.go
@@ -55,12 +55,13 @@
 // limit, and an error of the estimate must not make all requests late.
 const maxWaitShare = 0.75
 
-// Refusal describes the wait of a request that isn't admitted, and when the client may retry.
+// Refusal describes the wait of a request, and when the client may retry if it isn't admitted.
 type Refusal struct {
 	// Wait is the expected time at the best server until the prompt is prefilled.
 	Wait time.Duration
 	// RetryAfter is the expected wait plus the limit of the wait: the time in which the servers finish their present
-	// backlog and another one of the permitted length.
+	// backlog and another one of the permitted length, so that all clients may have returned. It is 0 for an admitted
+	// request.
 	RetryAfter time.Duration
 }
 
@@ -78,11 +79,33 @@
 	}
 	wait := time.Duration(tokens / tokensPerMs * float64(time.Millisecond))
 	if limit <= 0 || float64(wait) <= maxWaitShare*float64(limit) || c.PendingPrefill <= maxIdlePrefill {
-		return Refusal{}, true
+		return Refusal{Wait: wait}, true
 	}
 	return Refusal{Wait: wait, RetryAfter: wait + limit}, false
 }
 
+const (
+	// honouredShare is the part of the time left to a caller up to which it waits for its return.
+	honouredShare = 1.0 / 3
+	// minReturn is the shortest time until a return: the engines' work of several steps, before which nothing has changed.
+	minReturn = 50 * time.Millisecond
+)
+
+// ReturnAfter returns when a client that wasn't admitted may return, with the wait limit and the time that is left to it
+// (0 if unknown). Returns are spread over the time from that at which the servers' backlog is down to what is admitted,
+// until RetryAfter. The rankShare, from 0 for the most urgent requests to 1, and the position, a request's own number
+// from 0 to 1, set the place within: more urgent clients return first. A client that would give up rather than wait for so long returns as late as it
+// would, unless the backlog lasts longer.
+//
+// It handles clients that were refused together in a burst: if all returned at once, most would be refused again.
+func (r Refusal) ReturnAfter(limit, left time.Duration, rankShare, position float64) time.Duration {
+	first, last := r.Wait-time.Duration(maxWaitShare*float64(limit)), r.RetryAfter
+	if honoured := time.Duration(honouredShare * float64(left)); left > 0 && first < honoured {
+		last = min(last, honoured)
+	}
+	return max(first+time.Duration(float64(last-first)*(rankShare+position)/2), minReturn)
+}
+
 // DisplacedLimitFactor multiplies the wait limit of a latency-sensitive request that goes to a server for
 // delay-tolerant ones; see ChooseDisplaced. The real wait is shorter than the expected one: delay-tolerant requests are
 // admitted up to their own limit only, and engines prefill the more urgent prompt first.
--- a/request/placement/workload_mix.go
+++ b/request/placement/workload_mix.go
@@ -87,7 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(time.Now())
-	work := float64(tokens + outputTokenCost*p.MaxOutput)
+	work := p.Work(tokens)
 	if p.DelayTolerant {
 		m.tolerantTokens += float64(tokens)
 		m.localWork.DelayTolerant += work
@@ -97,6 +97,10 @@
 	}
 }
 
+// Work returns the work of a request in prefill tokens. The argument tokens is the number of prompt tokens that must be
+// prefilled.
+func (p *Prompt) Work(tokens int) float64 { return float64(tokens + outputTokenCost*p.MaxOutput) }
+
 // LocalRates returns the rates of this instance's requests.
 func (m *WorkloadMix) LocalRates() WorkRates {
 	m.mu.Lock()
--- a/version/hostroute/rank.go
+++ b/version/hostroute/rank.go
@@ -98,5 +98,11 @@
 	return r.FirstEventTarget
 }
 
+// RankShare returns the place of a rank among those of its server group, from 0 for the most urgent to 1.
+func (t *Table) RankShare(r *Route, pool string, rank int) float64 {
+	lowest := t.lowestPriorityRanks[t.serverGroupOf(r, pool)]
+	return float64(rank) / float64(max(lowest, rank, 1))
+}
+
 // HighPriorityWaitLimit returns the wait limit of a request that has priority over all others at its server.
 func HighPriorityWaitLimit(r *Route) time.Duration { return priorityWaitFactor * r.FirstEventTarget }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -267,6 +267,9 @@
 // NewsMix is the rate of work that one instance's requests have lately brought to
 // a pool.
 type NewsMix struct {
+	// Work per second of all workspaces together, as counted in w. 0 if w is empty.
+	A int `json:"a,omitempty,omitzero"`
+
 	// Work per second of latency-sensitive requests, in tokens to prefill.
 	H int `json:"h"`
 
@@ -278,6 +281,10 @@
 
 	// Name of the pool.
 	S string `json:"s"`
+
+	// Workspaces that ask for most. Empty while the pool has enough room for all, and
+	// from older builds.
+	W []NewsShare `json:"w,omitempty,omitzero"`
 }
 
 // NewsQuarantine is a quarantine of a request or of prompts.
@@ -310,6 +317,19 @@
 	Wrong bool `json:"x,omitempty,omitzero"`
 }
 
+// NewsShare is the rate of work that the requests of one workspace bring to a
+// pool.
+type NewsShare struct {
+	// Work per second in the last seconds, in tokens to prefill.
+	F int `json:"f"`
+
+	// Hash of the workspace's name.
+	K int `json:"k"`
+
+	// Work per second in the last minute, in tokens to prefill.
+	U int `json:"u"`
+}
+
 // NewsStream tells which software began a stream.
 type NewsStream struct {
 	// Id of the request that brought the first event of the stream.
