--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -18,7 +18,6 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/gossip"
@@ -26,6 +25,7 @@
 	"github.com/toucanroute/toucanroute/process/evacuation"
 	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/process/lease"
+	"github.com/toucanroute/toucanroute/process/memory"
 	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/platform"
@@ -94,6 +94,7 @@
 	relayTransport   *upstream.Transport
 	relayListener    *gossip.Listener
 	relayServer      atomic.Pointer[entry.Server]
+	requestMemory    *memory.Budget
 	forwarder        *forward.Forwarder
 	callerServer     atomic.Pointer[entry.Server]
 	metrics          *metrics.Metrics
@@ -135,6 +136,8 @@
 	workloadMixes map[string]*placement.WorkloadMix
 	// prefillRates holds the rate at which each pool's engines process prompts.
 	prefillRates map[string]*placement.PrefillRate
+	// shares holds what workspaces ask for of each pool.
+	shares map[string]*placement.WorkspaceShares
 }
 
 const (
@@ -191,6 +194,10 @@
 // this limit, the runtime collects garbage more often.
 const memoryLimitShare = 0.7
 
+// requestMemoryShare is the share of the configured memory that requests may take together. With what a process needs
+// without any and the garbage of a collection it stays below memoryLimitShare.
+const requestMemoryShare = 1.0 / 3
+
 // bufferShare is the share of the configured memory that large responses and events together may take.
 const bufferShare = 0.125
 
@@ -217,6 +224,7 @@
 	g.prefillRates = map[string]*placement.PrefillRate{}
 	g.newerConfig, g.newerServers, g.newerEvacuations = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	g.limitsChanged = make(chan struct{}, 1)
+	g.shares = map[string]*placement.WorkspaceShares{}
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable, Ask: g.askServer,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
@@ -245,6 +253,7 @@
 		Report: g.reportUsage,
 		Sent:   &g.sentWindows, StartedAt: time.Now(),
 	}
+	g.requestMemory = memory.NewBudget(int64(requestMemoryShare * float64(forwarding.MemoryMb) * (1 << 20)))
 	g.forwarder = &forward.Forwarder{
 		Headers:       g.Platform.Headers,
 		Send:          g.transport.Send,
@@ -257,7 +266,6 @@
 		OnStarted:     g.usageCounter.CountRequest,
 		DataCentre:    g.Settings.DataCentre,
 		OnLoadChange:  g.mesh.NotifyLoadChanged,
-		BufferBudget:  semaphore.NewWeighted(int64(bufferShare * float64(g.Settings.Forwarding.MemoryMb) * (1 << 20))),
 		ResetOnClose:  entry.ResetOnClose,
 		BeginStream:   g.beginStream,
 		FindStream:    g.findStream,
@@ -269,6 +277,9 @@
 		Observe:       g.observeRequest,
 		ObserveTakeUp: g.metrics.TakeUp,
 		Regions:       g.regions, InstancesOutside: g.mesh.AddressesOutside, Evacuated: g.evacuations.InForce,
+		Shares:  g.workspaceShares,
+		Memory:  g.requestMemory,
+		Buffers: g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
 	}
 }
 
@@ -362,7 +373,7 @@
 	callerServer := &entry.Server{
 		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)),
+		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)), Budget: g.requestMemory,
 	}
 	g.callerServer.Store(callerServer)
 	return callerServer.Run(ctx)
@@ -383,6 +394,7 @@
 	server := &entry.Server{
 		Handler: http.HandlerFunc(g.forwarder.ServeRelayed), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes + relayHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		Budget: g.requestMemory,
 	}
 	g.relayServer.Store(server)
 	return server.Serve(ctx, g.relayListener)
@@ -401,6 +413,11 @@
 	return getOrCreateForPool(g, g.workloadMixes, pool, func() *placement.WorkloadMix { return &placement.WorkloadMix{} })
 }
 
+// workspaceShares returns what workspaces ask for of a pool.
+func (g *Gateway) workspaceShares(pool string) *placement.WorkspaceShares {
+	return getOrCreateForPool(g, g.shares, pool, func() *placement.WorkspaceShares { return &placement.WorkspaceShares{} })
+}
+
 // prefillRate returns the rate at which a pool's engines process prompts.
 func (g *Gateway) prefillRate(pool string) *placement.PrefillRate {
 	return getOrCreateForPool(g, g.prefillRates, pool, func() *placement.PrefillRate { return &placement.PrefillRate{} })
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -69,8 +69,9 @@
 			values.ColdServers++
 		}
 	}
+	values.Memory = g.requestMemory.Stats()
 	if callerServer := g.callerServer.Load(); callerServer != nil {
-		values.Running = callerServer.Running()
+		values.Running, values.SlowCallers = callerServer.Running(), callerServer.SlowCallers()
 	}
 	return values
 }
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -82,10 +82,18 @@
 	list := make([]wire.NewsMix, 0, len(g.workloadMixes))
 	for pool, m := range g.workloadMixes {
 		r, pace := m.LocalRates(), m.Pace.Report()
-		list = append(list, wire.NewsMix{
+		news := wire.NewsMix{
 			S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused), M: int(r.Movable),
 			B: int(pace.Began * paceUnit), L: int(pace.Late * paceUnit), G: int(pace.Groups),
-		})
+		}
+		if shares := g.shares[pool]; shares != nil {
+			all, told := shares.Told()
+			news.A = int(all)
+			for _, w := range told {
+				news.W = append(news.W, wire.NewsShare{K: w.Hash, F: int(w.Recent), U: int(w.Usual)})
+			}
+		}
+		list = append(list, news)
 	}
 	return list
 }
@@ -101,6 +109,11 @@
 			m := g.workloadMix(n.S)
 			m.SetPeerRates(instance, placement.WorkRates{DelayTolerant: float64(n.P), LatencySensitive: float64(n.H), Refused: float64(n.R), Movable: float64(n.M)})
 			m.Pace.SetPeer(instance, placement.PaceReport{Began: float64(n.B) / paceUnit, Late: float64(n.L) / paceUnit, Groups: placement.PaceGroups(n.G)})
+			told := make([]placement.WorkspaceRate, len(n.W))
+			for i, w := range n.W {
+				told[i] = placement.WorkspaceRate{Hash: w.K, Recent: float64(max(w.F, 0)), Usual: float64(max(w.U, 0))}
+			}
+			g.workspaceShares(n.S).SetPeer(instance, float64(max(n.A, 0)), told)
 		}
 	}
 }
--- a/request/forward/fuzz_test.go
+++ b/request/forward/fuzz_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"testing/iotest"
 
-	"golang.org/x/sync/semaphore"
+	"github.com/toucanroute/toucanroute/process/memory"
 )
 
 // FuzzEventReader reads any bytes as a stream of events: they are passed on unchanged and in order, up to the last whole
@@ -19,7 +19,7 @@
 		f.Add([]byte(seed), false)
 	}
 	f.Fuzz(func(t *testing.T, data []byte, byteByByte bool) {
-		budget := semaphore.NewWeighted(1 << 20)
+		budget := memory.NewBudget(1 << 20)
 		var source io.Reader = bytes.NewReader(data)
 		if byteByByte {
 			source = iotest.OneByteReader(source)
@@ -45,7 +45,7 @@
 		if !bytes.HasPrefix(data, passed) {
 			t.Fatalf("%q became %q", data, passed)
 		}
-		if !budget.TryAcquire(1 << 20) {
+		if !budget.TryTake(1<<20, memory.Running) {
 			t.Fatal("memory was not given back")
 		}
 	})
