--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -17,8 +17,8 @@
 func TestWorkloadsReachPeers(t *testing.T) {
 	table, err := hostroute.NewTable(hostroute.Config{Version: 1, Pools: []hostroute.Pool{{Name: "p"}}})
 	assert.NilError(t, err)
-	sender := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}}
-	receiver := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}}
+	sender := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}, shares: map[string]*placement.WorkspaceShares{}}
+	receiver := &Gateway{workloadMixes: map[string]*placement.WorkloadMix{}, shares: map[string]*placement.WorkspaceShares{}}
 	receiver.table.Store(table)
 	mix := sender.workloadMix("p")
 	for range 30 {
