--- a/process/gateway/evacuations.go
+++ b/process/gateway/evacuations.go
@@ -70,16 +70,6 @@
 	return first.newest
 }
 
-// regions returns the region of each data centre of the deployment.
-func (g *Gateway) regions() map[string]string {
-	forwarding := g.currentSettings.Load()
-	regions := make(map[string]string, len(forwarding.DataCentres))
-	for _, dc := range forwarding.DataCentres {
-		regions[dc] = forwarding.Regions[dc]
-	}
-	return regions
-}
-
 // watchEvacuations learns of evacuated data centres until ctx ends.
 func (g *Gateway) watchEvacuations(ctx context.Context) {
 	if g.evacuationFeed != nil {
--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -64,6 +64,7 @@
 		g.Log.Warn("config_rejected", zap.Int("version", cfg.Version), zap.Error(err))
 		return
 	}
+	g.checkHomes(&cfg)
 	g.configObject.Store(&o)
 	g.table.Store(table)
 	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), platform.VersionField("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
