--- a/process/gateway/evacuations_test.go
+++ b/process/gateway/evacuations_test.go
@@ -34,10 +34,10 @@
 
 // evacuationFleet is a number of instances that read evacuations from one store. A tenth of their datagrams is lost.
 type evacuationFleet struct {
-	store     *platformtest.Objects
-	gateways  map[netip.AddrPort]*Gateway
+	store    *platformtest.Objects
+	gateways map[netip.AddrPort]*Gateway
 	// inboxes hold the datagrams to each instance, which handles one after the other.
-	inboxes map[netip.AddrPort]chan []byte
+	inboxes   map[netip.AddrPort]chan []byte
 	instances []*Gateway
 	mu        sync.Mutex
 	rng       *rand.Rand
