--- a/connection/entry/held_test.go
+++ b/connection/entry/held_test.go
@@ -201,6 +201,18 @@
 	assert.Assert(t, err != nil, "the stalled caller's response looks complete")
 }
 
+// What is held for a caller that leaves is free within half a second.
+func TestCallerThatLeavesFreesWhatIsHeld(t *testing.T) {
+	h := startHeldServer(t, 256<<20, 0, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, largeResponse) })
+	conn := h.request(t, "")
+	h.waitHandled(t, 2*time.Second)
+	assert.Assert(t, h.budget.Stats().Taken > 0)
+	assert.NilError(t, conn.Close())
+	closedAt := time.Now()
+	h.waitReturned(t)
+	assert.Assert(t, time.Since(closedAt) < 500*time.Millisecond, "%s", time.Since(closedAt))
+}
+
 // A planned stop waits until slow callers have their responses.
 func TestDrainWaitsForSlowCallers(t *testing.T) {
 	h := startHeldServer(t, 256<<20, 0, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, largeResponse) })
--- a/request/forward/memory_test.go
+++ b/request/forward/memory_test.go
@@ -106,7 +106,7 @@
 		return endBroken
 	}
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", s.path, id, s.bodyBytes)
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", s.path, id, s.bodyBytes)
 	piece := make([]byte, s.bodyBytes/max(s.pieces, 1))
 	for range s.pieces {
 		// An error means that the request was refused.
