--- a/process/registry/path.go
+++ b/process/registry/path.go
@@ -14,6 +14,9 @@
 	pathWindow = 2 * time.Second
 	// askedServers is the number of servers that are asked at once in a test of the path.
 	askedServers = 3
+	// newsTime is the time within which another instance tells that a server has answered it, and newsWait how long a test
+	// waits for such news.
+	newsTime, newsWait = 150 * time.Millisecond, 600 * time.Millisecond
 	// maxAskDelay is the longest time between two tests of a path that was found broken.
 	maxAskDelay = 3200 * time.Millisecond
 )
@@ -90,14 +93,15 @@
 }
 
 // testPath asks some servers. If none answers, and nothing comes from another one meanwhile, all that have sent nothing
-// count as unreachable.
+// count as unreachable, provided that they answer other instances meanwhile.
 func (r *Registry) testPath(startedAt time.Time) {
 	answered := r.askAny(r.randomServers(askedServers, func(*Server) bool { return true }))
+	isBroken := !answered && r.awaitNews(startedAt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.path.testing, r.path.failures = false, nil
 	here, _ := r.lastHeard()
-	if answered || here.After(startedAt) {
+	if !isBroken || here.After(startedAt) {
 		return
 	}
 	n := 0
@@ -113,6 +117,22 @@
 	time.AfterFunc(minProbeDelay, func() { r.retryPath(minProbeDelay) })
 }
 
+// awaitNews reports whether servers have answered other instances since a time while none has answered this one. It waits
+// for the news if needed: servers that have just crashed answered others until then.
+func (r *Registry) awaitNews(since time.Time) bool {
+	for deadline := since.Add(newsWait); ; time.Sleep(newsTime / 3) {
+		r.mu.Lock()
+		here, elsewhere := r.lastHeard()
+		r.mu.Unlock()
+		if here.After(since) || time.Now().After(deadline) {
+			return false
+		}
+		if elsewhere.After(since.Add(newsTime)) {
+			return true
+		}
+	}
+}
+
 // retryPath asks one of the servers that count as unreachable because of the path, and all of them once that one answers.
 func (r *Registry) retryPath(delay time.Duration) {
 	isUnanswered := func(srv *Server) bool { return srv.unanswered }
--- a/process/registry/path_test.go
+++ b/process/registry/path_test.go
@@ -59,7 +59,9 @@
 	for _, a := range attempts {
 		a.CheckUnresponsive()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(300 * time.Millisecond)
+	f.othersProgress()
+	time.Sleep(700 * time.Millisecond)
 }
 
 // Requests to two servers get nothing, while other instances are answered: the servers count as unreachable until they
@@ -96,7 +98,9 @@
 		for _, srv := range f.Servers()[:2] {
 			srv.Begin(0).End(OutcomeFailed)
 		}
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		f.othersProgress()
+		time.Sleep(300 * time.Millisecond)
 		assert.Assert(t, f.IsUnreachable("p"))
 		assert.Equal(t, f.asked.Load(), int32(askedServers))
 		f.carries.Store(true)
@@ -127,6 +131,12 @@
 			}()
 			f.wait(6)
 		},
+		"servers that have all just crashed": func(f *pathFixture) {
+			f.othersProgress()
+			for _, srv := range f.Servers() {
+				srv.Begin(0).End(OutcomeFailed)
+			}
+		},
 		"servers that answer nobody": func(f *pathFixture) {
 			for _, srv := range f.Servers() {
 				srv.Begin(0).End(OutcomeFailed)
