gossip: a panic in handling one message drops that message

Datagrams and JSON-RPC calls of other instances are handled in goroutines without net/http's guard, so that one panic ended the process (TestPanicDropsOneDatagram without the guard: the test process ends). Fuzzing found none in this build; messages of other builds can't be fuzzed here.

--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -103,7 +103,14 @@
 
 // serve handles the calls of one peer until the peer closes the connection or ctx ends.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (reply any, err error) {
+		// A panic fails this call only.
+		defer func() {
+			if r := recover(); r != nil {
+				s.Log.Error("peer_call_failed", zap.Any("panic", r), zap.String("method", req.Method), zap.Stack("stack"))
+				reply, err = nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error"}
+			}
+		}()
 		switch req.Method {
 		case methodObjects:
 			return s.serveObjects(req.Params)
--- a/connection/gossip/socket.go
+++ b/connection/gossip/socket.go
@@ -50,10 +50,20 @@
 			s.Log.Debug("datagram_not_read", zap.Error(err))
 			continue
 		}
-		s.OnDatagram(buf[:n])
+		s.handle(buf[:n])
 	}
 }
 
+// handle handles a datagram. A panic, which a datagram of another build may cause, drops that datagram only.
+func (s *Socket) handle(data []byte) {
+	defer func() {
+		if r := recover(); r != nil {
+			s.Log.Error("datagram_dropped", zap.Any("panic", r), zap.Int("bytes", len(data)), zap.Stack("stack"))
+		}
+	}()
+	s.OnDatagram(data)
+}
+
 // Send sends a datagram, which may get lost. It does nothing before Run has opened the socket.
 func (s *Socket) Send(to netip.AddrPort, data []byte) {
 	conn := s.conn.Load()
