placement: servers that change their group drain first

Cause: servers come and go, and the bounds of the groups of a split pool move with their number.

Change: ServerGroups, kept by each instance while a pool is split by its streams' pauses, has a server that leaves the streams' group serve neither group until four requests or fewer run there, or for 10 s.

Tested: TestServersDrainBeforeTheyChangeGroups; packages placement, forward, gateway and hostroute pass.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -158,6 +158,7 @@
 		return assignment{}, c.noServerLeftError()
 	}
 	candidates := c.f.candidates(servers, c.tolerantShare(len(servers)))
+	c.settleGroups(candidates)
 	var choice placement.Choice
 	prefillTokens := 0
 	if c.pool.Engine != nil && c.meta.Prompt != nil {
--- a/request/forward/pace.go
+++ b/request/forward/pace.go
@@ -50,6 +50,19 @@
 	prompt.DelayTolerant = c.splitsServers && prompt.Movable
 }
 
+// settleGroups keeps the prompt away from servers that change their group in a pool that is split by its streams' pauses.
+func (c *call) settleGroups(candidates []placement.Candidate) {
+	if c.meta.Prompt == nil || !c.followsPace && !c.meta.Prompt.Movable {
+		return
+	}
+	groups := &c.f.WorkloadMix(c.pool.Name).Groups
+	if !c.splitsServers {
+		groups.Forget()
+		return
+	}
+	groups.Settle(c.meta.Prompt, candidates)
+}
+
 // Late says how a response missed its service level; empty if it didn't.
 type Late string
 
--- a/request/placement/workload_mix.go
+++ b/request/placement/workload_mix.go
@@ -46,6 +46,8 @@
 	Contexts ContextLength
 	// Pace follows the pauses of the pool's streams.
 	Pace StreamPace
+	// Groups keeps long prompts away from the streams of servers that change their group while Pace splits the servers.
+	Groups ServerGroups
 
 	mu sync.Mutex
 	// tolerantTokens and sensitiveTokens are the prefill tokens of the two kinds of requests, decayed by shareDecay.
