--- a/request/forward/pace_test.go
+++ b/request/forward/pace_test.go
@@ -64,6 +64,11 @@
 			assert.Equal(t, share, 0.0, "the caches are from before the split")
 		}
 	}
+	for i, delayTolerant := range []bool{false, true} {
+		candidates := []placement.Candidate{{Name: "a", Running: 40, DelayTolerant: delayTolerant}}
+		classify(i).settleGroups(candidates)
+		assert.Assert(t, !candidates[0].DelayTolerant, "the server drains before it serves drafts")
+	}
 }
 
 // slowWriter takes some time for each write, like a caller that reads slowly.
