placement: admission counts a server's speed

The expected wait was the pending prefill at the usual rate on every server. Where servers report work times it is longer on a slow one (test). Not measured by itself.

--- a/request/placement/admit.go
+++ b/request/placement/admit.go
@@ -65,7 +65,7 @@
 }
 
 // Admit reports whether a request may wait at the chosen server. The expected wait is the server's pending prefill
-// divided by the prefill rate in tokens per millisecond; the limit is the longest useful wait, and 0 means no limit.
+// divided by the prefill rate in tokens per millisecond, and longer on a server that is slower than usual; the limit is the longest useful wait, and 0 means no limit.
 // The length of the request's own prompt doesn't count: long prompts would be refused far more often than short ones,
 // though they wait no longer.
 //
@@ -76,7 +76,7 @@
 	if c.Slots > 0 && c.Running >= c.Slots {
 		tokens += queuedRequestCost * float64(c.Running-c.Slots+1)
 	}
-	wait := time.Duration(tokens / tokensPerMs * float64(time.Millisecond))
+	wait := time.Duration(tokens * c.slowness() / tokensPerMs * float64(time.Millisecond))
 	if limit <= 0 || float64(wait) <= maxWaitShare*float64(limit) || c.PendingPrefill <= maxIdlePrefill {
 		return Refusal{}, true
 	}
--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -50,6 +50,21 @@
 	assert.Equal(t, list[3].WorkTime, 1.0)
 }
 
+// The same pending prefill is a longer wait on a slow server; what servers that report nothing are expected to need
+// doesn't change.
+func TestAdmissionCountsSpeed(t *testing.T) {
+	const rate, limit = 64, time.Second
+	c := Candidate{PendingPrefill: 40000}
+	for _, tt := range []struct {
+		speed, workTime float64
+		admitted        bool
+	}{{0, 0, true}, {0.5, 0, true}, {1, 1, true}, {2, 1, true}, {0.5, 1, false}, {2, 4, false}} {
+		c.Speed, c.WorkTime = tt.speed, tt.workTime
+		_, ok := Admit(&c, rate, limit)
+		assert.Equal(t, ok, tt.admitted, "speed %.1f, work time %.1f", tt.speed, tt.workTime)
+	}
+}
+
 // referenceEngine is the choice of builds that know no speeds.
 func referenceEngine(p *Prompt, list []Candidate) int {
 	wait := func(c *Candidate) float64 {
