placement: the order of servers is computed once a choice

Ranks compute the level and the logarithm once for each server and not in each comparison, and Speed keeps its lasting work time.

--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -242,10 +242,10 @@
 // the prompt's affinity key and their names. An engine that is known to be twice as fast comes first twice as often.
 func (p *Prompt) ranking(candidates []Candidate) []int {
 	keyHash := xxhash.Sum64String(p.AffinityKey())
-	hashes := make([]uint64, len(candidates))
+	ranks := make([]rank, len(candidates))
 	ranking := make([]int, len(candidates))
 	for i := range candidates {
-		hashes[i], ranking[i] = rendezvousHash(keyHash, candidates[i].Name), i
+		ranks[i], ranking[i] = candidates[i].rank(keyHash), i
 	}
 	slices.SortFunc(ranking, func(a, b int) int {
 		if ownGroup := candidates[a].DelayTolerant == p.DelayTolerant; ownGroup != (candidates[b].DelayTolerant == p.DelayTolerant) {
@@ -254,7 +254,7 @@
 			}
 			return 1
 		}
-		return compareRanks(hashes[a], hashes[b], candidates[a].level(), candidates[b].level())
+		return ranks[a].compare(ranks[b])
 	})
 	return ranking
 }
@@ -310,14 +310,14 @@
 // rendezvousOwner returns the index of the eligible candidate with the highest rendezvous hash of the affinity key and
 // its name. It returns -1 if none is eligible.
 func rendezvousOwner(affinityKey string, candidates []Candidate, eligible func(*Candidate) bool) int {
-	owner, highest := -1, uint64(0)
+	owner, first := -1, rank{}
 	keyHash := xxhash.Sum64String(affinityKey)
 	for i := range candidates {
 		if !eligible(&candidates[i]) {
 			continue
 		}
-		if h := rendezvousHash(keyHash, candidates[i].Name); owner < 0 || compareRanks(h, highest, candidates[i].level(), candidates[owner].level()) < 0 {
-			owner, highest = i, h
+		if r := candidates[i].rank(keyHash); owner < 0 || r.compare(first) < 0 {
+			owner, first = i, r
 		}
 	}
 	return owner
--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -41,10 +41,12 @@
 type Speed struct {
 	// stepMs is the moving average of the step times in milliseconds; 0 if unknown.
 	stepMs float64
-	// reports holds the newest reported work times, count of them, the last one in front. It came at reportedAt.
+	// reports holds the newest reported work times, count of them, the last one in front. It came at reportedAt. lasting is
+	// the work time without what is momentary: the lowest of them, or the second lowest if there are enough to outvote one.
 	reports    [recentReports]float64
 	count      int
 	reportedAt time.Time
+	lasting    float64
 }
 
 // ObserveStep records the duration of one step: the time between two events of a stream.
@@ -66,28 +68,22 @@
 	copy(s.reports[1:], s.reports[:])
 	s.reports[0], s.reportedAt = workTime, at
 	s.count = min(s.count+1, recentReports)
-}
-
-// StepMs returns the mean step time in milliseconds; 0 if unknown.
-func (s *Speed) StepMs() float64 { return s.stepMs }
-
-// lastingWorkTime returns the work time without what is momentary: the lowest of the recent reports, or the second
-// lowest if there are enough to outvote one.
-func (s *Speed) lastingWorkTime() float64 {
 	recent := s.reports
 	slices.Sort(recent[:s.count])
-	if s.count >= reportsToOutvote {
-		return recent[1]
+	if s.lasting = recent[0]; s.count >= reportsToOutvote {
+		s.lasting = recent[1]
 	}
-	return recent[0]
 }
 
+// StepMs returns the mean step time in milliseconds; 0 if unknown.
+func (s *Speed) StepMs() float64 { return s.stepMs }
+
 // Lasting returns the lasting speed, relative to the usual server; 0 if the server reported no work time.
 func (s *Speed) Lasting() float64 {
 	if s.count == 0 {
 		return 0
 	}
-	return min(max(1/s.lastingWorkTime(), minSpeed), maxSpeed)
+	return min(max(1/s.lasting, minSpeed), maxSpeed)
 }
 
 // ReportedAt returns the time of the newest report; zero if there was none.
@@ -99,7 +95,10 @@
 	if s.count == 0 {
 		return 0
 	}
-	ratio := min(max(s.reports[0]/s.lastingWorkTime(), 1.0/maxWorkTime), maxWorkTime)
+	if s.reports[0] == s.lasting {
+		return 1
+	}
+	ratio := min(max(s.reports[0]/s.lasting, 1.0/maxWorkTime), maxWorkTime)
 	return 1 + (ratio-1)*math.Exp(-float64(now.Sub(s.reportedAt))/float64(workTimeDecay))
 }
 
@@ -141,7 +140,7 @@
 
 // SpeedLevel returns a lasting speed, rounded to a power of speedStep; 1 if the speed is unknown.
 func SpeedLevel(speed float64) float64 {
-	if speed <= 0 {
+	if speed <= 0 || speed == 1 {
 		return 1
 	}
 	steps := math.Round(math.Log(speed) / math.Log(speedStep))
@@ -157,12 +156,26 @@
 	return weight / -math.Log((float64(hash>>11)+0.5)/(1<<53))
 }
 
-// compareRanks orders servers by descending weighted score and, where rounding makes these equal, by descending hash.
-func compareRanks(hashA, hashB uint64, levelA, levelB float64) int {
-	if levelA == levelB {
-		return cmp.Compare(hashB, hashA)
+// rank is the place of a server in the order for an affinity key.
+type rank struct {
+	hash         uint64
+	level, score float64
+}
+
+func (c *Candidate) rank(keyHash uint64) rank {
+	r := rank{hash: rendezvousHash(keyHash, c.Name), level: c.level()}
+	if c.reportsWorkTime() {
+		r.score = weightedScore(r.hash, r.level)
+	}
+	return r
+}
+
+// compare orders servers by descending weighted score; servers of the same level by descending hash.
+func (r rank) compare(other rank) int {
+	if r.level == other.level {
+		return cmp.Compare(other.hash, r.hash)
 	}
-	return cmp.Compare(weightedScore(hashB, levelB), weightedScore(hashA, levelA))
+	return cmp.Compare(other.score, r.score)
 }
 
 // SetSpeeds completes the speeds of the candidates by their mean step times in milliseconds, 0 if unknown. If a server
