--- a/connection/caller/stack_test.go
+++ b/connection/caller/stack_test.go
@@ -112,6 +112,8 @@
 
 // testStack is a running Server with a dispatcher and one backend server.
 type testStack struct {
+	// stop ends the server at once.
+	stop func()
 	server     *Server
 	dispatcher *dispatch.Dispatcher
 	url        string
@@ -195,10 +197,11 @@
 	case err := <-done:
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
+	s.stop = sync.OnceFunc(func() {
 		cancel()
 		assert.NilError(t, <-done)
 	})
+	t.Cleanup(s.stop)
 	s.url = "http://" + s.server.Address()
 	return s
 }
