--- a/connection/caller/stack_test.go
+++ b/connection/caller/stack_test.go
@@ -113,7 +113,7 @@
 // testStack is a running Server with a dispatcher and one backend server.
 type testStack struct {
 	// stop ends the server at once.
-	stop func()
+	stop       func()
 	server     *Server
 	dispatcher *dispatch.Dispatcher
 	url        string
--- a/request/forward/resume_test.go
+++ b/request/forward/resume_test.go
@@ -106,6 +106,29 @@
 	}
 }
 
+// An instance that reaches no server relays a take-up: the other one goes on only if it is certain itself, whatever the
+// first one infers.
+func TestRelayedTakeUpNeedsCertainty(t *testing.T) {
+	for _, began := range []string{"other", ""} {
+		other := newFixture(t, events(4, 0), events(4, 0))
+		other.setVersions("v1", "v2")
+		first := newPartitioned(t, other.relayServer(t))
+		first.setVersions("v1")
+		status, body, _ := first.do(t, first.resume(t, began))
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(body, `"not_run":true`), body)
+		assert.Equal(t, other.received.Load()+first.received.Load(), int32(0))
+
+		other = newFixture(t, events(4, 0), events(4, 0))
+		other.setVersions("v1", "v1")
+		first = newPartitioned(t, other.relayServer(t))
+		first.setVersions("v1")
+		status, body, _ = first.do(t, first.resume(t, began))
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, strings.Count(body, "data:"), 2)
+	}
+}
+
 // A route with two pools may have begun the stream at either.
 func TestUnknownStreamOfTwoPoolsIsRefused(t *testing.T) {
 	f := newFixture(t, eventStream(3, 4, true))
