forward: the most urgent requests were refused before less urgent ones

A request's wait limit was three of its own targets, so that an urgent class with a target of 250 ms was refused while a less urgent one with 400 ms was admitted. The limit is now at least the longest one of the less urgent requests of the pool, also for what a workspace asks for beyond its part. toucanctl status shows what the largest workspaces ask for, wait and are refused.

--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -112,6 +112,7 @@
 			writeRow(w, b.Server, b.DataCentre, b.Pool, b.Kind, b.State, b.Running, formatLimit(b.Limit), s.Instance)
 		}
 	}
+	writeShares(w, statuses)
 	if err := w.Flush(); err != nil {
 		return err
 	}
@@ -122,6 +123,22 @@
 	return err
 }
 
+// writeShares writes what workspaces ask for, if any instance reports it.
+func writeShares(w io.Writer, statuses []wire.Status) {
+	hasHeader := false
+	for _, s := range statuses {
+		for _, share := range s.Shares {
+			if !hasHeader {
+				writeRow(w)
+				writeRow(w, "WORKSPACE", "POOL", "TOKENS/S", "USUAL", "EXCESS", "REQUESTS", "REFUSED", "WAIT", "SEEN BY")
+				hasHeader = true
+			}
+			writeRow(w, share.Workspace, share.Pool, share.Recent, share.Usual, strconv.FormatFloat(share.Excess, 'f', 2, 64), share.Requests, share.Refused,
+				strconv.Itoa(share.WaitMs)+"ms", s.Instance)
+		}
+	}
+}
+
 // writeRow writes one line of tab-separated cells.
 func writeRow(w io.Writer, cells ...any) {
 	text := make([]string, len(cells))
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -82,9 +83,27 @@
 		Pools:             []wire.PoolStatus{},
 		Servers:           g.serverStatus(),
 		Quarantines:       g.quarantine.Status(),
+		Shares:            g.shareStatus(),
 	}
 }
 
+// shareStatus returns what the largest workspaces ask for of each pool.
+func (g *Gateway) shareStatus() []wire.ShareStatus {
+	g.mu.Lock()
+	shares := maps.Clone(g.shares)
+	g.mu.Unlock()
+	list := []wire.ShareStatus{}
+	for _, pool := range slices.Sorted(maps.Keys(shares)) {
+		for _, s := range shares[pool].Status() {
+			list = append(list, wire.ShareStatus{
+				Pool: pool, Workspace: s.Workspace, Recent: int(s.Recent), Usual: int(s.Usual), Excess: s.Excess,
+				Requests: s.Admitted + s.Refused, Refused: s.Refused, WaitMs: int(s.MeanWait.Milliseconds()),
+			})
+		}
+	}
+	return list
+}
+
 // newOperatorServer returns the server for operators. Its burn response has no rows, since a forwarding daemon keeps no
 // service-level counts by window.
 func (g *Gateway) newOperatorServer() *operator.Server {
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -201,6 +201,11 @@
 // not checked again.
 func (c *call) admit(choice placement.Choice, candidates []placement.Candidate) (placement.Choice, error) {
 	limit, rate := c.config.WaitLimit(c.route, c.pool.Name, c.rank), c.f.PrefillRate(c.pool.Name).TokensPerMs()
+	lessUrgentLimit := c.config.LessUrgentWaitLimit(c.pool.Name, c.rank)
+	if limit > 0 {
+		// Engines prefill this prompt before less urgent ones, so that it isn't refused while these are admitted.
+		limit = max(limit, lessUrgentLimit)
+	}
 	if left := c.remainingTime(); left > 0 && (limit <= 0 || left < limit) {
 		// The caller would be gone before its prompt is prefilled.
 		limit = left
@@ -212,12 +217,14 @@
 		excess = shares.Excess(c.workspace)
 		switch {
 		case placement.IsAmong(c.meta.ID, excess):
-			limit = shares.ExcessLimit(limit)
+			// No request is refused for its workspace while less urgent ones are admitted.
+			limit = min(limit, max(shares.ExcessLimit(limit), lessUrgentLimit))
 			refusal, ok = placement.Admit(&candidates[choice.Index], rate, limit)
 		case !ok:
 			shares.ObserveRefused()
 		}
 	}
+	c.f.Shares(c.pool.Name).Record(c.workspace, refusal.Wait, ok)
 	if ok {
 		return choice, nil
 	}
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -444,6 +444,39 @@
 	assert.Equal(t, body, "b")
 }
 
+// The most urgent requests have the shortest target. While a burst of less urgent ones with a longer target fills the
+// servers, none of them is refused before those are.
+func TestUrgentRequestsAreNotRefusedBeforeLessUrgentOnes(t *testing.T) {
+	f := newFixture(t, signedResponse(200, "ok"))
+	cfg, engines := testConfig(), []hostroute.Share{{Pool: "engines", Weight: 1}}
+	cfg.Routes = append(cfg.Routes,
+		testRoute("urgent", func(r *hostroute.Route) {
+			r.Kind, r.FirstEventTarget, r.Shares = hostroute.Stream, 250*time.Millisecond, engines
+		}),
+		testRoute("later", func(r *hostroute.Route) {
+			r.Kind, r.FirstEventTarget, r.Shares, r.Tier = hostroute.Stream, 2*time.Second, engines, 2
+		}),
+	)
+	table, err := hostroute.NewTable(cfg)
+	assert.NilError(t, err)
+	f.forwarder.Table = func() *hostroute.Table { return table }
+	send := func(path string) int {
+		req := f.request(t, http.MethodPost, path, "prompt")
+		req.Header.Set("X-Prompt", "500")
+		status, _, _ := f.do(t, req)
+		return status
+	}
+	refusedLater := false
+	for pending := 0; pending < 200_000; pending += 8000 {
+		burst := f.forwarder.Registry.Serving("engines")[0].Begin(pending)
+		later, urgent := send("/later/x"), send("/urgent/x")
+		burst.End(registry.OutcomeCallerGone)
+		assert.Assert(t, later != http.StatusOK || urgent == http.StatusOK, "at %d tokens", pending)
+		refusedLater = refusedLater || later != http.StatusOK
+	}
+	assert.Assert(t, refusedLater, "the burst must exceed what is admitted")
+}
+
 // A request whose caller will have left before the prompt can be prefilled is refused at once as not run.
 func TestWaitBeyondCallersTimeIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, signedResponse(200, "ok"))
--- a/request/placement/share.go
+++ b/request/placement/share.go
@@ -65,8 +65,15 @@
 	peers map[string]peerShares
 }
 
-// workspaceWork is a sum of work in prefill tokens: recent is decayed by recentDecay, usual by usualDecay.
-type workspaceWork struct{ recent, usual float64 }
+// workspaceWork is what the requests of a workspace ask for.
+type workspaceWork struct {
+	name string
+	// recent and usual are sums of work in prefill tokens, decayed by recentDecay and usualDecay.
+	recent, usual float64
+	// admitted and refused count the requests, and waits is the sum of the expected waits of the admitted ones.
+	admitted, refused int
+	waits             time.Duration
+}
 
 // peerShares is what another instance told.
 type peerShares struct {
@@ -97,7 +104,7 @@
 	hash := WorkspaceHash(workspace)
 	w := s.workspaces[hash]
 	if w == nil {
-		w = &workspaceWork{}
+		w = &workspaceWork{name: workspace}
 		s.workspaces[hash] = w
 	}
 	// What exceeds the part doesn't become usual.
@@ -144,6 +151,57 @@
 	s.strainedAt = time.Now()
 }
 
+// Record counts a request that was admitted after the expected wait, or refused.
+func (s *WorkspaceShares) Record(workspace string, wait time.Duration, admitted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.workspaces[WorkspaceHash(workspace)]
+	switch {
+	case w == nil:
+	case admitted:
+		w.admitted++
+		w.waits += wait
+	default:
+		w.refused++
+	}
+}
+
+// WorkspaceStatus describes what a workspace asks for.
+type WorkspaceStatus struct {
+	Workspace string
+	WorkspaceRate
+	// Excess is the part of its requests that is beyond its part.
+	Excess float64
+	// Admitted and Refused are its requests since it began to ask, and MeanWait is the mean expected wait of the former.
+	Admitted, Refused int
+	MeanWait          time.Duration
+}
+
+// maxStatus bounds the workspaces that Status returns.
+const maxStatus = 16
+
+// Status returns what the largest workspaces ask for, the largest first.
+func (s *WorkspaceShares) Status() []WorkspaceStatus {
+	s.mu.Lock()
+	s.decay(time.Now())
+	list := make([]WorkspaceStatus, 0, len(s.workspaces))
+	for hash, w := range s.workspaces {
+		list = append(list, WorkspaceStatus{
+			Workspace: w.name, WorkspaceRate: WorkspaceRate{hash, s.rate(w.recent, recentDecay), s.rate(w.usual, usualDecay)},
+			Admitted: w.admitted, Refused: w.refused, MeanWait: w.waits / time.Duration(max(w.admitted, 1)),
+		})
+	}
+	s.mu.Unlock()
+	slices.SortFunc(list, func(a, b WorkspaceStatus) int {
+		return cmp.Or(cmp.Compare(b.Recent+b.Usual, a.Recent+a.Usual), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	list = list[:min(len(list), maxStatus)]
+	for i := range list {
+		list[i].Excess = s.Excess(list[i].Workspace)
+	}
+	return list
+}
+
 // Told returns what the other instances are to know: the rate of all requests and the rates of the workspaces that ask
 // for most. It returns none while the pool isn't strained.
 func (s *WorkspaceShares) Told() (all float64, shares []WorkspaceRate) {
--- a/request/placement/share_test.go
+++ b/request/placement/share_test.go
@@ -228,6 +228,15 @@
 			s.Add("w0", 1000)
 		}
 		assert.Assert(t, s.Excess("large") > 0.5)
+		s.Record("large", time.Second, true)
+		s.Record("large", 3*time.Second, false)
+		status := s.Status()
+		assert.Equal(t, len(status), 11)
+		largest := status[0]
+		assert.Equal(t, largest.Workspace, "large")
+		assert.Equal(t, largest.Excess, s.Excess("large"))
+		assert.Equal(t, largest.MeanWait, time.Second)
+		assert.Equal(t, largest.Admitted+10*largest.Refused, 11)
 		assert.Equal(t, s.Excess("w1"), 0.0)
 	})
 }
--- a/version/hostroute/rank.go
+++ b/version/hostroute/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -84,6 +85,47 @@
 	}
 }
 
+// noLimit stands for the wait of requests that may wait for as long as they like.
+const noLimit = time.Duration(math.MaxInt64)
+
+// findLessUrgentLimits sets lessUrgentLimits.
+func (t *Table) findLessUrgentLimits() {
+	t.lessUrgentLimits = map[string]*[RankCount]time.Duration{}
+	for i := range t.cfg.Routes {
+		r := &t.cfg.Routes[i]
+		ranks := make([]int, 0, len(t.cfg.Workspaces)+1)
+		if !t.NeedsKey(r) {
+			ranks = append(ranks, t.Rank(r, nil))
+		}
+		for j := range t.cfg.Workspaces {
+			ranks = append(ranks, t.Rank(r, &t.cfg.Workspaces[j]))
+		}
+		for _, s := range r.Shares {
+			limits := t.lessUrgentLimits[s.Pool]
+			if limits == nil {
+				limits = &[RankCount]time.Duration{}
+				t.lessUrgentLimits[s.Pool] = limits
+			}
+			for _, rank := range ranks {
+				limit := cmp.Or(t.WaitLimit(r, s.Pool, rank), noLimit)
+				for more := range rank {
+					limits[more] = max(limits[more], limit)
+				}
+			}
+		}
+	}
+}
+
+// LessUrgentWaitLimit returns the longest wait limit among the requests of a pool that are less urgent than the rank; 0 if
+// there are none.
+func (t *Table) LessUrgentWaitLimit(pool string, rank int) time.Duration {
+	limits := t.lessUrgentLimits[pool]
+	if limits == nil {
+		return 0
+	}
+	return limits[min(max(rank, 0), RankCount-1)]
+}
+
 // priorityWaitFactor multiplies the wait limit of a request that has priority over others. The expected wait counts all
 // prompt tokens that an engine still has to prefill, but engines prefill urgent prompts first, so such a request waits
 // for only a part of them.
--- a/version/hostroute/table.go
+++ b/version/hostroute/table.go
@@ -31,6 +31,8 @@
 	minEventGaps map[string]time.Duration
 	// lowestPriorityRanks holds the highest rank among the requests of each server group.
 	lowestPriorityRanks map[serverGroup]int
+	// lessUrgentLimits holds for each pool and rank the longest wait limit among less urgent requests.
+	lessUrgentLimits map[string]*[RankCount]time.Duration
 	// keys maps the SHA-256 of each API key to the workspace that owns the key.
 	keys map[[sha256.Size]byte]*Workspace
 }
@@ -60,6 +62,7 @@
 	t.assignRanks()
 	t.findMinEventGaps()
 	t.findLowestPriorities()
+	t.findLessUrgentLimits()
 	return t, nil
 }
 
--- a/wire/status.go
+++ b/wire/status.go
@@ -138,6 +138,35 @@
 const ServerStatusStateStopped ServerStatusState = "stopped"
 const ServerStatusStateSuspect ServerStatusState = "suspect"
 
+// ShareStatus is what the requests of one workspace at this instance ask for of a
+// pool.
+type ShareStatus struct {
+	// Part of the requests that is beyond the workspace's part of the pool, from 0 to
+	// 1.
+	Excess float64 `json:"excess,omitempty,omitzero"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// Work per second in the last seconds, in tokens to prefill.
+	Recent int `json:"recent"`
+
+	// Requests of these that were not admitted.
+	Refused int `json:"refused,omitempty,omitzero"`
+
+	// Requests since the workspace began to ask.
+	Requests int `json:"requests,omitempty,omitzero"`
+
+	// Work per second in the last minute, in tokens to prefill.
+	Usual int `json:"usual"`
+
+	// Mean expected wait of the admitted requests, in milliseconds.
+	WaitMs int `json:"wait_ms,omitempty,omitzero"`
+
+	// Workspace corresponds to the JSON schema field "workspace".
+	Workspace string `json:"workspace"`
+}
+
 // Status is the view that one instance has of the deployment, returned by GET
 // /status.
 type Status struct {
@@ -176,6 +205,9 @@
 
 	// Servers corresponds to the JSON schema field "servers".
 	Servers []ServerStatus `json:"servers"`
+
+	// What the largest workspaces ask for of each pool of engines.
+	Shares []ShareStatus `json:"shares,omitempty,omitzero"`
 }
 
 // Responses of an instance's operators' listener.
