--- a/cmd/toucanctl/status.go
+++ b/cmd/toucanctl/status.go
@@ -113,6 +113,7 @@
 		}
 	}
 	writeEvacuated(w, statuses)
+	writeShares(w, statuses)
 	if err := w.Flush(); err != nil {
 		return err
 	}
@@ -138,6 +139,22 @@
 	}
 }
 
+// writeShares writes what workspaces ask for, if any instance reports it.
+func writeShares(w io.Writer, statuses []wire.Status) {
+	hasHeader := false
+	for _, s := range statuses {
+		for _, share := range s.Shares {
+			if !hasHeader {
+				writeRow(w)
+				writeRow(w, "WORKSPACE", "POOL", "TOKENS/S", "USUAL", "EXCESS", "REQUESTS", "REFUSED", "WAIT", "SEEN BY")
+				hasHeader = true
+			}
+			writeRow(w, share.Workspace, share.Pool, share.Recent, share.Usual, strconv.FormatFloat(share.Excess, 'f', 2, 64), share.Requests, share.Refused,
+				strconv.Itoa(share.WaitMs)+"ms", s.Instance)
+		}
+	}
+}
+
 // writeRow writes one line of tab-separated cells.
 func writeRow(w io.Writer, cells ...any) {
 	text := make([]string, len(cells))
