entry: Drain read the server while Serve set it

A data race of the callers' and relays' listener at a stop during the start, found by TestDrainCutsNoAcceptedRequest with the race detector. The pointer is atomic.

--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -34,8 +34,8 @@
 
 	draining atomic.Bool
 	running  atomic.Int64
-	// http is nil until Run has opened the listener.
-	http *http.Server
+	// http is nil until Serve has begun.
+	http atomic.Pointer[http.Server]
 }
 
 // Running returns the number of running requests.
@@ -54,7 +54,7 @@
 
 // Serve serves the connections of a listener until ctx ends, and then closes it and all connections.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	s.http = &http.Server{
+	server := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
@@ -62,9 +62,10 @@
 		ConnContext:       WithConn,
 		ErrorLog:          log.New(logWriter{s.Log}, "", 0),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	s.http.Store(server)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-ctx.Done()
@@ -112,10 +113,11 @@
 
 // Drain closes the listener and the idle connections, and waits until the running requests have finished or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
-	if s.http == nil {
+	server := s.http.Load()
+	if server == nil {
 		return nil
 	}
-	return s.http.Shutdown(ctx)
+	return server.Shutdown(ctx)
 }
 
 // logWriter logs the lines of net/http's server, which describe failures of single connections.
