--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -45,8 +45,8 @@
 	heldMu   sync.Mutex
 	// held contains the connections for which a response is held.
 	held map[*heldConn]struct{}
-	// http is nil until Run has opened the listener.
-	http *http.Server
+	// http is nil until Serve has begun.
+	http atomic.Pointer[http.Server]
 }
 
 // Running returns the number of running requests.
@@ -65,7 +65,7 @@
 
 // Serve serves the connections of a listener until ctx ends, and then closes it and all connections.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	s.http = &http.Server{
+	server := &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
@@ -73,7 +73,8 @@
 		ConnContext:       WithConn,
 		ErrorLog:          log.New(logWriter{s.Log}, "", 0),
 	}
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	s.http.Store(server)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if s.Budget != nil {
 		ln = heldListener{ln, s}
@@ -83,7 +84,7 @@
 			}
 		}()
 	}
-	if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	<-ctx.Done()
@@ -135,10 +136,11 @@
 // Drain closes the listener and the idle connections, and waits until the running requests have finished and slow callers
 // have their responses, or ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
-	if s.http == nil {
+	server := s.http.Load()
+	if server == nil {
 		return nil
 	}
-	err := s.http.Shutdown(ctx)
+	err := server.Shutdown(ctx)
 	ticker := time.NewTicker(heldPollInterval)
 	defer ticker.Stop()
 	for err == nil && s.SlowCallers() > 0 {
