streamorigin: readers write in turn, and a cut is told from an outage

First among those that write the record was taken over all instances, of which most aren't readers, so that each change waited for the reserve, and then all readers wrote at one tick. Readers now take places among themselves, and each waits for those before it (TestOneReaderIsFirst, TestReadersStoreInTurn).

An instance counted as cut off only if it knew the others and none was live. Silent ones are deleted after 100 s, a data centre that is cut off has live instances inside, and an instance that doesn't read the store never finds it out. It now may lack changes if neither it nor a live reader reads the store while an instance is silent that didn't say that it leaves, or was forgotten since the store last named all (TestCutOffInstanceMayLackChanges).

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -104,7 +104,19 @@
 	for _, o := range f.objects {
 		list.Items = append(list.Items, o)
 	}
-	return list, !f.storeDown && !f.lastResponse.IsZero() && time.Since(f.lastResponse) < f.lastWatchTimeout+watchResponseSlack
+	return list, f.isFresh()
+}
+
+// IsFresh reports whether this instance reads the store and has got a response recently enough.
+func (f *Feed) IsFresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isFresh()
+}
+
+// isFresh is IsFresh for a caller that holds mu.
+func (f *Feed) isFresh() bool {
+	return !f.storeDown && !f.lastResponse.IsZero() && time.Since(f.lastResponse) < f.lastWatchTimeout+watchResponseSlack
 }
 
 // ChangedVersion returns the store version at the newest known change; 0 if there is none yet.
--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -22,7 +22,7 @@
 	g.streamKeeper = &streamorigin.Keeper{
 		History: g.streamHistory, Store: g.Platform.Store, Kind: kindStreamOrigins, Log: g.Log,
 		IsReader:   func() bool { return g.mesh.IsReader() },
-		IsFirst:    func() bool { return g.mesh.IsFirst(kindStreamOrigins) },
+		Position:   func() int { return g.mesh.ReaderPosition(kindStreamOrigins) },
 		IsFirstRun: func() (isFirst, decided bool) { return g.mesh.IsFirstRun() },
 	}
 }
@@ -30,8 +30,7 @@
 // onlyOrigin returns what began all streams of a route that callers may still take up; false if that isn't certain, also
 // because this instance may lack changes of the servers.
 func (g *Gateway) onlyOrigin(route string) (streamorigin.Origin, bool) {
-	isCutOff := g.serverFeed.StoreDown() && g.mesh.LivePeerCount() == 0 && g.mesh.InstanceCount() > 1
-	if isCutOff || g.serverListLate.Load() {
+	if g.mesh.MayLackChanges(g.serverFeed.IsFresh()) || g.serverListLate.Load() {
 		return streamorigin.Origin{}, false
 	}
 	return g.streamHistory.Only(route)
--- a/process/mesh/discover.go
+++ b/process/mesh/discover.go
@@ -88,7 +88,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	isFirstList := !m.listed
-	m.listed = true
+	m.listed, m.forgotten = true, false
 	if m.peers == nil {
 		m.peers = map[string]*peer{}
 	}
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -111,6 +111,9 @@
 	// firstRun is set if no process of the deployment ran before this one and those that started with it. It holds once
 	// listed is set.
 	firstRun bool
+	// forgotten is set if an instance that didn't tell that it leaves was deleted from peers since the instances were last
+	// read from the store.
+	forgotten bool
 	// unreachable holds the data centres for which OnDataCentreUnreachable was called last.
 	unreachable map[string]bool
 	// wakeSend wakes Execute to send changed loads.
@@ -292,6 +295,7 @@
 				continue
 			}
 			if p.isGone(now, forgottenAfter+2*relistInterval) {
+				m.forgotten = m.forgotten || !p.leaving
 				delete(m.peers, name)
 				continue
 			}
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // countKeeperAddrs returns the addresses of the instances that store copies of this instance's request counts: the
@@ -54,6 +56,41 @@
 	return readersBefore < ReadersPerDataCentre && peersWithoutStore < maxReadersInOutage
 }
 
+// readsStore reports whether the instance is live and reads the store. The caller holds mu.
+func (m *Mesh) readsStore(p *peer) bool {
+	return time.Since(p.received) <= m.silenceTimeout() && p.isReader && !p.storeUnreachable
+}
+
+// ReaderPosition returns the position of this instance, from 0, among the readers of all data centres for a key, by
+// rendezvous hashing. Each reader is in another place, so that one of them writes what all know.
+func (m *Mesh) ReaderPosition(key string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own, position := xxhash.Sum64String(key+"\x00"+m.Instance), 0
+	for name, p := range m.peers {
+		if m.readsStore(p) && !p.leaving && xxhash.Sum64String(key+"\x00"+name) < own {
+			position++
+		}
+	}
+	return position
+}
+
+// MayLackChanges reports whether another instance may know changes of the store that no live instance can tell this one:
+// neither this one, as given by readsStore, nor a live one reads the store, and an instance is silent that didn't tell that
+// it leaves. It is meant for instances and data centres that are cut off.
+func (m *Mesh) MayLackChanges(readsStore bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isSilent := m.forgotten
+	for _, p := range m.peers {
+		if readsStore || m.readsStore(p) {
+			return false
+		}
+		isSilent = isSilent || !p.leaving && time.Since(p.received) > m.silenceTimeout()
+	}
+	return isSilent && !readsStore
+}
+
 // ReaderAddresses returns the addresses of the live instances that read the store, those in this data centre first.
 func (m *Mesh) ReaderAddresses() []string {
 	return m.readersAhead(func(*peer) bool { return true })
@@ -74,7 +111,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[name]
 		switch {
-		case time.Since(p.received) > m.silenceTimeout() || !p.isReader || p.storeUnreachable:
+		case !m.readsStore(p):
 		case p.dataCentre == m.DataCentre:
 			local = append(local, p)
 		default:
--- a/process/mesh/readers_test.go
+++ b/process/mesh/readers_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -50,3 +53,65 @@
 		assert.Assert(t, n < 500, "%s was asked %d times", address, n)
 	}
 }
+
+// Of 85 instances that know each other, the readers take different places from 0 for each key: one of them is first.
+func TestOneReaderIsFirst(t *testing.T) {
+	for n := range 40 {
+		key, all, positions := fmt.Sprint("key", n), instancesOf(85), map[int]bool{}
+		for i, instance := range all {
+			instance.DataCentre = fmt.Sprint("dc", i%4)
+		}
+		isReader := func(i int) bool { return i < 4*ReadersPerDataCentre }
+		for i := range all {
+			m := meshOf(all[i].Instance, all)
+			for j := range all {
+				if p := m.peers[all[j].Instance]; p != nil {
+					p.isReader = isReader(j)
+				}
+			}
+			if isReader(i) {
+				positions[m.ReaderPosition(key)] = true
+			}
+		}
+		for position := range 4 * ReadersPerDataCentre {
+			assert.Assert(t, positions[position], "%s: nobody at %d", key, position)
+		}
+	}
+}
+
+// An instance that is cut off from the store, alone or with others, may lack what a silent one knows, for as long as the cut
+// lasts. An outage of the store that all instances see lets none know more than another.
+func TestCutOffInstanceMayLackChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := readersOf(t)
+		hear := func(names ...string) {
+			for _, name := range names {
+				if p := m.peers[name]; p != nil {
+					p.received = time.Now()
+				}
+			}
+		}
+		assert.Assert(t, !m.MayLackChanges(false))
+		for _, p := range m.peers {
+			p.storeUnreachable = true
+		}
+		assert.Assert(t, !m.MayLackChanges(false), "an outage of the store for all")
+		m.peers["i5"].storeUnreachable = false
+		m.peers["i6"].leaving = true
+		time.Sleep(time.Second)
+		hear("i1", "i2", "i3", "i4")
+		assert.Assert(t, m.MayLackChanges(false), "the only one with the store is silent")
+		assert.Assert(t, !m.MayLackChanges(true))
+		m.peers["i1"].storeUnreachable = false
+		assert.Assert(t, !m.MayLackChanges(false))
+		m.peers["i1"].isReader = false
+		assert.Assert(t, m.MayLackChanges(false), "who doesn't read the store doesn't notice that it is out")
+		time.Sleep(time.Hour)
+		hear("i1", "i2", "i3", "i4")
+		m.targets(time.Now())
+		assert.Assert(t, m.peers["i5"] == nil)
+		assert.Assert(t, m.MayLackChanges(false), "a silent instance that was forgotten")
+		m.addListed(nil)
+		assert.Assert(t, !m.MayLackChanges(false), "the store names all instances")
+	})
+}
--- a/process/streamorigin/history_test.go
+++ b/process/streamorigin/history_test.go
@@ -206,11 +206,11 @@
 }
 
 // keep runs a keeper of the history until the test ends.
-func keep(t *testing.T, h *History, store platform.Store, isFirst, isFirstRun bool) {
+func keep(t *testing.T, h *History, store platform.Store, position int, isFirstRun bool) {
 	t.Helper()
 	k := &Keeper{
 		History: h, Store: store, Kind: "k", Log: zap.NewNop(),
-		IsReader: func() bool { return true }, IsFirst: func() bool { return isFirst },
+		IsReader: func() bool { return true }, Position: func() int { return position },
 		IsFirstRun: func() (bool, bool) { return isFirstRun, true },
 	}
 	go k.Run(t.Context())
@@ -223,8 +223,8 @@
 		store := objects.store()
 		first, s1 := newHistory("v1")
 		second, s2 := newHistory("v1")
-		keep(t, first, store, true, true)
-		keep(t, second, store, false, true)
+		keep(t, first, store, 0, true)
+		keep(t, second, store, 1, true)
 		time.Sleep(5 * time.Second)
 		reads, writes := objects.calls()
 		assert.Assert(t, reads <= 3 && writes == 1, "%d reads, %d writes", reads, writes)
@@ -239,7 +239,7 @@
 		reads, writes = objects.calls()
 		assert.Assert(t, reads+writes == 0, "%d reads, %d writes", reads, writes)
 		third, _ := newHistory("v2")
-		keep(t, third, store, false, false)
+		keep(t, third, store, 1, false)
 		time.Sleep(time.Second)
 		assert.Equal(t, third.only(), "", "v1 served when the record was written")
 		time.Sleep(takeUpTime + routeTimeout)
@@ -247,6 +247,23 @@
 	})
 }
 
+// Readers store a change one after the other until it is stored: if the first ones don't, one of the others does, and the
+// rest make no call.
+func TestReadersStoreInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		for position := range 6 {
+			h, _ := newHistory("v1")
+			h.MarkComplete()
+			keep(t, h, store, position+2, true)
+		}
+		time.Sleep(time.Minute)
+		reads, writes := objects.calls()
+		assert.Assert(t, writes == 1 && reads <= 12, "%d reads, %d writes", reads, writes)
+	})
+}
+
 // Without routes whose streams may be taken up, the store isn't called at all.
 func TestStoreIsNotCalledWithoutRoutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -254,7 +271,7 @@
 		s := &fakeServers{}
 		h := &History{Versions: s.list, AddVersion: s.add}
 		h.SetRoutes([]hostroute.Route{{Name: "r", Kind: hostroute.Stream}})
-		keep(t, h, objects.store(), true, true)
+		keep(t, h, objects.store(), 0, true)
 		time.Sleep(time.Minute)
 		reads, writes := objects.calls()
 		assert.Equal(t, reads+writes, 0)
@@ -282,14 +299,14 @@
 				store := objects.store()
 				prepare(&objects, store)
 				h, _ := newHistory("v1")
-				keep(t, h, store, true, false)
+				keep(t, h, store, 0, false)
 				time.Sleep(time.Minute)
 				assert.Equal(t, h.only(), "")
 				objects.fails.Store(false)
 				time.Sleep(takeUpTime + routeTimeout)
 				assert.Equal(t, h.only(), "p/v1")
 				next, _ := newHistory("v1")
-				keep(t, next, store, false, false)
+				keep(t, next, store, 1, false)
 				time.Sleep(time.Second)
 				assert.Equal(t, next.only(), "p/v1", "the record is valid again")
 			})
@@ -303,13 +320,13 @@
 		var objects objectStore
 		store := objects.store()
 		h, _ := newHistory("v1")
-		keep(t, h, store, true, true)
+		keep(t, h, store, 0, true)
 		time.Sleep(time.Second)
 		delete(objects.objects, recordName)
 		objects.era.Store(1)
 		time.Sleep(3 * time.Second)
 		next, _ := newHistory("v1")
-		keep(t, next, store, false, false)
+		keep(t, next, store, 1, false)
 		time.Sleep(time.Second)
 		assert.Equal(t, next.only(), "p/v1")
 	})
--- a/process/streamorigin/keeper.go
+++ b/process/streamorigin/keeper.go
@@ -16,7 +16,8 @@
 	// checkInterval is the interval at which the keeper looks for changes to store. A kill within it after a new version
 	// began its first stream may lose the version if its servers leave too before the instances are back.
 	checkInterval = 50 * time.Millisecond
-	// reserveDelay is the time after which other reader instances store a change that the first one should have stored.
+	// reserveDelay is the time after which a reader instance stores a change that the one before it should have stored: many
+	// times the usual time of a call.
 	reserveDelay = 2 * time.Second
 	// retryDelay is the time after which a failed call of the store is repeated.
 	retryDelay = time.Second
@@ -33,8 +34,10 @@
 	Store   platform.Store
 	// Kind is the kind of the store object that holds the history.
 	Kind string
-	// IsReader reports whether this instance writes the store for others, and IsFirst whether it is the first to do so.
-	IsReader, IsFirst func() bool
+	// IsReader reports whether this instance writes the store for others.
+	IsReader func() bool
+	// Position is the place of this instance, from 0, among those that do.
+	Position func() int
 	// IsFirstRun reports whether no process of the deployment ran before this one and those that started with it; decided is
 	// false while that isn't known.
 	IsFirstRun func() (isFirst, decided bool)
@@ -128,8 +131,8 @@
 	if k.changedAt.IsZero() {
 		k.changedAt = now
 	}
-	if !k.IsFirst() {
-		if now.Sub(k.changedAt) < reserveDelay {
+	if position := k.Position(); position > 0 {
+		if now.Sub(k.changedAt) < time.Duration(position)*reserveDelay {
 			return
 		}
 		if err := k.refresh(ctx); err != nil && !platform.IsErrNotFound(err) {
