streamorigin: take-ups follow the path, not the name of a route

The history was kept by the names of routes. A route that was renamed while it was led to another pool, or a narrower or wider prefix that was added or removed, had a stream of the former pool go on at the present one. The pools of all routes, present and former, of the same host count now whose prefix contains the present one or lies in it (TestFormerRouteOfPathCounts).

Where several may have begun a stream and nobody remembers it, the refusal names no time any more, since no more will be known while a caller waits; while an instance lacks what it has to know, it is 500 ms rather than 50. The two cases of TestStreamThatCannotGoOnIsRefused with two versions expected a time and now expect none, as exactly as before.

--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -27,13 +27,13 @@
 	}
 }
 
-// onlyOrigin returns what began all streams of a route that callers may still take up; false if that isn't certain, also
-// because this instance may lack changes of the servers.
-func (g *Gateway) onlyOrigin(route string) (streamorigin.Origin, bool) {
+// onlyOrigin returns what began all streams of a route that callers may still take up, if that is certain: this instance
+// must not lack changes of the servers either.
+func (g *Gateway) onlyOrigin(host, prefix string) (streamorigin.Origin, streamorigin.Answer) {
 	if g.mesh.MayLackChanges(g.serverFeed.IsFresh()) || g.serverListLate.Load() {
-		return streamorigin.Origin{}, false
+		return streamorigin.Origin{}, streamorigin.NotKnown
 	}
-	return g.streamHistory.Only(route)
+	return g.streamHistory.Only(host, prefix)
 }
 
 // beginStream remembers what began a stream, here and at other instances, for the case that the caller takes it up
--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,10 +19,11 @@
 		return nil
 	}
 	origin, known := c.knownOrigin()
-	inferred := false
+	answer := streamorigin.NotKnown
 	if !known {
-		origin, inferred = c.f.OnlyOrigin(c.route.Name)
+		origin, answer = c.f.OnlyOrigin(c.route.Host, c.route.Prefix)
 	}
+	inferred := answer == streamorigin.Single
 	c.f.Log.Info("stream_taken_up",
 		zap.String("request_id", c.meta.ID),
 		zap.String("resumes", c.meta.Resumes),
@@ -43,6 +45,9 @@
 		return c.goOn(origin, takeUpInferred)
 	}
 	c.observeTakeUp(takeUpRefused)
+	if answer == streamorigin.Several {
+		return severalOriginsError()
+	}
 	return unknownOriginError()
 }
 
@@ -101,12 +106,25 @@
 	return nil
 }
 
-// unknownOriginError is the error of a stream of which no instance that answers knows what began it. Another instance
-// may know.
+// retryAfterUnknownOrigin is the Retry-After value while this instance doesn't know what it has to: about the time until an
+// instance that has just started does, and a part of the gap of two seconds after which callers give a stream up.
+const retryAfterUnknownOrigin = 500 * time.Millisecond
+
+// unknownOriginError is the error of a stream of which no instance that answers knows what began it, while this one lacks
+// some of what it has to know. Another instance may know, or this one later.
 func unknownOriginError() error {
 	return request.ErrResponse{
 		Status: http.StatusServiceUnavailable, Code: request.CodeNotResumable, Message: "what began the stream isn't known here",
-		NotRun: true, RetryAfter: retryAfterNoServer,
+		NotRun: true, RetryAfter: retryAfterUnknownOrigin,
+	}
+}
+
+// severalOriginsError is the error of a stream that several pools or software versions may have begun, which no instance
+// remembers. It names no time to come back, since nothing more will be known while a caller waits.
+func severalOriginsError() error {
+	return request.ErrResponse{
+		Status: http.StatusServiceUnavailable, Code: request.CodeNotResumable, Message: "it isn't known which software began the stream",
+		NotRun: true,
 	}
 }
 
--- a/wire/records.go
+++ b/wire/records.go
@@ -391,7 +391,8 @@
 	// order, by pool.
 	Pools StreamOriginsRecordPools `json:"pools"`
 
-	// Pools to which a route leads or led lately, in order, by route.
+	// Pools to which a route leads or led lately, in order, by the host and path
+	// prefix of the route.
 	Routes StreamOriginsRecordRoutes `json:"routes"`
 }
 
@@ -399,7 +400,8 @@
 // order, by pool.
 type StreamOriginsRecordPools map[string][]string
 
-// Pools to which a route leads or led lately, in order, by route.
+// Pools to which a route leads or led lately, in order, by the host and path
+// prefix of the route.
 type StreamOriginsRecordRoutes map[string][]string
 
 // SumsRecord fixes the figures of the single report of each of the newest windows.
