--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -13,9 +13,10 @@
 )
 
 // findOrigin finds out what began the stream that the caller takes up, so that only that pool and software version go on
-// with it. It returns an error if that isn't known while it makes a difference.
+// with it. It returns an error if that isn't known while it makes a difference. Streams of a route without resumption can't
+// be taken up: what callers send there is a new request.
 func (c *call) findOrigin() error {
-	if c.route.Kind != hostroute.Stream || c.meta.LastEventID == "" && c.meta.Resumes == "" {
+	if c.route.Kind != hostroute.Stream || !c.route.Resumable || c.meta.LastEventID == "" && c.meta.Resumes == "" {
 		return nil
 	}
 	origin, known := c.knownOrigin()
--- a/request/forward/resume_test.go
+++ b/request/forward/resume_test.go
@@ -122,6 +122,20 @@
 	assert.Equal(t, f.received.Load(), int32(0))
 }
 
+// A request with Last-Event-Id on a route without resumption is a new one.
+func TestNoStreamIsTakenUpWithoutResumption(t *testing.T) {
+	f := newFixture(t, eventStream(3, 4, true), eventStream(3, 4, true))
+	f.setVersions("v1", "v2")
+	var results []string
+	f.forwarder.ObserveTakeUp = func(result string) { results = append(results, result) }
+	req := f.resume(t, "other")
+	req.URL.Path = "/fixed/"
+	status, _, _ := f.do(t, req)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, f.received.Load(), int32(1))
+	assert.Equal(t, len(results), 0)
+}
+
 // While all servers of the version are unreachable, the caller is told to come back.
 func TestStreamWaitsForUnreachableServersOfItsVersion(t *testing.T) {
 	f := newFixture(t, eventStream(3, 4, true), eventStream(3, 4, true))
