streamorigin: the record is read at once, and failed calls are repeated less often

The read of the record waited until the instance's own record could be written, which it isn't needed for if the record is there (TestRecordIsReadBeforeFirstRunIsDecided). A write that the store rejects was repeated each second for ever; the delay grows to 15 s now and is at least what a rate limit names (TestRejectedWriteIsRepeatedLessOften). Instances that start together read within 250 ms rather than at once, and the log has numbers of pools and routes instead of all names.

--- a/process/streamorigin/history_test.go
+++ b/process/streamorigin/history_test.go
@@ -204,6 +204,8 @@
 	reads, writes int
 	era           atomic.Int64
 	fails         atomic.Bool
+	// rejects is the error of each write; nil if they are accepted.
+	rejects error
 }
 
 func (s *objectStore) store() platform.Store {
@@ -214,6 +216,9 @@
 		if s.fails.Load() {
 			return wire.Object{}, platform.ErrUnavailable{Call: "put"}
 		}
+		if s.rejects != nil {
+			return wire.Object{}, s.rejects
+		}
 		if s.objects[name].Version != version {
 			return wire.Object{}, platform.ErrConflict{Name: name}
 		}
@@ -360,6 +365,57 @@
 	}
 }
 
+// An instance whose own record can't be written reads what earlier ones have stored.
+func TestRecordIsReadBeforeFirstRunIsDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		before, _ := newHistory("v1")
+		_, _ = store.Create(t.Context(), "k", recordName, before.Record(0))
+		objects.calls()
+		run := func() *History {
+			h, _ := newHistory("v1")
+			k := &Keeper{
+				History: h, Store: store, Kind: "k", Log: zap.NewNop(),
+				IsReader: func() bool { return true }, Position: func() int { return 0 },
+				IsFirstRun: func() (bool, bool) { return false, false },
+			}
+			go k.Run(t.Context())
+			time.Sleep(time.Second)
+			return h
+		}
+		assert.Equal(t, run().only(), "p/v1")
+		delete(objects.objects, recordName)
+		assert.Equal(t, run().only(), "")
+		reads, _ := objects.calls()
+		assert.Equal(t, reads, 2)
+	})
+}
+
+// A store that rejects a write is called ever less often, and not before the time that it names.
+func TestRejectedWriteIsRepeatedLessOften(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err       error
+		maxWrites int
+	}{
+		"rejected":     {platform.ErrRejected{Call: "put"}, 400},
+		"rate limited": {platform.ErrRateLimited{Call: "put", RetryAfter: time.Minute}, 61},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var objects objectStore
+				store := objects.store()
+				objects.rejects = tc.err
+				h, _ := newHistory("v1")
+				keep(t, h, store, 0, true)
+				time.Sleep(time.Hour)
+				_, writes := objects.calls()
+				assert.Assert(t, writes <= tc.maxWrites, "%d writes", writes)
+			})
+		})
+	}
+}
+
 // A store that came back from an older copy gets the record again from an instance that lives on.
 func TestRecordIsStoredAgainAfterRewind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/process/streamorigin/keeper.go
+++ b/process/streamorigin/keeper.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/platform"
@@ -19,8 +22,11 @@
 	// reserveDelay is the time after which a reader instance stores a change that the one before it should have stored: many
 	// times the usual time of a call.
 	reserveDelay = 2 * time.Second
-	// retryDelay is the time after which a failed call of the store is repeated.
-	retryDelay = time.Second
+	// minRetryDelay and maxRetryDelay bound the time after which a failed call of the store is repeated.
+	minRetryDelay = time.Second
+	maxRetryDelay = reloadDelay
+	// startJitter bounds the random delay of the first read, so that instances that start together don't read at once.
+	startJitter = 250 * time.Millisecond
 	// reloadDelay is the time after which an instance that found no valid record looks for it again: the others may have
 	// stored it meanwhile.
 	reloadDelay = 15 * time.Second
@@ -50,12 +56,19 @@
 	storedRecord wire.StreamOriginsRecord
 	// changedAt is the time at which the history was first seen to differ from the stored one; zero if it doesn't.
 	changedAt time.Time
+	// absent is set while the store is known to hold no record and IsFirstRun isn't decided.
+	absent bool
+	// delays gives the delays after failed calls.
+	delays backoff.ExponentialBackOff
 	// callAfter is the time before which no call is made after a failed one.
 	callAfter time.Time
 }
 
 // Run keeps the store and the history in step until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	k.delays = backoff.ExponentialBackOff{InitialInterval: minRetryDelay, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: maxRetryDelay}
+	k.delays.Reset()
+	k.callAfter = time.Now().Add(rand.N(startJitter))
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -83,7 +96,7 @@
 // load reads the history that earlier processes have stored.
 func (k *Keeper) load(ctx context.Context) {
 	isFirstRun, decided := k.IsFirstRun()
-	if !decided {
+	if k.absent && !decided {
 		return
 	}
 	err := k.refresh(ctx)
@@ -91,6 +104,11 @@
 		k.failed("stream_origins_not_read", err)
 		return
 	}
+	k.delays.Reset()
+	k.absent = err != nil
+	if k.absent && !decided {
+		return
+	}
 	isValid := err == nil && k.storedRecord.Era == k.Store.CurrentEra()
 	if isValid || err != nil && isFirstRun {
 		k.History.MarkComplete()
@@ -149,7 +167,8 @@
 		err = k.refresh(ctx)
 	} else if err == nil {
 		k.stored, k.storedRecord = o, record
-		k.Log.Info("stream_origins_stored", zap.Any("pools", record.Pools), zap.Any("routes", record.Routes))
+		k.delays.Reset()
+		k.Log.Info("stream_origins_stored", zap.Int("pools", len(record.Pools)), zap.Int("routes", len(record.Routes)))
 	}
 	if err != nil {
 		k.failed("stream_origins_not_stored", err)
@@ -164,8 +183,13 @@
 	return k.Store.Update(ctx, k.Kind, recordName, k.stored.Version, record)
 }
 
-// failed logs a failed call and delays the next one.
+// failed logs a failed call and delays the next one, more after each, and at least for the time that the store asked for.
 func (k *Keeper) failed(event string, err error) {
-	k.callAfter = time.Now().Add(retryDelay)
+	delay := k.delays.NextBackOff()
+	var limited platform.ErrRateLimited
+	if errors.As(err, &limited) {
+		delay = max(delay, limited.RetryAfter)
+	}
+	k.callAfter = time.Now().Add(delay)
 	k.Log.Info(event, zap.Error(err))
 }
