--- a/process/streamorigin/history_test.go
+++ b/process/streamorigin/history_test.go
@@ -64,7 +64,7 @@
 
 // streamRoute returns the route "r" to some pools.
 func streamRoute(pools ...string) []hostroute.Route {
-	r := hostroute.Route{Name: "r", Kind: hostroute.Stream, Resumable: true, Timeout: routeTimeout}
+	r := hostroute.Route{Name: "r", Host: "h", Prefix: "/s/", Kind: hostroute.Stream, Resumable: true, Timeout: routeTimeout}
 	for _, pool := range pools {
 		r.Shares = append(r.Shares, hostroute.Share{Pool: pool, Weight: 1})
 	}
@@ -85,8 +85,8 @@
 
 // only returns the only origin of the route "r" as POOL/VERSION; empty if that isn't certain.
 func (h *History) only() string {
-	origin, ok := h.Only("r")
-	if !ok {
+	origin, answer := h.Only("h", "/s/")
+	if answer != Single {
 		return ""
 	}
 	return origin.Pool + "/" + origin.Version
@@ -131,6 +131,52 @@
 	})
 }
 
+// A stream is taken up under the path under which it began: a route that has another name or another prefix now may have led
+// it to another pool, also in the life of an earlier process.
+func TestFormerRouteOfPathCounts(t *testing.T) {
+	at := func(name, host, prefix, pool string) hostroute.Route {
+		r := streamRoute(pool)[0]
+		r.Name, r.Host, r.Prefix = name, host, prefix
+		return r
+	}
+	for name, tc := range map[string]struct {
+		former []hostroute.Route
+		want   Answer
+	}{
+		"the same":                {streamRoute("q"), Single},
+		"renamed":                 {[]hostroute.Route{at("old", "h", "/s/", "p")}, Several},
+		"host in capital letters": {[]hostroute.Route{at("old", "H", "/s/", "p")}, Several},
+		"narrower prefix removed": {[]hostroute.Route{at("r", "h", "/s/", "q"), at("narrow", "h", "/s/x/", "p")}, Several},
+		"narrower prefix added":   {[]hostroute.Route{at("wide", "h", "/", "p")}, Several},
+		"other prefix":            {[]hostroute.Route{at("r", "h", "/s/", "q"), at("other", "h", "/t/", "p")}, Single},
+		"other host":              {[]hostroute.Route{at("r", "h", "/s/", "q"), at("other", "h.example", "/s/", "p")}, Single},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeServers{}
+				s.set("p", "v1", time.Time{})
+				s.set("q", "v1", time.Time{})
+				h := &History{Versions: s.list, AddVersion: s.add}
+				h.MarkComplete()
+				h.SetRoutes(tc.former)
+				next := &History{Versions: s.list, AddVersion: s.add}
+				next.SetRoutes(streamRoute("q"))
+				next.Merge(h.Record(0))
+				next.MarkComplete()
+				h.SetRoutes(streamRoute("q"))
+				for _, h := range []*History{h, next} {
+					_, got := h.Only("h", "/s/")
+					assert.Equal(t, got, tc.want)
+				}
+				time.Sleep(takeUpTime + routeTimeout + time.Second)
+				for _, h := range []*History{h, next} {
+					assert.Equal(t, h.only(), "q/v1")
+				}
+			})
+		})
+	}
+}
+
 // What an earlier process recorded counts as leaving at the start of the next one.
 func TestRecordHoldsForNextProcess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -158,6 +204,8 @@
 	reads, writes int
 	era           atomic.Int64
 	fails         atomic.Bool
+	// rejects is the error of each write; nil if they are accepted.
+	rejects error
 }
 
 func (s *objectStore) store() platform.Store {
@@ -168,6 +216,9 @@
 		if s.fails.Load() {
 			return wire.Object{}, platform.ErrUnavailable{Call: "put"}
 		}
+		if s.rejects != nil {
+			return wire.Object{}, s.rejects
+		}
 		if s.objects[name].Version != version {
 			return wire.Object{}, platform.ErrConflict{Name: name}
 		}
@@ -206,11 +257,11 @@
 }
 
 // keep runs a keeper of the history until the test ends.
-func keep(t *testing.T, h *History, store platform.Store, isFirst, isFirstRun bool) {
+func keep(t *testing.T, h *History, store platform.Store, position int, isFirstRun bool) {
 	t.Helper()
 	k := &Keeper{
 		History: h, Store: store, Kind: "k", Log: zap.NewNop(),
-		IsReader: func() bool { return true }, IsFirst: func() bool { return isFirst },
+		IsReader: func() bool { return true }, Position: func() int { return position },
 		IsFirstRun: func() (bool, bool) { return isFirstRun, true },
 	}
 	go k.Run(t.Context())
@@ -223,8 +274,8 @@
 		store := objects.store()
 		first, s1 := newHistory("v1")
 		second, s2 := newHistory("v1")
-		keep(t, first, store, true, true)
-		keep(t, second, store, false, true)
+		keep(t, first, store, 0, true)
+		keep(t, second, store, 1, true)
 		time.Sleep(5 * time.Second)
 		reads, writes := objects.calls()
 		assert.Assert(t, reads <= 3 && writes == 1, "%d reads, %d writes", reads, writes)
@@ -239,7 +290,7 @@
 		reads, writes = objects.calls()
 		assert.Assert(t, reads+writes == 0, "%d reads, %d writes", reads, writes)
 		third, _ := newHistory("v2")
-		keep(t, third, store, false, false)
+		keep(t, third, store, 1, false)
 		time.Sleep(time.Second)
 		assert.Equal(t, third.only(), "", "v1 served when the record was written")
 		time.Sleep(takeUpTime + routeTimeout)
@@ -247,6 +298,23 @@
 	})
 }
 
+// Readers store a change one after the other until it is stored: if the first ones don't, one of the others does, and the
+// rest make no call.
+func TestReadersStoreInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		for position := range 6 {
+			h, _ := newHistory("v1")
+			h.MarkComplete()
+			keep(t, h, store, position+2, true)
+		}
+		time.Sleep(time.Minute)
+		reads, writes := objects.calls()
+		assert.Assert(t, writes == 1 && reads <= 12, "%d reads, %d writes", reads, writes)
+	})
+}
+
 // Without routes whose streams may be taken up, the store isn't called at all.
 func TestStoreIsNotCalledWithoutRoutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -254,7 +322,7 @@
 		s := &fakeServers{}
 		h := &History{Versions: s.list, AddVersion: s.add}
 		h.SetRoutes([]hostroute.Route{{Name: "r", Kind: hostroute.Stream}})
-		keep(t, h, objects.store(), true, true)
+		keep(t, h, objects.store(), 0, true)
 		time.Sleep(time.Minute)
 		reads, writes := objects.calls()
 		assert.Equal(t, reads+writes, 0)
@@ -282,14 +350,14 @@
 				store := objects.store()
 				prepare(&objects, store)
 				h, _ := newHistory("v1")
-				keep(t, h, store, true, false)
+				keep(t, h, store, 0, false)
 				time.Sleep(time.Minute)
 				assert.Equal(t, h.only(), "")
 				objects.fails.Store(false)
 				time.Sleep(takeUpTime + routeTimeout)
 				assert.Equal(t, h.only(), "p/v1")
 				next, _ := newHistory("v1")
-				keep(t, next, store, false, false)
+				keep(t, next, store, 1, false)
 				time.Sleep(time.Second)
 				assert.Equal(t, next.only(), "p/v1", "the record is valid again")
 			})
@@ -297,13 +365,64 @@
 	}
 }
 
+// An instance whose own record can't be written reads what earlier ones have stored.
+func TestRecordIsReadBeforeFirstRunIsDecided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		before, _ := newHistory("v1")
+		_, _ = store.Create(t.Context(), "k", recordName, before.Record(0))
+		objects.calls()
+		run := func() *History {
+			h, _ := newHistory("v1")
+			k := &Keeper{
+				History: h, Store: store, Kind: "k", Log: zap.NewNop(),
+				IsReader: func() bool { return true }, Position: func() int { return 0 },
+				IsFirstRun: func() (bool, bool) { return false, false },
+			}
+			go k.Run(t.Context())
+			time.Sleep(time.Second)
+			return h
+		}
+		assert.Equal(t, run().only(), "p/v1")
+		delete(objects.objects, recordName)
+		assert.Equal(t, run().only(), "")
+		reads, _ := objects.calls()
+		assert.Equal(t, reads, 2)
+	})
+}
+
+// A store that rejects a write is called ever less often, and not before the time that it names.
+func TestRejectedWriteIsRepeatedLessOften(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err       error
+		maxWrites int
+	}{
+		"rejected":     {platform.ErrRejected{Call: "put"}, 400},
+		"rate limited": {platform.ErrRateLimited{Call: "put", RetryAfter: time.Minute}, 61},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var objects objectStore
+				store := objects.store()
+				objects.rejects = tc.err
+				h, _ := newHistory("v1")
+				keep(t, h, store, 0, true)
+				time.Sleep(time.Hour)
+				_, writes := objects.calls()
+				assert.Assert(t, writes <= tc.maxWrites, "%d writes", writes)
+			})
+		})
+	}
+}
+
 // A store that came back from an older copy gets the record again from an instance that lives on.
 func TestRecordIsStoredAgainAfterRewind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var objects objectStore
 		store := objects.store()
 		h, _ := newHistory("v1")
-		keep(t, h, store, true, true)
+		keep(t, h, store, 0, true)
 		time.Sleep(time.Second)
 		objects.mu.Lock()
 		delete(objects.objects, recordName)
@@ -311,7 +430,7 @@
 		objects.era.Store(1)
 		time.Sleep(3 * time.Second)
 		next, _ := newHistory("v1")
-		keep(t, next, store, false, false)
+		keep(t, next, store, 1, false)
 		time.Sleep(time.Second)
 		assert.Equal(t, next.only(), "p/v1")
 	})
