gateway: instances that are gone held a fetch up for their whole timeouts

Cause: the list of servers and the configuration were fetched from up to three readers one after the other, 500 ms each, also from readers that had lost power within the last second and still counted as live.

Change: the next reader is asked too after 100 ms without an answer; the first answer counts. One that answers in time is the only one asked, so that no bytes are added.

--- /dev/null
+++ b/process/gateway/fetch_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var errRefusedFetch = errors.New("refused")
+
+// fetchTestTimeout is the time after which a call to an instance that is gone fails.
+const fetchTestTimeout = 500 * time.Millisecond
+
+// askedInstances records the instances that were asked.
+type askedInstances struct {
+	mu        sync.Mutex
+	addresses []string
+}
+
+func (a *askedInstances) list() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.addresses)
+}
+
+// fetchAnswering returns a fetch that gets no answer from the instances "gone", an error from "bad" and an answer from others.
+func fetchAnswering(asked *askedInstances) func(context.Context, string) (string, error) {
+	return func(ctx context.Context, address string) (string, error) {
+		asked.mu.Lock()
+		asked.addresses = append(asked.addresses, address)
+		asked.mu.Unlock()
+		switch address {
+		case "gone":
+			ctx, cancel := context.WithTimeout(ctx, fetchTestTimeout)
+			defer cancel()
+			<-ctx.Done()
+			return "", ctx.Err()
+		case "bad":
+			return "", errRefusedFetch
+		}
+		time.Sleep(10 * time.Millisecond)
+		return "list of " + address, nil
+	}
+}
+
+// Two instances that are gone, but still count as live, delay a fetch by far less than the timeouts of two calls.
+func TestFetchIsNotDelayedByInstancesThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked askedInstances
+		started := time.Now()
+		list, err := fetchStaggered(t.Context(), []string{"gone", "gone", "c"}, fetchAnswering(&asked))
+		assert.NilError(t, err)
+		assert.Equal(t, list, "list of c")
+		assert.Assert(t, time.Since(started) <= 2*fetchStagger+10*time.Millisecond, "%v", time.Since(started))
+	})
+}
+
+// An instance that answers in time is the only one that is asked.
+func TestFetchAsksOneInstanceThatAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked askedInstances
+		list, err := fetchStaggered(t.Context(), []string{"a", "b"}, fetchAnswering(&asked))
+		assert.NilError(t, err)
+		assert.Equal(t, list, "list of a")
+		assert.DeepEqual(t, asked.list(), []string{"a"})
+	})
+}
+
+func TestFetchFailsIfAllFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asked askedInstances
+		started := time.Now()
+		_, err := fetchStaggered(t.Context(), []string{"gone", "bad", "gone"}, fetchAnswering(&asked))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.DeepEqual(t, asked.list(), []string{"gone", "bad", "gone"})
+		assert.Equal(t, time.Since(started), fetchStagger+fetchTestTimeout)
+		_, err = fetchStaggered(t.Context(), nil, fetchAnswering(&asked))
+		assert.ErrorIs(t, err, errNoPeer)
+	})
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -212,26 +212,21 @@
 	return list, fresh
 }
 
-// maxPeersAsked is the maximum number of instances that fetchFromPeer asks one after another.
+// maxPeersAsked is the maximum number of instances that fetchFromPeer asks.
 const maxPeersAsked = 3
 
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds: one of the own data centre, to
-// save traffic between them, unless the list of servers has been late for a while, since their watches have then missed a
-// change.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds; see fetchStaggered. It asks those of
+// the own data centre, to save traffic between them, unless the list of servers has been late for a while, since their
+// watches have then missed a change.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
 	peers := g.mesh.ReaderAddresses()
 	if kind == g.Platform.ServerKind && g.serverListLate.Load() {
 		peers = g.mesh.ServerReaders(g.serverFeed.KnownVersion())
 	}
-	err := errNoPeer
-	for _, address := range peers[:min(len(peers), maxPeersAsked)] {
-		var list wire.ObjectList
-		if list, err = gossip.FetchObjects(ctx, address, kind); err == nil {
-			return list, nil
-		}
-	}
-	return wire.ObjectList{}, err
+	return fetchStaggered(ctx, peers[:min(len(peers), maxPeersAsked)], func(ctx context.Context, address string) (wire.ObjectList, error) {
+		return gossip.FetchObjects(ctx, address, kind)
+	})
 }
