registry: cold by the last sign of life, not by the time of suspicion

Cause: a server counted as cold after it came back if it had been suspect for half a second at this instance. An instance whose own path broke took every server for cold, and had with 78 instances 1/78 of what they stand; a restart that was noticed late wasn't counted, as the time began with the notice; a server whose entry had gone and came back with the same start wasn't either.

Change: the time is the longest one without a sign of life, here or elsewhere, from before the suspicion to the return. A server that is listed again with the start of a removed one counts as cold (source listed_again).

Ruled out: to skip the presumption whenever the own path was found broken: a server may restart meanwhile too.

--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -23,7 +23,7 @@
 	// maxColdTime bounds the time for which one statement makes a server cold. A server that stays cold for longer states
 	// that again at its next heartbeats.
 	maxColdTime = time.Minute
-	// minRestartTime is the shortest time out of reach in which a server may have restarted.
+	// minRestartTime is the shortest time without a sign of life in which a server may have restarted.
 	minRestartTime = 500 * time.Millisecond
 )
 
@@ -140,6 +140,13 @@
 	srv.setCold("answer", d, func(until time.Time) { srv.cold.statedUntil = until })
 }
 
+// mayHaveRestarted reports whether a suspect server has been without a sign of life, here and elsewhere, for so long that it
+// may have restarted. The time counts from the last sign of life, as a failure is noticed later than it happens; a server
+// that answered others meanwhile was only out of reach of this instance. The caller holds mu.
+func (srv *Server) mayHaveRestarted(now time.Time) bool {
+	return max(srv.longestPause, now.Sub(srv.lastReceived)) >= minRestartTime
+}
+
 // presumeCold has a server that is back count as cold, as after a start. The caller holds mu.
 func (srv *Server) presumeCold(source string) {
 	now := time.Now()
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -312,3 +313,95 @@
 		})
 	}
 }
+
+// An instance whose own path broke takes no server for cold that went on answering others: with many instances, its shares of
+// what cold servers stand would shut its pool. The servers that answered nobody for a while may have restarted.
+func TestBrokenPathDoesNotMakeServersCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPathFixture(12)
+		f.Cold = testColdLimit
+		f.Rank = func() (position, count int) { return 0, 78 }
+		for _, srv := range f.Servers() {
+			srv.coldLimit, srv.rank = f.Cold, f.Rank
+		}
+		time.Sleep(maxColdTime)
+		isMute := false
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(200 * time.Millisecond)
+		}()
+		go func() {
+			for ; ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
+				for _, srv := range f.Servers() {
+					srv.mu.Lock()
+					if !isMute || srv.entry.ID != "a0" {
+						srv.markHeardElsewhere(time.Now())
+					}
+					srv.mu.Unlock()
+				}
+			}
+		}()
+		f.wait(2)
+		assert.Assert(t, f.IsUnreachable("p"))
+		f.servers["a0"].mu.Lock()
+		isMute = true
+		f.servers["a0"].mu.Unlock()
+		time.Sleep(10 * time.Second)
+		f.carries.Store(true)
+		time.Sleep(maxAskDelay + time.Second)
+		for _, srv := range f.Servers() {
+			assert.Assert(t, !srv.IsSuspect())
+			srv.mu.Lock()
+			presumed := !srv.cold.presumedAt.IsZero()
+			srv.mu.Unlock()
+			assert.Equal(t, presumed, srv.Entry().ID == "a0", srv.Entry().ID)
+		}
+	})
+}
+
+// A restart that is noticed only when the server is nearly back, and one during which the entry expired, count as cold.
+func TestLateNoticedRestartIsPresumedCold(t *testing.T) {
+	for name, restart := range map[string]func(*Registry, Entry){
+		"noticed late": func(r *Registry, _ Entry) {
+			server(r, "a").Begin(0).End(OutcomeUnreachable)
+			time.Sleep(100 * time.Millisecond)
+			server(r, "a").Begin(0).End(OutcomeAnswered)
+		},
+		"entry expired": func(r *Registry, e Entry) {
+			r.Remove("a")
+			time.Sleep(time.Second)
+			r.Put(e)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &Registry{Log: zap.NewNop(), Cold: testColdLimit}
+				e := Entry{ID: "a", Pool: "p", StartedMs: time.Now().UnixMilli(), Revision: 1}
+				r.Reset([]Entry{e}, false)
+				time.Sleep(maxColdTime)
+				server(r, "a").Begin(0).End(OutcomeAnswered)
+				time.Sleep(2 * time.Second)
+				assert.Assert(t, !server(r, "a").IsCold())
+				restart(r, e)
+				assert.Assert(t, server(r, "a").IsCold())
+				time.Sleep(testColdStart)
+				assert.Assert(t, !server(r, "a").IsCold())
+			})
+		})
+	}
+}
+
+// A server that failed a connection, and sent something a moment before and after, hasn't restarted.
+func TestShortFailureIsNoRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &Registry{Log: zap.NewNop(), Cold: testColdLimit}
+		r.Reset([]Entry{{ID: "a", Pool: "p", Revision: 1}}, false)
+		time.Sleep(maxColdTime)
+		for _, outcome := range []Outcome{OutcomeAnswered, OutcomeUnreachable, OutcomeAnswered} {
+			server(r, "a").Begin(0).End(outcome)
+			time.Sleep(minRestartTime / 3)
+		}
+		assert.Assert(t, !server(r, "a").IsCold())
+	})
+}
--- a/process/registry/path.go
+++ b/process/registry/path.go
@@ -37,7 +37,24 @@
 }
 
 // markHeard records that the server has sent something to this instance. The caller holds mu.
-func (srv *Server) markHeard(now time.Time) { srv.lastReceived, srv.heardHere = now, now }
+func (srv *Server) markHeard(now time.Time) {
+	srv.endPause(now)
+	srv.heardHere = now
+}
+
+// markHeardElsewhere records that the server has sent something to another instance. The caller holds mu.
+func (srv *Server) markHeardElsewhere(now time.Time) {
+	srv.endPause(now)
+	srv.heardElsewhere = now
+}
+
+// endPause records a sign of life. The caller holds mu.
+func (srv *Server) endPause(now time.Time) {
+	if srv.suspect {
+		srv.longestPause = max(srv.longestPause, now.Sub(srv.lastReceived))
+	}
+	srv.lastReceived = now
+}
 
 // noteUnanswered has the registry note that the request has got nothing from the server, unless something came to another
 // one meanwhile. The caller holds the server's mu.
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -93,6 +93,10 @@
 		srv.rank, srv.onLimitChange, srv.onUnreachable, srv.coldLimit = r.Rank, r.OnLimitChange, r.checkAfterFailure, r.Cold
 		srv.onUnanswered = r.noteUnanswered
 		srv.listCold(e, false)
+		if removed, ok := r.removedStarts[e.ID]; ok && removed.startedMs == e.StartedMs {
+			// It wrote no entry for a while, so it may have been out of reach and cold since.
+			srv.presumeCold("listed_again")
+		}
 		if e.Draining {
 			srv.drainingSince = time.Now()
 		}
--- a/process/registry/remote.go
+++ b/process/registry/remote.go
@@ -59,7 +59,7 @@
 		}
 		if previous := srv.remoteLoads[instance]; l.R < previous.running || l.U < previous.pendingPrefill {
 			// A request of another instance made progress, so the server is responding.
-			srv.lastReceived, srv.heardElsewhere = now, now
+			srv.markHeardElsewhere(now)
 		}
 		if l.W > 0 {
 			srv.speed.ObserveWorkTime(float64(l.W)/100, now)
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -100,8 +100,9 @@
 	// connection is retried.
 	suspect    bool
 	probeDelay time.Duration
-	// suspectAt is the time at which the server last became suspect.
-	suspectAt time.Time
+	// longestPause is the longest time without a sign of life from the server, here or elsewhere, that ended since it last
+	// became suspect.
+	longestPause time.Duration
 	// moved is set once the requests at the suspect server were moved.
 	moved bool
 	// unanswered is set while the server is suspect because of this instance's path: only an answer shows that it is reachable.
@@ -335,7 +336,7 @@
 	if srv.suspect {
 		return
 	}
-	srv.suspect, srv.suspectAt = true, time.Now()
+	srv.suspect, srv.longestPause = true, 0
 	srv.probeDelay = minProbeDelay
 	srv.log.Info("server_suspected", append(logFields(srv.entry), zap.Int("running", srv.running), zap.Time("heard", srv.lastReceived))...)
 	if srv.probe != nil {
@@ -347,7 +348,7 @@
 func (srv *Server) clearSuspect() {
 	if srv.suspect {
 		srv.log.Info("server_trusted", logFields(srv.entry)...)
-		if time.Since(srv.suspectAt) >= minRestartTime {
+		if srv.mayHaveRestarted(time.Now()) {
 			srv.presumeCold("back")
 		}
 	}
