gateway: serve nothing before the evacuations are known

Cause: an instance was ready as soon as it had a configuration, a server list and the quarantines. If its first list of evacuations came later, it sent requests to a data centre that had been evacuated long before.

Change: ready and the forwarder wait for a first list, for evacuation_ms at most, after which evacuations_unknown is logged and the instance serves. Deployments without evacuation_ms wait for nothing.

Ruled out: to wait for the list without bound: while the store is out and peers have no list, no instance would start.

--- a/process/gateway/evacuations.go
+++ b/process/gateway/evacuations.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/toucanroute/toucanroute/process/feed"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -25,6 +27,7 @@
 	if limit <= 0 {
 		return
 	}
+	g.evacuationsAwaitedUntil = time.Now().Add(limit)
 	watchTimeout := min(max(time.Duration(evacuationWatchShare*float64(limit)), minWatchTimeout), maxWatchTimeout)
 	g.evacuationFeed = &feed.Feed{
 		Kind: g.Platform.EvacuationKind, Store: g.Platform.Store, WatchTimeout: func() time.Duration { return watchTimeout }, Log: g.Log,
@@ -72,9 +75,25 @@
 
 // watchEvacuations learns of evacuated data centres until ctx ends.
 func (g *Gateway) watchEvacuations(ctx context.Context) {
-	if g.evacuationFeed != nil {
-		g.evacuationFeed.Run(ctx)
+	if g.evacuationFeed == nil {
+		return
 	}
+	timer := time.AfterFunc(time.Until(g.evacuationsAwaitedUntil), func() {
+		if g.firstEvacuations.Load() == nil {
+			g.Log.Warn("evacuations_unknown", zap.Float64("waited_ms", g.Settings.Forwarding.EvacuationMs))
+		}
+	})
+	defer timer.Stop()
+	g.evacuationFeed.Run(ctx)
+}
+
+// knowsEvacuations reports whether this instance has a first list of evacuations, needs none, or has waited for it for as
+// long as an evacuation may take to be in force.
+//
+// It answers a restart during an evacuation: the server list may come before the list of evacuations. As long as neither
+// the store nor an instance that has the list answers, no wait helps, and callers are better served than not.
+func (g *Gateway) knowsEvacuations() bool {
+	return g.evacuationFeed == nil || g.firstEvacuations.Load() != nil || !time.Now().Before(g.evacuationsAwaitedUntil)
 }
 
 // receiveEvacuationVersion has this instance read the evacuations again if another one reports a newer change of them.
--- a/process/gateway/evacuations_test.go
+++ b/process/gateway/evacuations_test.go
@@ -277,3 +277,39 @@
 		f.check(t, "one")
 	})
 }
+
+// An instance that starts during an evacuation, and gets its list late, serves nothing before: its forwarder and its
+// readiness say so. If no list comes, it serves after the time within which an evacuation must be in force.
+func TestStartDuringEvacuation(t *testing.T) {
+	for name, storeDown := range map[string]bool{"slow": false, "down": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newEvacuationFleet(ctx, 1, 9)
+				time.Sleep(3 * time.Second)
+				f.begin(t, "one")
+				time.Sleep(calmEvacuationTime)
+				f.set(func() {
+					f.slow["late"], f.storeDown = true, storeDown
+					f.cutOff["late"] = storeDown
+				})
+				startedAt := time.Now()
+				f.add(ctx, "late", "two", netip.MustParseAddrPort("10.0.1.1:7000"))
+				g := f.instances[len(f.instances)-1]
+				for !g.forwarder.KnowsEvacuations() {
+					assert.Assert(t, !g.ready())
+					time.Sleep(10 * time.Millisecond)
+				}
+				waited := time.Since(startedAt)
+				if storeDown {
+					assert.Assert(t, waited >= evacuationTime && waited < evacuationTime+100*time.Millisecond, "%v", waited)
+				} else {
+					assert.DeepEqual(t, g.evacuations.InForce(), []string{"one"})
+					assert.Assert(t, waited >= time.Second && waited < evacuationTime, "%v", waited)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -114,6 +114,8 @@
 	evacuationFeed   *feed.Feed
 	evacuations      evacuation.Table
 	firstEvacuations atomic.Pointer[firstEvacuations]
+	// evacuationsAwaitedUntil is the time until which this instance serves nothing for lack of a first list of evacuations.
+	evacuationsAwaitedUntil time.Time
 	// evacuationsReadAt is the time at which a report of another instance last caused a read of the evacuations; only the
 	// goroutine that receives status datagrams uses it.
 	evacuationsReadAt time.Time
@@ -277,9 +279,10 @@
 		Observe:       g.observeRequest,
 		ObserveTakeUp: g.metrics.TakeUp,
 		Regions:       g.regions, InstancesOutside: g.mesh.AddressesOutside, Evacuated: g.evacuations.InForce,
-		Shares:  g.workspaceShares,
-		Memory:  g.requestMemory,
-		Buffers: g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
+		KnowsEvacuations: g.knowsEvacuations,
+		Shares:           g.workspaceShares,
+		Memory:           g.requestMemory,
+		Buffers:          g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
 	}
 }
 
@@ -351,10 +354,10 @@
 	return &entry.Readiness{Listen: g.Settings.Listen.Readiness, Ready: g.ready}
 }
 
-// ready reports whether the instance can serve requests: it has a configuration and a server list, has tried to read the
-// quarantines, and isn't shutting down.
+// ready reports whether the instance can serve requests: it has a configuration and a server list, knows the evacuations,
+// has tried to read the quarantines, and isn't shutting down.
 func (g *Gateway) ready() bool {
-	return g.table.Load() != nil && g.registry.HasList() && g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
+	return g.table.Load() != nil && g.registry.HasList() && g.knowsEvacuations() && g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
 }
 
 // idleTimeoutSlack is the share by which an idle connection is kept open beyond the configured idle timeout, so that a
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -75,6 +75,9 @@
 	InstancesOutside func(dataCentres map[string]bool) []string
 	// Evacuated returns the evacuated data centres; it may be nil.
 	Evacuated func() []string
+	// KnowsEvacuations reports whether the evacuated data centres are known, before which no request is served; it may be
+	// nil.
+	KnowsEvacuations func() bool
 	// SendRelayed sends a request to the instance at the host of its URL, like Send.
 	SendRelayed func(req *http.Request, id string, fresh bool) (*http.Response, error)
 	// Quarantine keeps requests away from servers that crash under them.
@@ -236,7 +239,7 @@
 // prepare finds the route of the request, checks its key, chooses a pool, reads the body and starts the timeout.
 func (c *call) prepare() error {
 	c.config = c.f.Table()
-	if c.config == nil || !c.f.Registry.HasList() {
+	if c.config == nil || !c.f.Registry.HasList() || c.f.KnowsEvacuations != nil && !c.f.KnowsEvacuations() {
 		return notReadyError()
 	}
 	meta, err := c.f.Headers.ReadRequest(c.r.Header)
