registry: tell the other instances that a server has become cold

Cause: a server may become cold while it works and says so in its answers, also to health checks. The header of the latter was dropped, and an instance that learned of coldness told nobody, so that the others sent what a warm server gets until the entry came. Also, server_cold_bounded was written for each bad time, also where the pool has no rate for cold servers.

Change: Ask returns the cold time; the remaining time is an optional field c of NewsLimit, sent to all on change. Only an instance's own answers are told on. A cold server without a limit is told with rate -1, which changes nothing at older builds. server_cold_bounded is logged once for each start of a server, and only where the pool has a rate.

Ruled out: to tell on what was told: each hop adds the time on its way to the remaining time.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -290,37 +290,37 @@
 // that after which callers give up.
 const askTimeout = 500 * time.Millisecond
 
-// askServer asks a backend server for its health, and returns an error if no answer came, whatever it says. For a pool
-// without health checks it returns an error if no connection can be opened.
-func (g *Gateway) askServer(pool, address string) error {
+// askServer asks a backend server for its health, and returns for how long it stays cold, or an error if no answer came,
+// whatever it says. For a pool without health checks it returns an error if no connection can be opened.
+func (g *Gateway) askServer(pool, address string) (cold time.Duration, err error) {
 	t := g.table.Load()
 	if t == nil {
-		return errNoHealthCheck
+		return 0, errNoHealthCheck
 	}
 	p, ok := t.Pool(pool)
 	if !ok {
-		return errNoHealthCheck
+		return 0, errNoHealthCheck
 	}
 	if p.HealthPath == "" {
-		return g.checkReachable(address)
+		return 0, g.checkReachable(address)
 	}
 	conn, err := g.dialServer(address)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
-		return err
+		return 0, err
 	}
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: p.HealthPath}, Header: http.Header{"Connection": {"close"}}}
 	if err := req.Write(conn); err != nil {
-		return err
+		return 0, err
 	}
 	res, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return res.Body.Close()
+	return g.Platform.Headers.ReadResponse(res.StatusCode, res.Header).ColdTime, res.Body.Close()
 }
 
 // errNoHealthCheck reports that a pool isn't in the configuration.
--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -48,19 +48,22 @@
 
 // coldness is what is known of the coldness of a server.
 type coldness struct {
-	// listedUntil is the end of the coldness by the server's entry, and statedUntil the end by its answers.
-	listedUntil, statedUntil time.Time
+	// listedUntil is the end of the coldness by the server's entry, statedUntil that by its answers to this instance, and
+	// toldUntil that by its answers to others, which told so. What was told isn't told on, so that no time grows on the way.
+	listedUntil, statedUntil, toldUntil time.Time
 	// startedAt is the server's start, not later than it became known; presumedAt is the time of its last return, after
 	// which it may be cold.
 	startedAt, presumedAt time.Time
 	// sent counts this instance's requests.
 	sent usage
+	// boundedLogged is set once a stated time out of bounds was logged.
+	boundedLogged bool
 }
 
 // until returns the end of the coldness under a limit.
 func (c *coldness) until(l ColdLimit) time.Time {
 	end := c.listedUntil
-	for _, t := range []time.Time{c.statedUntil, c.startedAt.Add(l.startTime()), c.presumedAt.Add(l.startTime())} {
+	for _, t := range []time.Time{c.statedUntil, c.toldUntil, c.startedAt.Add(l.startTime()), c.presumedAt.Add(l.startTime())} {
 		if t.After(end) {
 			end = t
 		}
@@ -124,7 +127,8 @@
 	wasCold := srv.coldRate(now) > 0
 	bounded := min(max(d, 0), maxColdTime)
 	set(now.Add(bounded))
-	if d != bounded {
+	if d != bounded && !srv.cold.boundedLogged && srv.coldLimit != nil && srv.coldLimit(srv.entry.Pool).rate() > 0 {
+		srv.cold.boundedLogged = true
 		srv.log.Warn("server_cold_bounded", append(logFields(srv.entry), zap.String("source", source), zap.Duration("stated", d), zap.Duration("kept", bounded))...)
 	}
 	if rate := srv.coldRate(now); !wasCold && rate > 0 {
@@ -134,10 +138,38 @@
 
 // MarkCold records that an answer of the server stated how long it stays cold.
 func (a *Attempt) MarkCold(d time.Duration) {
-	srv := a.srv
-	srv.mu.Lock()
-	defer srv.mu.Unlock()
+	a.srv.mu.Lock()
+	defer a.srv.mu.Unlock()
+	a.srv.stateCold(d)
+}
+
+// stateCold records that the server itself stated how long it stays cold, and has the other instances told if it wasn't
+// known to be cold. The caller holds mu.
+func (srv *Server) stateCold(d time.Duration) {
+	wasCold := srv.coldRate(time.Now()) > 0
 	srv.setCold("answer", d, func(until time.Time) { srv.cold.statedUntil = until })
+	if !wasCold && srv.coldRate(time.Now()) > 0 && srv.onLimitChange != nil {
+		srv.onLimitChange()
+	}
+}
+
+// toldCold returns the time for which the server stays cold by its answers, in milliseconds, as other instances are told;
+// 0 if it doesn't. The caller holds mu.
+func (srv *Server) toldCold(now time.Time) int {
+	if srv.coldRate(now) == 0 || !now.Before(srv.cold.statedUntil) {
+		return 0
+	}
+	return int(srv.cold.statedUntil.Sub(now).Milliseconds())
+}
+
+// mergeCold records for how many milliseconds the server stays cold, as another instance told. A shorter time than known
+// says nothing: that instance may have heard of the coldness earlier. The caller holds mu.
+func (srv *Server) mergeCold(ms int, now time.Time) {
+	d := time.Duration(min(ms, int(maxColdTime.Milliseconds()))) * time.Millisecond
+	if d <= 0 || !now.Add(d).After(srv.cold.toldUntil) {
+		return
+	}
+	srv.setCold("peer", d, func(until time.Time) { srv.cold.toldUntil = until })
 }
 
 // mayHaveRestarted reports whether a suspect server has been without a sign of life, here and elsewhere, for so long that it
--- a/process/registry/limit.go
+++ b/process/registry/limit.go
@@ -25,6 +25,8 @@
 	minLimit = 0.1
 	// limitNewsAge is the time for which other instances are told that a server names no limit any more.
 	limitNewsAge = 30 * time.Second
+	// maxLimitAge bounds the ages that are told; it is above those of all limits that are news.
+	maxLimitAge = 24 * time.Hour
 	// limitTimeError is the error of the times that other instances tell.
 	limitTimeError = 50 * time.Millisecond
 )
@@ -175,8 +177,14 @@
 	var list []wire.NewsLimit
 	for _, srv := range r.servers {
 		srv.mu.Lock()
-		if srv.limit.isNews(now) {
-			l := wire.NewsLimit{Server: limitKey(&srv.entry), Rate: -1, AgeMs: int(now.Sub(srv.limit.observedAt).Milliseconds())}
+		cold := srv.toldCold(now)
+		if srv.limit.isNews(now) || cold > 0 {
+			l := wire.NewsLimit{Server: limitKey(&srv.entry), Rate: -1, ColdMs: cold}
+			if age := now.Sub(srv.limit.observedAt); age < maxLimitAge {
+				l.AgeMs = int(age.Milliseconds())
+			} else {
+				l.AgeMs = int(maxLimitAge.Milliseconds())
+			}
 			if srv.limit.rate > 0 {
 				l.Rate = srv.limit.rate
 			}
@@ -202,6 +210,7 @@
 	for _, srv := range r.servers {
 		srv.mu.Lock()
 		if l, ok := byKey[limitKey(&srv.entry)]; ok {
+			srv.mergeCold(l.ColdMs, now)
 			at := now.Add(-time.Duration(max(l.AgeMs, 0)) * time.Millisecond)
 			if at.Sub(srv.limit.observedAt) > limitTimeError {
 				srv.setLimit(l.Rate, at, instance)
--- a/process/registry/path.go
+++ b/process/registry/path.go
@@ -212,12 +212,16 @@
 // ask asks a server and reports whether it answered, after which it counts as reachable.
 func (r *Registry) ask(srv *Server) bool {
 	entry := srv.Entry()
-	if r.Ask(entry.Pool, entry.Address) != nil {
+	cold, err := r.Ask(entry.Pool, entry.Address)
+	if err != nil {
 		return false
 	}
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	srv.markHeard(time.Now())
 	srv.clearSuspect()
+	if cold > 0 {
+		srv.stateCold(cold)
+	}
 	return true
 }
--- a/process/registry/path_test.go
+++ b/process/registry/path_test.go
@@ -18,18 +18,20 @@
 	// carries is set while the path of the instance carries answers.
 	carries atomic.Bool
 	asked   atomic.Int32
+	// cold is the time for which a server stays cold that is asked.
+	cold time.Duration
 }
 
 func newPathFixture(n int) *pathFixture {
 	f := &pathFixture{Registry: &Registry{Log: zap.NewNop()}}
 	f.Probe = func(string) error { return nil }
-	f.Ask = func(pool, _ string) error {
+	f.Ask = func(pool, _ string) (time.Duration, error) {
 		f.asked.Add(1)
 		if pool != "p" || !f.carries.Load() {
 			time.Sleep(500 * time.Millisecond)
-			return syscall.ETIMEDOUT
+			return 0, syscall.ETIMEDOUT
 		}
-		return nil
+		return f.cold, nil
 	}
 	var entries []Entry
 	for i := range n {
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -26,15 +26,15 @@
 	// Probe opens and closes a connection to a server's address. If it is nil, a suspect server stays so until a request
 	// to it succeeds.
 	Probe func(address string) error
-	// Ask sends a request that has no effect to a server of a pool at an address; an error means that no answer came. If it is
-	// nil, the path to the servers isn't tested.
-	Ask func(pool, address string) error
+	// Ask sends a request that has no effect to a server of a pool at an address; an error means that no answer came, and cold
+	// is the time for which the server stays cold by its answer. If it is nil, the path to the servers isn't tested.
+	Ask func(pool, address string) (cold time.Duration, err error)
 	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
 	// are divided; nil means that there is no other instance.
 	Rank func() (position, count int)
 	// Cold returns what the cold servers of a pool stand; nil means that none needs care. It must not call the registry.
 	Cold func(pool string) ColdLimit
-	// OnLimitChange is called when the answer of a server changed its limit; it may be nil. It must not call the registry.
+	// OnLimitChange is called when the answer of a server changed its limit, or made it cold; it may be nil. It must not call the registry.
 	OnLimitChange func()
 
 	mu sync.Mutex
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -244,6 +244,10 @@
 	// Time since the answer that named it, in milliseconds.
 	AgeMs int `json:"a"`
 
+	// Remaining time for which the backend server is cold by its answers to this
+	// instance, in milliseconds; 0 or absent if it isn't.
+	ColdMs int `json:"c,omitempty,omitzero"`
+
 	// Requests per second of all instances together; negative if the backend server
 	// names no limit any more.
 	Rate float64 `json:"r"`
