--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -114,6 +114,8 @@
 	evacuationFeed   *feed.Feed
 	evacuations      evacuation.Table
 	firstEvacuations atomic.Pointer[firstEvacuations]
+	// evacuationsAwaitedUntil is the time until which this instance serves nothing for lack of a first list of evacuations.
+	evacuationsAwaitedUntil time.Time
 	// evacuationsReadAt is the time at which a report of another instance last caused a read of the evacuations; only the
 	// goroutine that receives status datagrams uses it.
 	evacuationsReadAt time.Time
@@ -277,9 +279,10 @@
 		Observe:       g.observeRequest,
 		ObserveTakeUp: g.metrics.TakeUp,
 		Regions:       g.regions, InstancesOutside: g.mesh.AddressesOutside, Evacuated: g.evacuations.InForce,
-		Shares:  g.workspaceShares,
-		Memory:  g.requestMemory,
-		Buffers: g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
+		KnowsEvacuations: g.knowsEvacuations,
+		Shares:           g.workspaceShares,
+		Memory:           g.requestMemory,
+		Buffers:          g.requestMemory.NewPart(int64(bufferShare * float64(forwarding.MemoryMb) * (1 << 20))),
 	}
 }
 
@@ -287,37 +290,37 @@
 // that after which callers give up.
 const askTimeout = 500 * time.Millisecond
 
-// askServer asks a backend server for its health, and returns an error if no answer came, whatever it says. For a pool
-// without health checks it returns an error if no connection can be opened.
-func (g *Gateway) askServer(pool, address string) error {
+// askServer asks a backend server for its health, and returns for how long it stays cold, or an error if no answer came,
+// whatever it says. For a pool without health checks it returns an error if no connection can be opened.
+func (g *Gateway) askServer(pool, address string) (cold time.Duration, err error) {
 	t := g.table.Load()
 	if t == nil {
-		return errNoHealthCheck
+		return 0, errNoHealthCheck
 	}
 	p, ok := t.Pool(pool)
 	if !ok {
-		return errNoHealthCheck
+		return 0, errNoHealthCheck
 	}
 	if p.HealthPath == "" {
-		return g.checkReachable(address)
+		return 0, g.checkReachable(address)
 	}
 	conn, err := g.dialServer(address)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
-		return err
+		return 0, err
 	}
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: p.HealthPath}, Header: http.Header{"Connection": {"close"}}}
 	if err := req.Write(conn); err != nil {
-		return err
+		return 0, err
 	}
 	res, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return res.Body.Close()
+	return g.Platform.Headers.ReadResponse(res.StatusCode, res.Header).ColdTime, res.Body.Close()
 }
 
 // errNoHealthCheck reports that a pool isn't in the configuration.
@@ -351,10 +354,10 @@
 	return &entry.Readiness{Listen: g.Settings.Listen.Readiness, Ready: g.ready}
 }
 
-// ready reports whether the instance can serve requests: it has a configuration and a server list, has tried to read the
-// quarantines, and isn't shutting down.
+// ready reports whether the instance can serve requests: it has a configuration and a server list, knows the evacuations,
+// has tried to read the quarantines, and isn't shutting down.
 func (g *Gateway) ready() bool {
-	return g.table.Load() != nil && g.registry.HasList() && g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
+	return g.table.Load() != nil && g.registry.HasList() && g.knowsEvacuations() && g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
 }
 
 // idleTimeoutSlack is the share by which an idle connection is kept open beyond the configured idle timeout, so that a
