streamorigin: what came and left while an instance was cut off or frozen was never seen

The record was read once, at the start. An instance that was cut off, lacked lists or was frozen for more than a second takes the newest list of servers afterwards, in which a version that came and left isn't named. It now knows nothing for certain from then on, and reads the record again once it is current (TestRecordIsReadAgainAfterCut, TestRecordIsReadAgainAfterFreeze).

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -121,6 +121,9 @@
 	// serverListStaleness tells for how long other instances have known a newer server list; only the goroutine that
 	// receives status datagrams uses it.
 	serverListStaleness staleness
+	// awaitedServers is the newest version of the server list that another instance was known to have and this one wasn't
+	// when it was reported, and newestConfig the newest version of the configuration that another instance reported.
+	awaitedServers, newestConfig atomic.Int64
 	// serverListLate is set while this instance has lacked a version of the server list for longer than staleListTolerance.
 	serverListLate atomic.Bool
 	lease          *lease.Lease
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -121,12 +121,16 @@
 	g.quarantine.Merge(quarantine.ReadUpdate(message))
 	g.registry.MergeLimits(message.From, message.Limits)
 	g.receiveEvacuationVersion(message.Evacuations)
+	if int64(message.Version) > g.newestConfig.Load() {
+		g.newestConfig.Store(int64(message.Version))
+	}
 	if ownVersion := g.configVersion(); message.Version > ownVersion && ownVersion > 0 && notify(g.newerConfig) {
 		g.Log.Info("config_newer_elsewhere", zap.String("peer", message.From), zap.Int("version", message.Version), zap.Int("own", ownVersion))
 	}
 	ownVersion, now := g.serverFeed.KnownVersion(), time.Now()
 	lacking, sinceRead := g.serverListStaleness.observe(ownVersion, message.Servers, now)
 	g.serverListLate.Store(lacking >= staleListTolerance)
+	g.awaitedServers.Store(int64(g.serverListStaleness.awaited))
 	if message.Servers <= ownVersion || ownVersion == 0 || now.Sub(g.serverListStaleness.readAt) < minRereadInterval {
 		return
 	}
--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -23,14 +23,17 @@
 		History: g.streamHistory, Store: g.Platform.Store, Kind: kindStreamOrigins, Log: g.Log,
 		IsReader:   func() bool { return g.mesh.IsReader() },
 		Position:   func() int { return g.mesh.ReaderPosition(kindStreamOrigins) },
+		IsCurrent:  func() bool { return !g.mesh.MayLackChanges(g.serverFeed.IsFresh()) && !g.serverListLate.Load() },
 		IsFirstRun: func() (isFirst, decided bool) { return g.mesh.IsFirstRun() },
 	}
 }
 
 // onlyOrigin returns what began all streams of a route that callers may still take up, if that is certain: this instance
-// must not lack changes of the servers either.
+// must not lack changes of the servers or of the configuration either, also if others have had them for a moment only.
 func (g *Gateway) onlyOrigin(host, prefix string) (streamorigin.Origin, streamorigin.Answer) {
-	if g.mesh.MayLackChanges(g.serverFeed.IsFresh()) || g.serverListLate.Load() {
+	lacksServers := int(g.awaitedServers.Load()) > g.serverFeed.KnownVersion()
+	lacksConfig := int(g.newestConfig.Load()) > g.configVersion()
+	if lacksServers || lacksConfig || g.mesh.MayLackChanges(g.serverFeed.IsFresh()) {
 		return streamorigin.Origin{}, streamorigin.NotKnown
 	}
 	return g.streamHistory.Only(host, prefix)
--- a/process/streamorigin/history.go
+++ b/process/streamorigin/history.go
@@ -140,6 +140,17 @@
 	h.complete = true
 }
 
+// BeginAgain records that this process may have missed what came and left, until MarkComplete is called or it has watched for
+// long enough from now on.
+func (h *History) BeginAgain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.complete = false
+	if !h.watchedSince.IsZero() {
+		h.watchedSince = time.Now()
+	}
+}
+
 // IsComplete reports whether this process knows all that may have begun a stream that callers may still take up: it knows
 // what left before its start, or it has watched for long enough itself.
 func (h *History) IsComplete() bool {
--- a/process/streamorigin/history_test.go
+++ b/process/streamorigin/history_test.go
@@ -261,7 +261,7 @@
 	t.Helper()
 	k := &Keeper{
 		History: h, Store: store, Kind: "k", Log: zap.NewNop(),
-		IsReader: func() bool { return true }, Position: func() int { return position },
+		IsReader: func() bool { return true }, Position: func() int { return position }, IsCurrent: func() bool { return true },
 		IsFirstRun: func() (bool, bool) { return isFirstRun, true },
 	}
 	go k.Run(t.Context())
@@ -377,7 +377,7 @@
 			h, _ := newHistory("v1")
 			k := &Keeper{
 				History: h, Store: store, Kind: "k", Log: zap.NewNop(),
-				IsReader: func() bool { return true }, Position: func() int { return 0 },
+				IsReader: func() bool { return true }, Position: func() int { return 0 }, IsCurrent: func() bool { return true },
 				IsFirstRun: func() (bool, bool) { return false, false },
 			}
 			go k.Run(t.Context())
@@ -392,6 +392,58 @@
 	})
 }
 
+// A version that came and left while an instance was cut off is in the record that others have stored, which counts
+// again once the instance is current.
+func TestRecordIsReadAgainAfterCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		other, s := newHistory("v1")
+		keep(t, other, store, 0, true)
+		time.Sleep(time.Second)
+		h, _ := newHistory("v1")
+		var isCutOff atomic.Bool
+		k := &Keeper{
+			History: h, Store: store, Kind: "k", Log: zap.NewNop(),
+			IsReader: func() bool { return false }, Position: func() int { return 0 },
+			IsCurrent:  func() bool { return !isCutOff.Load() },
+			IsFirstRun: func() (bool, bool) { return false, true },
+		}
+		go k.Run(t.Context())
+		time.Sleep(time.Second)
+		assert.Equal(t, h.only(), "p/v1")
+		isCutOff.Store(true)
+		s.set("p", "v2", time.Now())
+		time.Sleep(time.Second)
+		assert.Equal(t, h.only(), "")
+		isCutOff.Store(false)
+		objects.calls()
+		time.Sleep(time.Second)
+		assert.Equal(t, h.only(), "", "v2 came and left during the cut")
+		reads, _ := objects.calls()
+		assert.Equal(t, reads, 1)
+		time.Sleep(takeUpTime + routeTimeout)
+		assert.Equal(t, h.only(), "p/v1")
+	})
+}
+
+// A frozen process has missed what came and left meanwhile.
+func TestRecordIsReadAgainAfterFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newHistory("v1")
+		h.MarkComplete()
+		k := &Keeper{History: h, Log: zap.NewNop(), IsCurrent: func() bool { return true }, read: true}
+		for range 3 {
+			k.checkCurrent()
+			time.Sleep(maxPause)
+		}
+		assert.Assert(t, k.read && h.IsComplete())
+		time.Sleep(time.Millisecond)
+		k.checkCurrent()
+		assert.Assert(t, !k.read && !h.IsComplete())
+	})
+}
+
 // A store that rejects a write is called ever less often, and not before the time that it names.
 func TestRejectedWriteIsRepeatedLessOften(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/process/streamorigin/keeper.go
+++ b/process/streamorigin/keeper.go
@@ -25,15 +25,18 @@
 	// minRetryDelay and maxRetryDelay bound the time after which a failed call of the store is repeated.
 	minRetryDelay = time.Second
 	maxRetryDelay = reloadDelay
-	// startJitter bounds the random delay of the first read, so that instances that start together don't read at once.
+	// startJitter bounds the random delay of reads at the start or after a cut, so that all instances don't read at once.
 	startJitter = 250 * time.Millisecond
+	// maxPause is the time between two checks of the keeper above which the process counts as having been frozen, besides
+	// the keeper's own calls. A version doesn't come, begin a stream and leave within it.
+	maxPause = time.Second
 	// reloadDelay is the time after which an instance that found no valid record looks for it again: the others may have
 	// stored it meanwhile.
 	reloadDelay = 15 * time.Second
 )
 
 // Keeper keeps a history in the platform's store, from which an instance learns at its start what left before. It calls the
-// store only for a change and once at the start, and not at all without routes whose streams may be taken up. Set the
+// store only for a change, once at the start and once after a time in which this instance may have missed changes, and not at all without routes whose streams may be taken up. Set the
 // fields before Run.
 type Keeper struct {
 	History *History
@@ -44,6 +47,8 @@
 	IsReader func() bool
 	// Position is the place of this instance, from 0, among those that do.
 	Position func() int
+	// IsCurrent reports whether this instance has the newest list of servers, as far as it can tell.
+	IsCurrent func() bool
 	// IsFirstRun reports whether no process of the deployment ran before this one and those that started with it; decided is
 	// false while that isn't known.
 	IsFirstRun func() (isFirst, decided bool)
@@ -56,6 +61,9 @@
 	storedRecord wire.StreamOriginsRecord
 	// changedAt is the time at which the history was first seen to differ from the stored one; zero if it doesn't.
 	changedAt time.Time
+	// missed is set while this instance may lack changes, and checkedAt is the time of the last check of that.
+	missed    bool
+	checkedAt time.Time
 	// absent is set while the store is known to hold no record and IsFirstRun isn't decided.
 	absent bool
 	// delays gives the delays after failed calls.
@@ -76,15 +84,37 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.checkCurrent()
 			if k.History.HasRoutes() && time.Now().After(k.callAfter) {
 				k.step(ctx)
+				k.checkedAt = time.Now()
 			}
 		}
 	}
 }
 
+// checkCurrent has the record read again once this instance has the changes that it lacked: a version that came and left
+// meanwhile isn't in its list of servers.
+func (k *Keeper) checkCurrent() {
+	now, wasMissing := time.Now(), k.missed
+	wasFrozen := !k.checkedAt.IsZero() && now.Sub(k.checkedAt) > maxPause
+	k.checkedAt, k.missed = now, !k.IsCurrent()
+	if !wasFrozen && !wasMissing && !k.missed {
+		return
+	}
+	if k.read || wasFrozen {
+		k.Log.Info("stream_origins_missed", zap.Bool("frozen", wasFrozen), zap.Bool("current", !k.missed))
+	}
+	k.read = false
+	k.callAfter = now.Add(rand.N(startJitter))
+	k.History.BeginAgain()
+}
+
 // step reads the store if that wasn't done yet, and stores a change.
 func (k *Keeper) step(ctx context.Context) {
+	if k.missed {
+		return
+	}
 	if !k.read {
 		k.load(ctx)
 	}
