--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -120,7 +120,7 @@
 	if !e.isSame(srv.entry) {
 		srv.addressTaken = false
 	}
-	if e.Version != srv.entry.Version {
+	if e.Version != srv.entry.Version || e.Pool != srv.entry.Pool {
 		r.rememberVersion(srv.entry)
 	}
 	srv.listCold(e, time.Now().Before(r.lenientUntil))
--- a/process/registry/version_test.go
+++ b/process/registry/version_test.go
@@ -43,10 +43,12 @@
 		assert.Equal(t, only(), "", "a restart under the same id with another version")
 		time.Sleep(versionMemory + time.Second)
 		assert.Equal(t, only(), "v2")
-		r.Put(Entry{ID: "unborn", Address: "10.0.0.2:1", Pool: "q", Version: "v8", Slots: 4})
-		r.Put(Entry{ID: "unborn", Address: "10.0.0.2:1", Pool: "q", Version: "v7", Slots: 4})
+		r.Put(Entry{ID: "no-start", Address: "10.0.0.2:1", Pool: "q", Version: "v8", Slots: 4})
+		r.Put(Entry{ID: "no-start", Address: "10.0.0.2:1", Pool: "q", Version: "v7", Slots: 4})
 		// A server that tells no start may have restarted.
 		assert.DeepEqual(t, r.Versions("q", versionMemory), []string{"v7", "v8", "v9"})
+		r.Put(Entry{ID: "a", Address: "10.0.0.1:1", Pool: "q", Version: "v2", Slots: 4, StartedMs: 2})
+		assert.Equal(t, only(), "v2", "a server that went to another pool without a restart")
 	})
 }
 
