streamorigin: the record was built twenty times a second

Each reader built the whole record at each check of 50 ms and compared it. It does so now once a second and when the servers or routes have changed (TestHistoryIsComparedForChangesOnly). CPU time wasn't measured.

--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -18,7 +18,7 @@
 
 // buildStreams creates the parts that tell what may have begun the streams of which no instance remembers it.
 func (g *Gateway) buildStreams() {
-	g.streamHistory = &streamorigin.History{Versions: g.registry.Versions, AddVersion: g.registry.AddVersion}
+	g.streamHistory = &streamorigin.History{Versions: g.registry.Versions, AddVersion: g.registry.AddVersion, VersionChanges: g.registry.VersionChanges}
 	g.streamKeeper = &streamorigin.Keeper{
 		History: g.streamHistory, Store: g.Platform.Store, Kind: kindStreamOrigins, Log: g.Log,
 		IsReader:   func() bool { return g.mesh.IsReader() },
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -52,7 +52,9 @@
 	// goneVersions holds the software versions of the servers that were removed or restarted, with the times of that, by
 	// pool.
 	goneVersions map[string]map[string]time.Time
-	path         path
+	// versionChanges counts the changes of the servers and of goneVersions, except for what is forgotten.
+	versionChanges int
+	path           path
 	// failedID is the id of the server that became unreachable last, at failedAt, and sweptAt the time at which all others were
 	// checked because of that.
 	failedID          string
@@ -219,6 +221,7 @@
 
 // rebuildIndex rebuilds the lists of serving servers and the index by hash. The caller holds mu.
 func (r *Registry) rebuildIndex() {
+	r.versionChanges++
 	pools := make(map[string][]*Server, len(r.pools))
 	r.byHash = make(map[int]*Server, len(r.servers))
 	for id, srv := range r.servers {
--- a/process/registry/version.go
+++ b/process/registry/version.go
@@ -37,9 +37,17 @@
 	gone := r.goneVersionsOf(pool)
 	if _, ok := gone[version]; !ok {
 		gone[version] = time.Now()
+		r.versionChanges++
 	}
 }
 
+// VersionChanges returns a number that grows with each change of the servers, and so whenever Versions has more than before.
+func (r *Registry) VersionChanges() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versionChanges
+}
+
 // Versions returns the software versions, in order, of a pool's servers and of those that were removed or restarted within
 // a time, at most MaxVersionMemory.
 func (r *Registry) Versions(pool string, within time.Duration) []string {
--- a/process/registry/version_test.go
+++ b/process/registry/version_test.go
@@ -57,7 +57,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &Registry{Log: zap.NewNop()}
 		r.Put(Entry{ID: "a", Address: "10.0.0.1:1", Pool: "p", Version: "v1", Slots: 4, StartedMs: 1})
+		before := r.VersionChanges()
 		r.AddVersion("p", "v1")
+		assert.Assert(t, r.VersionChanges() > before)
 		r.AddVersion("p", "v0")
 		assert.DeepEqual(t, r.Versions("p", time.Minute), []string{"v0", "v1"})
 		time.Sleep(time.Minute)
--- a/process/streamorigin/history.go
+++ b/process/streamorigin/history.go
@@ -33,10 +33,14 @@
 	// AddVersion records a version that another process observed.
 	Versions   func(pool string, within time.Duration) []string
 	AddVersion func(pool, version string)
+	// VersionChanges returns a number that changes whenever Versions has more than before; nil means that it always may.
+	VersionChanges func() int
 
 	mu sync.Mutex
 	// routes holds the routes whose streams may be taken up, also former ones, by scope.
 	routes map[string]*routeHistory
+	// routeChanges counts the changes of routes, except for what is forgotten.
+	routeChanges int
 	// watchedSince is the time since which this process knows the routes and the servers; zero before.
 	watchedSince time.Time
 	// complete is set once this process knows what left before its start.
@@ -73,6 +77,7 @@
 func (h *History) SetRoutes(routes []hostroute.Route) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.routeChanges++
 	now, leads := time.Now(), map[string]map[string]bool{}
 	for i := range routes {
 		r := &routes[i]
@@ -235,11 +240,23 @@
 	return record
 }
 
+// changes identifies the state of the history, apart from what is forgotten. isKnown is false if it can't be told.
+func (h *History) changes() (state [2]int, isKnown bool) {
+	if h.VersionChanges == nil {
+		return state, false
+	}
+	versions := h.VersionChanges()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return [2]int{versions, h.routeChanges}, true
+}
+
 // Merge takes over what another process recorded. What this process doesn't know counts as leaving now, since the other one
 // may have seen it until it ended.
 func (h *History) Merge(record wire.StreamOriginsRecord) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.routeChanges++
 	now := time.Now()
 	for pool, versions := range record.Pools {
 		for _, version := range versions {
--- a/process/streamorigin/history_test.go
+++ b/process/streamorigin/history_test.go
@@ -315,6 +315,32 @@
 	})
 }
 
+// The history is compared with the stored one once a second and at each change, not at each check.
+func TestHistoryIsComparedForChangesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var objects objectStore
+		store := objects.store()
+		h, s := newHistory("v1")
+		var lists, changes atomic.Int64
+		h.Versions = func(pool string, within time.Duration) []string {
+			lists.Add(1)
+			return s.list(pool, within)
+		}
+		h.VersionChanges = func() int { return int(changes.Load()) }
+		keep(t, h, store, 0, true)
+		time.Sleep(time.Second)
+		objects.calls()
+		lists.Store(0)
+		time.Sleep(time.Minute)
+		assert.Assert(t, lists.Load() <= 61, "compared %d times", lists.Load())
+		s.set("p", "v2", time.Time{})
+		changes.Add(1)
+		time.Sleep(2 * checkInterval)
+		_, writes := objects.calls()
+		assert.Equal(t, writes, 1)
+	})
+}
+
 // Without routes whose streams may be taken up, the store isn't called at all.
 func TestStoreIsNotCalledWithoutRoutes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/process/streamorigin/keeper.go
+++ b/process/streamorigin/keeper.go
@@ -27,6 +27,9 @@
 	maxRetryDelay = reloadDelay
 	// startJitter bounds the random delay of reads at the start or after a cut, so that all instances don't read at once.
 	startJitter = 250 * time.Millisecond
+	// compareInterval is the interval at which the history is compared with the stored one without a change, for what is
+	// forgotten and for another era of the store.
+	compareInterval = time.Second
 	// maxPause is the time between two checks of the keeper above which the process counts as having been frozen, besides
 	// the keeper's own calls. A version doesn't come, begin a stream and leave within it.
 	maxPause = time.Second
@@ -59,6 +62,9 @@
 	// stored is the newest known object and record in the store; the object's version is 0 if there is none.
 	stored       wire.Object
 	storedRecord wire.StreamOriginsRecord
+	// savedState and comparedAt are the state of the history that was last found to be stored, and the time of that.
+	savedState [2]int
+	comparedAt time.Time
 	// changedAt is the time at which the history was first seen to differ from the stored one; zero if it doesn't.
 	changedAt time.Time
 	// missed is set while this instance may lack changes, and checkedAt is the time of the last check of that.
@@ -171,9 +177,14 @@
 
 // save stores the history if it has changed.
 func (k *Keeper) save(ctx context.Context) {
-	record, now := k.History.Record(k.Store.CurrentEra()), time.Now()
+	now := time.Now()
+	state, isKnown := k.History.changes()
+	if isKnown && state == k.savedState && now.Sub(k.comparedAt) < compareInterval {
+		return
+	}
+	record := k.History.Record(k.Store.CurrentEra())
 	if sameRecord(record, k.storedRecord) {
-		k.changedAt = time.Time{}
+		k.changedAt, k.savedState, k.comparedAt = time.Time{}, state, now
 		return
 	}
 	if k.changedAt.IsZero() {
