--- a/process/streamorigin/history.go
+++ b/process/streamorigin/history.go
@@ -81,7 +81,7 @@
 	now, leads := time.Now(), map[string]map[string]bool{}
 	for i := range routes {
 		r := &routes[i]
-		if r.Kind != hostroute.Stream || !r.Resumable {
+		if r.Kind != hostroute.Stream {
 			continue
 		}
 		key := scope(r.Host, r.Prefix)
--- a/request/forward/resume_test.go
+++ b/request/forward/resume_test.go
@@ -145,18 +145,22 @@
 	assert.Equal(t, f.received.Load(), int32(0))
 }
 
-// A request with Last-Event-Id on a route without resumption is a new one.
-func TestNoStreamIsTakenUpWithoutResumption(t *testing.T) {
-	f := newFixture(t, eventStream(3, 4, true), eventStream(3, 4, true))
-	f.setVersions("v1", "v2")
-	var results []string
-	f.forwarder.ObserveTakeUp = func(result string) { results = append(results, result) }
-	req := f.resume(t, "other")
-	req.URL.Path = "/fixed/"
-	status, _, _ := f.do(t, req)
-	assert.Equal(t, status, http.StatusOK)
-	assert.Equal(t, f.received.Load(), int32(1))
-	assert.Equal(t, len(results), 0)
+// Servers go on after the event that a caller names also on a route without resumption, so that a request there is served only
+// if one version can have begun its stream.
+func TestTakeUpWithoutResumptionNeedsCertainty(t *testing.T) {
+	for _, newer := range []string{"v1", "v2"} {
+		f := newFixture(t, eventStream(3, 4, true), eventStream(3, 4, true))
+		f.setVersions("v1", newer)
+		req := f.resume(t, "other")
+		req.URL.Path = "/fixed/"
+		status, _, _ := f.do(t, req)
+		want, received := http.StatusOK, int32(1)
+		if newer != "v1" {
+			want, received = http.StatusServiceUnavailable, 0
+		}
+		assert.Equal(t, status, want, newer)
+		assert.Equal(t, f.received.Load(), received)
+	}
 }
 
 // While all servers of the version are unreachable, the caller is told to come back.
