placement: the lasting speed covered a number of reports, not a time

Reports are now kept by slots of 500 ms, the two lowest of each: a single one is outvoted as before, and two are enough for a server that got fast. At least four reports count however old they are.

The lasting work time changes only by a tenth or more, so that figures at the edge of a level don't change it each time.

TestManyReportsKeepLastingSpeed and TestWorkTimeOfLaterReport fail without this: 18 changes of level in a minute at 2 reports a second, a speed of 0.57 where 1.4 is right at 20; a work time of 197 where 8 is the bound. TestSpeed asserted that a server that got slow is known as slow after eight reports at one moment. That was the fault itself; it asserts now that this is known after four seconds, at 2 and at 50 reports a second.

--- a/request/placement/speed.go
+++ b/request/placement/speed.go
@@ -10,11 +10,16 @@
 const (
 	// stepTimeWeight is the weight of the newest step time in its moving average.
 	stepTimeWeight = 0.1
-	// recentReports is the number of reported work times from which the lasting one is taken. At two reports a second from
-	// all instances of a data centre they cover four seconds, longer than a machine is busy with something else.
-	recentReports = 8
-	// reportsToOutvote is the number of reports from which a single low one isn't believed.
+	// speedSlot is the length of a time slot of reported work times, and recentSlots the number of slots from which the
+	// lasting one is taken: four seconds, longer than a machine is busy with something else.
+	speedSlot   = 500 * time.Millisecond
+	recentSlots = 8
+	// reportsToOutvote is the number of reports from which a single low one isn't believed. So many are kept however old
+	// they are, for servers that report rarely.
 	reportsToOutvote = 4
+	// lastingBand is the ratio by which the lasting work time must change to count as changed. It is less than half a
+	// speedStep, so that figures that vary at the edge of a level don't change the level each time.
+	lastingBand = 1.1
 	// workTimeDecay is the time in which a reported work time loses two thirds of its weight: it changes many times a
 	// second.
 	workTimeDecay = 300 * time.Millisecond
@@ -41,12 +46,24 @@
 type Speed struct {
 	// stepMs is the moving average of the step times in milliseconds; 0 if unknown.
 	stepMs float64
-	// reports holds the newest reported work times, count of them, the last one in front. It came at reportedAt. lasting is
-	// the work time without what is momentary: the lowest of them, or the second lowest if there are enough to outvote one.
-	reports    [recentReports]float64
-	count      int
+	// slots holds the reports of the newest time slots that have any, count of them, the newest in front.
+	slots [recentSlots]reportSlot
+	count int
+	// newest is the newest reported work time, which came at reportedAt.
+	newest     float64
 	reportedAt time.Time
-	lasting    float64
+	// lasting is the work time without what is momentary: the lowest of the slots, or the second lowest if there are
+	// enough reports to outvote one, unless it is within lastingBand of what it was before.
+	lasting float64
+}
+
+// reportSlot holds the work times that a server reported in one time slot.
+type reportSlot struct {
+	// number is the time of the slot in units of speedSlot.
+	number int64
+	// lowest and second are the two lowest work times; second is infinite if there is only one.
+	lowest, second float64
+	reports        int
 }
 
 // ObserveStep records the duration of one step: the time between two events of a stream.
@@ -65,14 +82,49 @@
 	if !(workTime > 0) || math.IsInf(workTime, 0) || at.Before(s.reportedAt) {
 		return
 	}
-	copy(s.reports[1:], s.reports[:])
-	s.reports[0], s.reportedAt = workTime, at
-	s.count = min(s.count+1, recentReports)
-	recent := s.reports
-	slices.Sort(recent[:s.count])
-	if s.lasting = recent[0]; s.count >= reportsToOutvote {
-		s.lasting = recent[1]
+	s.newest, s.reportedAt = workTime, at
+	number := at.UnixNano() / int64(speedSlot)
+	if s.count == 0 || s.slots[0].number != number {
+		copy(s.slots[1:], s.slots[:])
+		s.slots[0] = reportSlot{number: number, lowest: math.Inf(1), second: math.Inf(1)}
+		s.count = min(s.count+1, recentSlots)
+	}
+	s.slots[0].add(workTime)
+	lasting := s.lowestWorkTime()
+	if s.lasting == 0 || max(lasting/s.lasting, s.lasting/lasting) > lastingBand {
+		s.lasting = lasting
+	}
+}
+
+func (r *reportSlot) add(workTime float64) {
+	r.reports++
+	switch {
+	case workTime < r.lowest:
+		r.lowest, r.second = workTime, r.lowest
+	case workTime < r.second:
+		r.second = workTime
+	}
+}
+
+// lowestWorkTime returns the lowest work time of the recent slots, or the second lowest if there are enough reports to
+// outvote one.
+func (s *Speed) lowestWorkTime() float64 {
+	all := reportSlot{lowest: math.Inf(1), second: math.Inf(1)}
+	for _, slot := range s.slots[:s.count] {
+		if all.reports >= reportsToOutvote && s.slots[0].number-slot.number >= recentSlots {
+			break
+		}
+		reports := all.reports + slot.reports
+		all.add(slot.lowest)
+		if slot.reports > 1 {
+			all.add(slot.second)
+		}
+		all.reports = reports
+	}
+	if all.reports >= reportsToOutvote {
+		return all.second
 	}
+	return all.lowest
 }
 
 // StepMs returns the mean step time in milliseconds; 0 if unknown.
@@ -95,11 +147,12 @@
 	if s.count == 0 {
 		return 0
 	}
-	if s.reports[0] == s.lasting {
+	if s.newest == s.lasting {
 		return 1
 	}
-	ratio := min(max(s.reports[0]/s.lasting, 1.0/maxWorkTime), maxWorkTime)
-	return 1 + (ratio-1)*math.Exp(-float64(now.Sub(s.reportedAt))/float64(workTimeDecay))
+	ratio := min(max(s.newest/s.lasting, 1.0/maxWorkTime), maxWorkTime)
+	age := max(now.Sub(s.reportedAt), 0)
+	return 1 + (ratio-1)*math.Exp(-float64(age)/float64(workTimeDecay))
 }
 
 // reportsWorkTime reports whether the server says how long work takes. Only then its speed counts in full; otherwise a
--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -31,15 +32,59 @@
 	s.ObserveWorkTime(0.01, now.Add(-time.Second))
 	s.ObserveWorkTime(0.01, now)
 	assert.Equal(t, s.Lasting(), 1/1.6)
-	// The server gets fast: two reports are enough. It gets slow: within recentReports of them.
+	// The server gets fast: two reports are enough. It gets slow: that is known four seconds later, at any rate of reports.
 	for range 2 {
 		s.ObserveWorkTime(0.6, now)
 	}
 	assert.Equal(t, s.Lasting(), 1/0.6)
-	for range recentReports {
-		s.ObserveWorkTime(1.6, now)
+	for _, interval := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond} {
+		slow := s
+		for at := time.Duration(0); at <= 4*time.Second; at += interval {
+			slow.ObserveWorkTime(1.6, now.Add(at))
+		}
+		assert.Equal(t, slow.Lasting(), 1/1.6)
 	}
-	assert.Equal(t, s.Lasting(), 1/1.6)
+}
+
+// A machine that is busy with something else for up to three seconds keeps its lasting speed and level, also if many
+// reports come in that time, and if they vary by 3% at the edge of a level.
+func TestManyReportsKeepLastingSpeed(t *testing.T) {
+	for _, perSecond := range []int{2, 20, 200} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 4))
+			var s Speed
+			interval, start := time.Second/time.Duration(perSecond), time.Unix(100, 0)
+			level, changes := 0.0, 0
+			for at := time.Duration(0); at < time.Minute; at += interval {
+				workTime := 1 / 1.4 * (0.97 + 0.06*rng.Float64())
+				if at%(6*time.Second) >= 3*time.Second {
+					workTime *= 2.5
+				}
+				s.ObserveWorkTime(workTime, start.Add(at))
+				if at < 2*time.Second {
+					level = SpeedLevel(s.Lasting())
+					continue
+				}
+				assert.Assert(t, s.Lasting() > 1.2 && s.Lasting() < 1.6, "%.2f after %v", s.Lasting(), at)
+				if newLevel := SpeedLevel(s.Lasting()); newLevel != level {
+					level, changes = newLevel, changes+1
+				}
+			}
+			assert.Equal(t, changes, 0)
+		})
+	}
+}
+
+// A report that came a little after the time of the choice counts as new.
+func TestWorkTimeOfLaterReport(t *testing.T) {
+	var s Speed
+	now := time.Unix(100, 0)
+	s.ObserveWorkTime(1, now)
+	s.ObserveWorkTime(0.5, now.Add(time.Second))
+	s.ObserveWorkTime(0.25, now.Add(time.Second))
+	s.ObserveWorkTime(4, now.Add(time.Second))
+	want := s.WorkTime(now.Add(time.Second))
+	assert.Equal(t, s.WorkTime(now), want)
 }
 
 // A server that reports three times its speed is judged by its steps.
