placement: a plain server that reported a false speed got 86% of the choices

Two servers are drawn in proportion to the square of their speed, and the less loaded of them is chosen, with its speed counted again. A weight bounded at 2 was ruled out by its sum: with 2 of 5 the server is in seven of ten pairs.

--- a/request/placement/placement.go
+++ b/request/placement/placement.go
@@ -353,9 +353,13 @@
 	return Choice{Index: chosen, Owner: -1, Cost: best}
 }
 
-// drawServer draws two servers by the hash of the request's id, in proportion to their slots and to the square of
-// their speed at this moment, since a request also stays longer on a slow one, and chooses the one with the lower load. This handles many instances that choose at the same moment by the same
-// outdated loads: each sees another pair, so that they don't all choose the server with the lowest load.
+// drawServer draws two servers by the hash of the request's id and chooses the one with the lower load. A server is drawn in
+// proportion to its slots and, if work takes longer there than usual, to the square of its speed at this moment, since a
+// request also stays longer there. A fast server is drawn no more often than a usual one, and gets more by its lower load:
+// so one that reports a false speed gets at most twice the usual work.
+//
+// This handles many instances that choose at the same moment by the same outdated loads: each sees another pair, so that
+// they don't all choose the server with the lowest load.
 func drawServer(id string, candidates []Candidate) Choice {
 	idHash := xxhash.Sum64String(id)
 	load := func(i int) float64 {
@@ -365,7 +369,8 @@
 	first, second, firstScore, secondScore := -1, -1, -1.0, -1.0
 	for i := range candidates {
 		c := &candidates[i]
-		weight := float64(max(c.Slots, 1)) / (c.slowness() * c.slowness()) / (1 + failureCost*c.FailureRate)
+		slowness := max(c.slowness(), 1)
+		weight := float64(max(c.Slots, 1)) / (slowness * slowness) / (1 + failureCost*c.FailureRate)
 		switch score := weightedScore(rendezvousHash(idHash, c.Name), weight); {
 		case score > firstScore:
 			first, second, firstScore, secondScore = i, first, score, firstScore
--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -110,6 +111,40 @@
 	}
 }
 
+// Of four equal plain servers the one that reports twice its speed gets at most twice the usual part of the choices, within
+// three standard deviations of so many draws.
+func TestFalseSpeedOfPlainServer(t *testing.T) {
+	list := make([]Candidate, 4)
+	for i := range list {
+		list[i] = Candidate{Name: fmt.Sprint("s", i), Slots: 6, Running: 3, Speed: 1, WorkTime: 1}
+	}
+	list[2].Speed = maxSpeed
+	const choices = 10000
+	chosen := 0
+	for id := range choices {
+		if ChooseServer(fmt.Sprint(id), list).Index == 2 {
+			chosen++
+		}
+	}
+	t.Logf("%d of %d choices", chosen, choices)
+	assert.Assert(t, float64(chosen) <= choices*2/4+3*math.Sqrt(choices)/2)
+}
+
+// Plain servers of three speeds that report them have shorter waits than if no report were read.
+func TestPlainServersOfThreeSpeeds(t *testing.T) {
+	fleets := [2]*fleet{}
+	for i := range fleets {
+		fleets[i] = newFleet(11, 78, 6, 6, false)
+		fleets[i].ignoresReports = i == 0
+		for j, s := range fleets[i].servers {
+			s.speed = []float64{0.6, 1, 1.6}[j%3]
+		}
+		fleets[i].run(12, 700, chooseServer)
+	}
+	logFleets(t, fleets[0], fleets[1])
+	assert.Assert(t, fleets[1].waitTail() <= fleets[0].waitTail())
+}
+
 // referenceEngine is the choice of builds that know no speeds.
 func referenceEngine(p *Prompt, list []Candidate) int {
 	wait := func(c *Candidate) float64 {
