--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -412,14 +412,18 @@
 func (srv *Server) State(now time.Time) State {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
-	s := State{OwnRunning: srv.running, Running: srv.running, Slots: srv.slots(), PendingPrefill: srv.pendingPrefill, Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.speed.StepMs(), Speed: srv.speed.Lasting(), WorkTime: srv.speed.WorkTime(now), LoadAge: -1, Suspect: srv.suspect, Limit: srv.limit.rate}
+	s := State{
+		OwnRunning: srv.running, Running: srv.running, Slots: srv.slots(), PendingPrefill: srv.pendingPrefill,
+		Position: srv.position, FailureRate: srv.failureRateAt(now), StepMs: srv.speed.StepMs(), Speed: srv.speed.Lasting(),
+		WorkTime: srv.speed.WorkTime(now), LoadAge: -1, Suspect: srv.suspect, Limit: srv.limit.rate,
+	}
 	if srv.brittle.isStated(now) {
 		s.Brittle = srv.brittle.rejections
 	}
 	if at := srv.speed.ReportedAt(); at.After(srv.reportedAt) {
-		s.LoadAge = now.Sub(at)
+		s.LoadAge = max(now.Sub(at), 0)
 	} else if !srv.reportedAt.IsZero() {
-		s.LoadAge = now.Sub(srv.reportedAt)
+		s.LoadAge = max(now.Sub(srv.reportedAt), 0)
 	}
 	runningOthers := 0
 	for _, l := range srv.remoteLoads {
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -199,10 +199,9 @@
 }
 
 // admit returns the choice if its expected wait is within the limit, which is lower for what a workspace asks for beyond
-// its part. If not, admit chooses a server of the group for
-// delay-tolerant requests, where the request goes ahead of less urgent ones. If the wait is too long there too, the
-// first event would come too late, and admit returns an overload error. A request that was already sent to a server is
-// not checked again.
+// its part. If not, admit chooses a server of the group for delay-tolerant requests, where the request goes ahead of less
+// urgent ones. If the wait is too long there too, the first event would come too late, and admit returns an overload
+// error. A request that was already sent to a server is not checked again.
 func (c *call) admit(choice placement.Choice, candidates []placement.Candidate) (placement.Choice, error) {
 	limit, rate := c.config.WaitLimit(c.route, c.pool.Name, c.rank), c.f.PrefillRate(c.pool.Name).TokensPerMs()
 	lessUrgentLimit := c.config.LessUrgentWaitLimit(c.pool.Name, c.rank)
@@ -309,7 +308,8 @@
 	for i, m := range servers {
 		state, entry := m.State(now), m.Entry()
 		list[i] = placement.Candidate{
-			Name: entry.ID, Running: state.Running, Slots: state.Slots, PendingPrefill: state.PendingPrefill, FailureRate: state.FailureRate, Speed: state.Speed, WorkTime: state.WorkTime, LoadAge: state.LoadAge,
+			Name: entry.ID, Running: state.Running, Slots: state.Slots, PendingPrefill: state.PendingPrefill,
+			FailureRate: state.FailureRate, Speed: state.Speed, WorkTime: state.WorkTime, LoadAge: state.LoadAge,
 			SameDataCentre: entry.DataCentre == f.DataCentre, DelayTolerant: state.Position < share,
 		}
 		lowestFailureRate, stepTimes[i] = min(lowestFailureRate, state.FailureRate), state.StepMs
