--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -78,12 +78,7 @@
 
 // poolLoads returns the loads of the pools, sorted by name.
 func (g *Gateway) poolLoads() []metrics.PoolLoad {
-	byPool := map[string][]registry.State{}
-	now := time.Now()
-	for _, server := range g.registry.Servers() {
-		pool := server.Entry().Pool
-		byPool[pool] = append(byPool[pool], server.State(now))
-	}
+	byPool := servingStates(g.registry, time.Now())
 	list := make([]metrics.PoolLoad, 0, len(byPool))
 	for _, pool := range slices.Sorted(maps.Keys(byPool)) {
 		list = append(list, poolLoad(pool, byPool[pool]))
@@ -91,6 +86,21 @@
 	return list
 }
 
+// servingStates returns the states of all servers by pool, except those that get no requests because they are draining or
+// their data centre is evacuated: they would count as idle.
+func servingStates(r *registry.Registry, now time.Time) map[string][]registry.State {
+	byPool := map[string][]registry.State{}
+	for _, server := range r.Servers() {
+		byPool[server.Entry().Pool] = nil
+	}
+	for pool := range byPool {
+		for _, server := range r.Serving(pool) {
+			byPool[pool] = append(byPool[pool], server.State(now))
+		}
+	}
+	return byPool
+}
+
 // poolLoad returns the load of a pool by the states of its servers. A pool without requests counts as even.
 func poolLoad(pool string, states []registry.State) metrics.PoolLoad {
 	load := metrics.PoolLoad{Pool: pool, Spread: 1, ReportAge: -1}
