--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -77,7 +77,7 @@
 		{nameVersionsAge, "gauge", "seconds", nil, "Time since the versions in force were confirmed to be the newest; -1 if they never were."},
 		{nameLeaseHeld, "gauge", "0 or 1", []string{"job"}, "1 if this instance holds the lease of its data centre for the job."},
 		{nameLeaseFence, "gauge", "number", []string{"job"}, "Newest fencing token of the lease that this instance has seen."},
-		{nameLoadSpread, "gauge", "ratio", []string{"pool"}, "Highest load of a backend server over the mean of its pool, per slot and with the servers' speeds counted, as this instance knows them; 1 is even. Forwarding instances only."},
+		{nameLoadSpread, "gauge", "ratio", []string{"pool"}, "Highest load of a backend server over the mean of its pool, per slot and with the servers' speeds counted, as this instance knows them; 1 is even. Servers that are draining or evacuated don't count. Forwarding instances only."},
 		{nameReportAge, "gauge", "seconds", []string{"pool"}, "Mean time since the backend servers of the pool last reported their load to this instance, or to another of its data centre with how long work takes; -1 if none did. Forwarding instances only."},
 		{"toucanroute_log_lines_left_out_total", "counter", "lines", nil, "Log lines of a forwarding instance that were dropped because the reader of its output was too slow."},
 		{"toucanroute_platform_calls_total", "counter", "calls", []string{"call", "result"}, "Calls to the platform. `call` is the kind, such as `object_get`; `result` is the HTTP status, or `error` if there was no response."},
