--- a/request/placement/speed_test.go
+++ b/request/placement/speed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -31,15 +33,59 @@
 	s.ObserveWorkTime(0.01, now.Add(-time.Second))
 	s.ObserveWorkTime(0.01, now)
 	assert.Equal(t, s.Lasting(), 1/1.6)
-	// The server gets fast: two reports are enough. It gets slow: within recentReports of them.
+	// The server gets fast: two reports are enough. It gets slow: that is known four seconds later, at any rate of reports.
 	for range 2 {
 		s.ObserveWorkTime(0.6, now)
 	}
 	assert.Equal(t, s.Lasting(), 1/0.6)
-	for range recentReports {
-		s.ObserveWorkTime(1.6, now)
+	for _, interval := range []time.Duration{20 * time.Millisecond, 500 * time.Millisecond} {
+		slow := s
+		for at := time.Duration(0); at <= 4*time.Second; at += interval {
+			slow.ObserveWorkTime(1.6, now.Add(at))
+		}
+		assert.Equal(t, slow.Lasting(), 1/1.6)
 	}
-	assert.Equal(t, s.Lasting(), 1/1.6)
+}
+
+// A machine that is busy with something else for up to three seconds keeps its lasting speed and level, also if many
+// reports come in that time, and if they vary by 3% at the edge of a level.
+func TestManyReportsKeepLastingSpeed(t *testing.T) {
+	for _, perSecond := range []int{2, 20, 200} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 4))
+			var s Speed
+			interval, start := time.Second/time.Duration(perSecond), time.Unix(100, 0)
+			level, changes := 0.0, 0
+			for at := time.Duration(0); at < time.Minute; at += interval {
+				workTime := 1 / 1.4 * (0.97 + 0.06*rng.Float64())
+				if at%(6*time.Second) >= 3*time.Second {
+					workTime *= 2.5
+				}
+				s.ObserveWorkTime(workTime, start.Add(at))
+				if at < 2*time.Second {
+					level = SpeedLevel(s.Lasting())
+					continue
+				}
+				assert.Assert(t, s.Lasting() > 1.2 && s.Lasting() < 1.6, "%.2f after %v", s.Lasting(), at)
+				if newLevel := SpeedLevel(s.Lasting()); newLevel != level {
+					level, changes = newLevel, changes+1
+				}
+			}
+			assert.Equal(t, changes, 0)
+		})
+	}
+}
+
+// A report that came a little after the time of the choice counts as new.
+func TestWorkTimeOfLaterReport(t *testing.T) {
+	var s Speed
+	now := time.Unix(100, 0)
+	s.ObserveWorkTime(1, now)
+	s.ObserveWorkTime(0.5, now.Add(time.Second))
+	s.ObserveWorkTime(0.25, now.Add(time.Second))
+	s.ObserveWorkTime(4, now.Add(time.Second))
+	want := s.WorkTime(now.Add(time.Second))
+	assert.Equal(t, s.WorkTime(now), want)
 }
 
 // A server that reports three times its speed is judged by its steps.
@@ -65,6 +111,40 @@
 	}
 }
 
+// Of four equal plain servers the one that reports twice its speed gets at most twice the usual part of the choices, within
+// three standard deviations of so many draws.
+func TestFalseSpeedOfPlainServer(t *testing.T) {
+	list := make([]Candidate, 4)
+	for i := range list {
+		list[i] = Candidate{Name: fmt.Sprint("s", i), Slots: 6, Running: 3, Speed: 1, WorkTime: 1}
+	}
+	list[2].Speed = maxSpeed
+	const choices = 10000
+	chosen := 0
+	for id := range choices {
+		if ChooseServer(fmt.Sprint(id), list).Index == 2 {
+			chosen++
+		}
+	}
+	t.Logf("%d of %d choices", chosen, choices)
+	assert.Assert(t, float64(chosen) <= choices*2/4+3*math.Sqrt(choices)/2)
+}
+
+// Plain servers of three speeds that report them have shorter waits than if no report were read.
+func TestPlainServersOfThreeSpeeds(t *testing.T) {
+	fleets := [2]*fleet{}
+	for i := range fleets {
+		fleets[i] = newFleet(11, 78, 6, 6, false)
+		fleets[i].ignoresReports = i == 0
+		for j, s := range fleets[i].servers {
+			s.speed = []float64{0.6, 1, 1.6}[j%3]
+		}
+		fleets[i].run(12, 700, chooseServer)
+	}
+	logFleets(t, fleets[0], fleets[1])
+	assert.Assert(t, fleets[1].waitTail() <= fleets[0].waitTail())
+}
+
 // referenceEngine is the choice of builds that know no speeds.
 func referenceEngine(p *Prompt, list []Candidate) int {
 	wait := func(c *Candidate) float64 {
@@ -133,12 +213,15 @@
 }
 
 // waitTail returns the 99th percentile of the waits after the first quarter of the requests.
-func (f *fleet) waitTail() time.Duration {
-	mean, ratio := meanAndTail(f.waits)
+func (f *fleet) waitTail() time.Duration { return waitTail(f.waits) }
+
+func waitTail(waits []time.Duration) time.Duration {
+	mean, ratio := meanAndTail(waits)
 	return time.Duration(float64(mean) * ratio)
 }
 
-// Whatever a server reports, the 99th percentile of the waits is no longer than if no report were read.
+// Whatever a server of any speed reports, the 99th percentile of the waits is no longer than if no report were read, and the
+// server gets at most twice the requests of the mean server.
 func TestFalseReports(t *testing.T) {
 	reports := map[string]func(now time.Duration, workTime float64) float64{
 		"lies":         func(time.Duration, float64) float64 { return 0.1 },
@@ -147,15 +230,22 @@
 		"jumps":        func(now time.Duration, _ float64) float64 { return []float64{0.1, 10, 1}[now/loadTick%3] },
 	}
 	for name, report := range reports {
-		t.Run(name, func(t *testing.T) {
-			before, now := newFleet(5, 78, 60, 64, true), newFleet(5, 78, 60, 64, true)
-			before.ignoresReports = true
-			now.servers[2].report = report
-			before.run(6, 700, chooseEngine)
-			now.run(6, 700, chooseEngine)
-			logFleets(t, before, now)
-			assert.Assert(t, now.waitTail() <= before.waitTail())
-		})
+		for _, server := range []int{0, 1, 2} {
+			t.Run(fmt.Sprint(name, "/", server), func(t *testing.T) {
+				before, now, honest := newFleet(5, 78, 60, 64, true), newFleet(5, 78, 60, 64, true), newFleet(5, 78, 60, 64, true)
+				before.ignoresReports = true
+				now.servers[server].report = report
+				before.run(6, 700, chooseEngine)
+				now.run(6, 700, chooseEngine)
+				honest.run(6, 700, chooseEngine)
+				logFleets(t, before, now)
+				there := [3][]time.Duration{now.servers[server].waits, honest.servers[server].waits, before.servers[server].waits}
+				t.Logf("99th percentile of waits %v, if honest %v, if not read %v; of %d, %d and %d requests there %v, %v, %v", now.waitTail(), honest.waitTail(), before.waitTail(),
+					len(there[0]), len(there[1]), len(there[2]), waitTail(there[0]), waitTail(there[1]), waitTail(there[2]))
+				assert.Check(t, now.waitTail() <= before.waitTail())
+				assert.Check(t, len(there[0]) <= 2*len(now.waits)/len(now.servers))
+			})
+		}
 	}
 }
 
@@ -202,7 +292,8 @@
 	assert.Assert(t, now.waitTail() <= before.waitTail())
 }
 
-// A server that was five times slower than the others for four seconds gets its part of the work again within a second.
+// A server that was five times slower than the others for four seconds gets work again within a second, and at least half
+// of the mean in the two seconds after that.
 func TestServerGetsFastAgain(t *testing.T) {
 	f := newFleet(9, 78, 60, 64, true)
 	for _, s := range f.servers {
@@ -211,7 +302,10 @@
 	f.servers[0].speed = 0.2
 	f.run(4, 700, chooseEngine)
 	f.servers[0].speed = 1
+	sent := len(f.servers[0].waits)
 	f.run(1, 700, chooseEngine)
+	t.Logf("%d requests in the first second", len(f.servers[0].waits)-sent)
+	assert.Assert(t, len(f.servers[0].waits) > sent)
 	f.run(2, 700, chooseEngine)
 	mean := 0.0
 	for _, s := range f.servers {
