--- a/cmd/toucanctl/operator/evacuations.go
+++ b/cmd/toucanctl/operator/evacuations.go
@@ -35,6 +35,8 @@
 	Name string `json:"data_centre"`
 	// Servers is the number of its backend servers that aren't draining.
 	Servers int `json:"servers"`
+	// Pools holds the names of the pools of these servers, in order.
+	Pools []string `json:"pools,omitempty"`
 	// Evacuated is set if it has an evacuation, which Record describes.
 	Evacuated bool             `json:"evacuated"`
 	Record    EvacuationRecord `json:"record"`
@@ -54,6 +56,21 @@
 	return fmt.Sprintf("%s is the last data centre with backend servers; evacuated: %s", e.Name, strings.Join(e.Evacuated, ", "))
 }
 
+// ErrLastServers reports that pools would have no backend servers left.
+type ErrLastServers struct {
+	// Name is the data centre that was to be evacuated, Evacuated holds those that are already, and Pools the pools.
+	Name             string
+	Evacuated, Pools []string
+}
+
+func (e ErrLastServers) Error() string {
+	text := fmt.Sprintf("%s has the last backend servers of %s", e.Name, strings.Join(e.Pools, ", "))
+	if len(e.Evacuated) > 0 {
+		text += "; evacuated: " + strings.Join(e.Evacuated, ", ")
+	}
+	return text
+}
+
 // List returns the data centres that have backend servers or an evacuation, in order.
 func (e *Evacuations) List(ctx context.Context) ([]DataCentre, error) {
 	servers, err := e.list(ctx, e.ServerKind)
@@ -74,7 +91,11 @@
 	for _, o := range servers {
 		// An entry that can't be read describes no server that could be used.
 		if entry, err := e.ParseServerEntry(o); err == nil && !entry.Draining {
-			get(entry.DataCentre).Servers++
+			dc := get(entry.DataCentre)
+			dc.Servers++
+			if !slices.Contains(dc.Pools, entry.Pool) {
+				dc.Pools = append(dc.Pools, entry.Pool)
+			}
 		}
 	}
 	for _, o := range evacuations {
@@ -85,6 +106,7 @@
 	}
 	list := make([]DataCentre, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		slices.Sort(byName[name].Pools)
 		list = append(list, *byName[name])
 	}
 	return list, nil
@@ -102,7 +124,8 @@
 }
 
 // Begin evacuates a data centre. An evacuation that exists isn't changed. Begin returns an ErrUnknown if the data centre has
-// no backend servers, and an ErrLastDataCentre if no other one would be left.
+// no backend servers, an ErrLastDataCentre if no other one would be left, and an ErrLastServers if a pool would lose its last
+// servers.
 func (e *Evacuations) Begin(ctx context.Context, name string) error {
 	list, err := e.List(ctx)
 	if err != nil {
@@ -126,17 +149,19 @@
 
 // mayEvacuate reports why a data centre can't be evacuated.
 func mayEvacuate(list []DataCentre, name string) error {
-	var known, left, evacuated []string
+	var known, left, evacuated, pools, poolsLeft []string
 	for _, dc := range list {
 		if dc.Servers > 0 {
 			known = append(known, dc.Name)
 		}
 		switch {
 		case dc.Name == name:
+			pools = dc.Pools
 		case dc.Evacuated:
 			evacuated = append(evacuated, dc.Name)
 		case dc.Servers > 0:
 			left = append(left, dc.Name)
+			poolsLeft = append(poolsLeft, dc.Pools...)
 		}
 	}
 	if !slices.Contains(known, name) {
@@ -145,6 +170,10 @@
 	if len(left) == 0 {
 		return ErrLastDataCentre{Name: name, Evacuated: evacuated}
 	}
+	lost := slices.DeleteFunc(slices.Clone(pools), func(pool string) bool { return slices.Contains(poolsLeft, pool) })
+	if len(lost) > 0 {
+		return ErrLastServers{Name: name, Evacuated: evacuated, Pools: lost}
+	}
 	return nil
 }
 
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -328,7 +329,7 @@
 			srv.coldLimit, srv.rank = f.Cold, f.Rank
 		}
 		time.Sleep(maxColdTime)
-		isMute := false
+		var isMute atomic.Bool
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
@@ -338,7 +339,7 @@
 			for ; ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
 				for _, srv := range f.Servers() {
 					srv.mu.Lock()
-					if !isMute || srv.entry.ID != "a0" {
+					if !isMute.Load() || srv.entry.ID != "a0" {
 						srv.markHeardElsewhere(time.Now())
 					}
 					srv.mu.Unlock()
@@ -347,9 +348,7 @@
 		}()
 		f.wait(2)
 		assert.Assert(t, f.IsUnreachable("p"))
-		f.servers["a0"].mu.Lock()
-		isMute = true
-		f.servers["a0"].mu.Unlock()
+		isMute.Store(true)
 		time.Sleep(10 * time.Second)
 		f.carries.Store(true)
 		time.Sleep(maxAskDelay + time.Second)
