registry, toucanctl: name the pools that an evacuation shuts

Cause: a pool that lives in one data centre was shut without a word by its evacuation; toucanctl counts the servers of all pools.

Ruled out: to refuse the command, as an operator must be able to empty a data centre whatever lives there; to count only data centres with servers in the instances' guard, since the loss of the last server elsewhere would then undo an evacuation.

--- a/cmd/toucanctl/operator/evacuations.go
+++ b/cmd/toucanctl/operator/evacuations.go
@@ -56,21 +56,6 @@
 	return fmt.Sprintf("%s is the last data centre with backend servers; evacuated: %s", e.Name, strings.Join(e.Evacuated, ", "))
 }
 
-// ErrLastServers reports that pools would have no backend servers left.
-type ErrLastServers struct {
-	// Name is the data centre that was to be evacuated, Evacuated holds those that are already, and Pools the pools.
-	Name             string
-	Evacuated, Pools []string
-}
-
-func (e ErrLastServers) Error() string {
-	text := fmt.Sprintf("%s has the last backend servers of %s", e.Name, strings.Join(e.Pools, ", "))
-	if len(e.Evacuated) > 0 {
-		text += "; evacuated: " + strings.Join(e.Evacuated, ", ")
-	}
-	return text
-}
-
 // List returns the data centres that have backend servers or an evacuation, in order.
 func (e *Evacuations) List(ctx context.Context) ([]DataCentre, error) {
 	servers, err := e.list(ctx, e.ServerKind)
@@ -124,8 +109,8 @@
 }
 
 // Begin evacuates a data centre. An evacuation that exists isn't changed. Begin returns an ErrUnknown if the data centre has
-// no backend servers, an ErrLastDataCentre if no other one would be left, and an ErrLastServers if a pool would lose its last
-// servers.
+// no backend servers, and an ErrLastDataCentre if no other one would be left. The pools that lose
+// their last servers are logged.
 func (e *Evacuations) Begin(ctx context.Context, name string) error {
 	list, err := e.List(ctx)
 	if err != nil {
@@ -143,25 +128,27 @@
 	if err != nil {
 		return fmt.Errorf("the evacuation of %s may or may not have begun: %w", name, err)
 	}
-	e.log("evacuation_begin", zap.String("data_centre", name), zap.Int("version", o.Version))
+	fields := []zap.Field{zap.String("data_centre", name), zap.Int("version", o.Version)}
+	if pools := poolsShut(list, name); len(pools) > 0 {
+		fields = append(fields, zap.Strings("pools_shut", pools))
+	}
+	e.log("evacuation_begin", fields...)
 	return nil
 }
 
 // mayEvacuate reports why a data centre can't be evacuated.
 func mayEvacuate(list []DataCentre, name string) error {
-	var known, left, evacuated, pools, poolsLeft []string
+	var known, left, evacuated []string
 	for _, dc := range list {
 		if dc.Servers > 0 {
 			known = append(known, dc.Name)
 		}
 		switch {
 		case dc.Name == name:
-			pools = dc.Pools
 		case dc.Evacuated:
 			evacuated = append(evacuated, dc.Name)
 		case dc.Servers > 0:
 			left = append(left, dc.Name)
-			poolsLeft = append(poolsLeft, dc.Pools...)
 		}
 	}
 	if !slices.Contains(known, name) {
@@ -170,13 +157,24 @@
 	if len(left) == 0 {
 		return ErrLastDataCentre{Name: name, Evacuated: evacuated}
 	}
-	lost := slices.DeleteFunc(slices.Clone(pools), func(pool string) bool { return slices.Contains(poolsLeft, pool) })
-	if len(lost) > 0 {
-		return ErrLastServers{Name: name, Evacuated: evacuated, Pools: lost}
-	}
 	return nil
 }
 
+// poolsShut returns the names of the pools whose last backend servers that aren't in evacuated data centres are in the named
+// one.
+func poolsShut(list []DataCentre, name string) []string {
+	var here, left []string
+	for _, dc := range list {
+		switch {
+		case dc.Name == name:
+			here = dc.Pools
+		case !dc.Evacuated:
+			left = append(left, dc.Pools...)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(here), func(pool string) bool { return slices.Contains(left, pool) })
+}
+
 // End ends the evacuation of a data centre. It returns an ErrUnknown if there is none.
 func (e *Evacuations) End(ctx context.Context, name string) error {
 	ended := false
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -527,3 +527,14 @@
 		}
 	}
 }
+
+// A pool all of whose servers are evacuated is named.
+func TestEvacuatedPoolIsNamed(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	r := &Registry{Log: zap.New(core)}
+	r.Reset([]Entry{{ID: "a", Pool: "p", DataCentre: "one"}, {ID: "b", Pool: "q", DataCentre: "one"}, {ID: "c", Pool: "q", DataCentre: "two"}}, false)
+	r.SetEvacuated(map[string]bool{"one": true})
+	fields := logs.FilterMessage("servers_evacuated").All()[0].ContextMap()
+	assert.DeepEqual(t, fields["pools_shut"], []any{"p"})
+	assert.Assert(t, r.IsEvacuated("p") && !r.IsEvacuated("q") && !r.IsEvacuated("none"))
+}
--- a/process/registry/evacuation.go
+++ b/process/registry/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"go.uber.org/zap"
 )
@@ -23,7 +24,30 @@
 		srv.mu.Unlock()
 	}
 	r.rebuildIndex()
-	r.Log.Info("servers_evacuated", zap.Int("data_centres", len(dataCentres)), zap.Int("returned", returned))
+	fields := []zap.Field{zap.Int("data_centres", len(dataCentres)), zap.Int("returned", returned)}
+	if pools := r.poolsShut(); len(pools) > 0 {
+		fields = append(fields, zap.Strings("pools_shut", pools))
+	}
+	r.Log.Info("servers_evacuated", fields...)
+}
+
+// poolsShut returns the names of the pools all of whose servers that aren't draining are in evacuated data centres, in order.
+// The caller holds mu.
+func (r *Registry) poolsShut() []string {
+	shut := map[string]bool{}
+	for _, srv := range r.servers {
+		if e := srv.Entry(); !e.Draining && len(r.pools[e.Pool]) == 0 {
+			shut[e.Pool] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(shut))
+}
+
+// IsEvacuated reports whether a pool has servers that aren't draining, and all of these are in evacuated data centres.
+func (r *Registry) IsEvacuated(pool string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.evacuated) > 0 && slices.Contains(r.poolsShut(), pool)
 }
 
 // Available returns the servers of a pool that aren't draining, also those of evacuated data centres.
