forward: callers of a shut pool aren't told to come back at once; no home without a name

Cause: where evacuations or homes leave no server, the refusal said Retry-After 50 ms, as another instance could probably serve; none can. A home without a name was taken for the region of each data centre without one.

Change: 5 s for these; empty names match no region.

--- a/request/forward/cold_test.go
+++ b/request/forward/cold_test.go
@@ -92,10 +92,17 @@
 		}
 	}
 	route.Homes = []string{"nowhere"}
-	status, _, _ := f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
+	status, _, h := f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
 	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assertLongRetryAfter(t, h)
 
 	route.Homes = nil
+	reg.SetEvacuated(map[string]bool{"n": true, "s": true})
+	status, _, h = f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assertLongRetryAfter(t, h)
+	reg.SetEvacuated(nil)
+
 	relayed := f.relayServer(t)
 	for _, evacuated := range []string{"n", "s"} {
 		req := f.request(t, http.MethodPost, "/once/x", "b")
@@ -107,6 +114,14 @@
 	}
 }
 
+// assertLongRetryAfter checks that a caller isn't told to come back at once, as if another instance could serve it.
+func assertLongRetryAfter(t *testing.T, h http.Header) {
+	t.Helper()
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 1, "%v s", seconds)
+}
+
 // A request with homes is relayed to no instance elsewhere; a relayed one tells which data centres are evacuated.
 func TestRelayStaysAtHome(t *testing.T) {
 	told := ""
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -23,6 +23,9 @@
 	// retryAfterNoServer is the Retry-After value when another instance or server can probably serve the request at
 	// once.
 	retryAfterNoServer = 50 * time.Millisecond
+	// retryAfterEvacuated is the Retry-After value when no instance can serve the request until an operator ends an
+	// evacuation, or changes homes. Callers that repeat it soon only cost work.
+	retryAfterEvacuated = 5 * time.Second
 	// retryAfterStart is the Retry-After value of an instance that has no configuration yet: the usual time of one list
 	// call to the store.
 	retryAfterStart = 200 * time.Millisecond
@@ -108,7 +111,14 @@
 		opensAt, ok = time.Now().Add(retryAfterFull), true
 	}
 	var response request.ErrResponse
-	if !ok || !errors.As(err, &response) || !response.NotRun {
+	if !errors.As(err, &response) || !response.NotRun {
+		return err
+	}
+	if !ok && c.isShut() {
+		response.Message, response.RetryAfter = "no backend server may take the request", retryAfterEvacuated
+		return response
+	}
+	if !ok {
 		return err
 	}
 	wait := time.Until(opensAt)
@@ -117,6 +127,16 @@
 	return response
 }
 
+// isShut reports whether operators keep the request from all servers of the pool: by evacuations, or by homes in which
+// no server serves.
+func (c *call) isShut() bool {
+	if c.f.Registry.IsEvacuated(c.pool.Name) {
+		return true
+	}
+	serving := c.f.Registry.Serving(c.pool.Name)
+	return c.dataCentres != nil && len(serving) > 0 && !slices.ContainsFunc(serving, func(srv *registry.Server) bool { return c.dataCentres[srv.Entry().DataCentre] })
+}
+
 // contextError returns the error of a request whose context was cancelled with the cause.
 func (c *call) contextError(cause error) error {
 	if !errors.Is(cause, errTimeout) {
--- a/request/forward/homes.go
+++ b/request/forward/homes.go
@@ -24,7 +24,7 @@
 		}
 		here := map[string]bool{}
 		for dc, region := range regions {
-			if (admitted == nil || admitted[dc]) && (slices.Contains(names, dc) || slices.Contains(names, region)) {
+			if (admitted == nil || admitted[dc]) && (slices.Contains(names, dc) || region != "" && slices.Contains(names, region)) {
 				here[dc] = true
 			}
 		}
--- a/request/forward/homes_test.go
+++ b/request/forward/homes_test.go
@@ -21,6 +21,8 @@
 		{[]string{"north"}, []string{"south"}, map[string]bool{}},
 		{[]string{"nowhere"}, nil, map[string]bool{}},
 		{[]string{"c1"}, nil, map[string]bool{"c1": true}},
+		{[]string{""}, nil, map[string]bool{}},
+		{[]string{"", "south"}, nil, map[string]bool{"b1": true}},
 	} {
 		assert.DeepEqual(t, HomeDataCentres(regions, tt.route, tt.workspace), tt.want)
 	}
