registry: ask and test no servers of evacuated data centres; evacuations follow new settings

Cause: the test of a broken path and the check after two failures reached evacuated servers too. A reload that changed the data centres left the evacuations in force as they were.

Change: both skip them; those that count as unreachable for the path are tried after the evacuation. The table is found anew at a reload.

--- a/process/evacuation/evacuation.go
+++ b/process/evacuation/evacuation.go
@@ -86,6 +86,15 @@
 	t.update()
 }
 
+// Refresh finds the evacuations that are in force again, after the data centres of the deployment have changed.
+func (t *Table) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.versions != nil {
+		t.update()
+	}
+}
+
 // InForce returns the data centres whose evacuations are in force, in order.
 func (t *Table) InForce() []string {
 	t.mu.Lock()
--- a/process/evacuation/evacuation_test.go
+++ b/process/evacuation/evacuation_test.go
@@ -77,3 +77,15 @@
 		assert.Assert(t, slices.Contains(table.InForce(), "a"), "it was begun again")
 	})
 }
+
+// Settings that are read anew may name other data centres.
+func TestDataCentresChange(t *testing.T) {
+	known := []string{"a", "b"}
+	table := &Table{DataCentres: func() []string { return known }, OnChange: func(map[string]bool) {}, Log: zap.NewNop()}
+	table.Refresh()
+	table.Replace(map[string]int{"c": 5}, false)
+	assert.Equal(t, len(table.InForce()), 0)
+	known = []string{"a", "b", "c"}
+	table.Refresh()
+	assert.DeepEqual(t, table.InForce(), []string{"c"})
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -210,6 +210,7 @@
 		return
 	}
 	g.currentSettings.Store(newSettings.Forwarding)
+	g.evacuations.Refresh()
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(newSettings.Forwarding.MemoryMb) * (1 << 20)))
 }
 
--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -15,7 +15,8 @@
 const (
 	// coldFrame is the length of a frame for cold servers. Requests that arrive up to two frames late, by clocks that differ
 	// or on new connections, then leave a second with at most one and three quarters of the number, and the parts of the
-	// whole numbers of the frames.
+	// whole numbers of the frames. Above 20 requests a second that can exceed one and a half times the number and 5 more, if
+	// the shares of late instances lie on the worst frames.
 	coldFrame = 250 * time.Millisecond
 	// minColdRate and maxColdRate bound the number of requests a second that is kept. A server that stands none gets one now
 	// and then, which any server stands; a higher number is beyond what all instances send.
--- a/process/registry/evacuation.go
+++ b/process/registry/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -19,6 +20,15 @@
 		srv.mu.Lock()
 		if dc := srv.entry.DataCentre; previous[dc] && !dataCentres[dc] {
 			srv.presumeCold("evacuation")
+			if srv.unanswered && !r.path.broken {
+				// It wasn't asked when the path was repaired.
+				srv.unanswered = false
+				if srv.probe != nil {
+					time.AfterFunc(0, srv.retryProbe)
+				} else {
+					srv.clearSuspect()
+				}
+			}
 			returned++
 		}
 		srv.mu.Unlock()
--- a/process/registry/path.go
+++ b/process/registry/path.go
@@ -168,13 +168,16 @@
 	time.AfterFunc(delay, func() { r.retryPath(delay) })
 }
 
-// randomServers returns up to n of the servers for which f holds, in random order; all if n is negative. The function f is
-// called with the server's lock held.
+// randomServers returns up to n of the servers for which f holds and whose data centre isn't evacuated, in random order; all
+// if n is negative. The function f is called with the server's lock held.
 func (r *Registry) randomServers(n int, f func(*Server) bool) []*Server {
 	var list []*Server
+	r.mu.Lock()
+	evacuated := r.evacuated
+	r.mu.Unlock()
 	for _, srv := range r.Servers() {
 		srv.mu.Lock()
-		if f(srv) {
+		if !evacuated[srv.entry.DataCentre] && f(srv) {
 			list = append(list, srv)
 		}
 		srv.mu.Unlock()
--- a/process/registry/path_test.go
+++ b/process/registry/path_test.go
@@ -111,6 +111,56 @@
 	})
 }
 
+// Servers of an evacuated data centre aren't asked or checked; they are reachable again after its evacuation, whether the
+// path was repaired before or after that.
+func TestEvacuatedServersAreNotAsked(t *testing.T) {
+	for name, repairedFirst := range map[string]bool{"repaired first": true, "evacuation ended first": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newPathFixture(12)
+				away := newEntry("a0")
+				away.DataCentre, away.Address = "away", "10.9.9.9:1"
+				f.Put(away)
+				askedAway := 0
+				ask := f.Ask
+				f.Ask = func(pool, address string) (time.Duration, error) {
+					if address == away.Address && f.evacuated["away"] {
+						askedAway++
+					}
+					return ask(pool, address)
+				}
+				f.Probe = func(address string) error {
+					if address == away.Address && f.evacuated["away"] {
+						askedAway++
+					}
+					return nil
+				}
+				for _, srv := range f.Servers() {
+					srv.probe = f.Probe
+				}
+				f.SetEvacuated(map[string]bool{"away": true})
+				f.checkAfterFailure(f.servers["a1"])
+				f.checkAfterFailure(f.servers["a2"])
+				f.wait(12)
+				assert.Assert(t, f.IsUnreachable("p"))
+				for _, isRepair := range []bool{repairedFirst, !repairedFirst} {
+					if isRepair {
+						f.carries.Store(true)
+					} else {
+						f.SetEvacuated(nil)
+					}
+					time.Sleep(maxAskDelay + time.Second)
+				}
+				assert.Equal(t, askedAway, 0)
+				assert.Equal(t, len(f.Usable("p", Selection{})), 12)
+				for _, srv := range f.Servers() {
+					assert.Assert(t, !srv.IsSuspect())
+				}
+			})
+		})
+	}
+}
+
 // What isn't a fault of the path leaves all servers reachable.
 func TestSoundPathIsKept(t *testing.T) {
 	for name, happen := range map[string]func(*pathFixture){
--- a/process/registry/reachable.go
+++ b/process/registry/reachable.go
@@ -34,7 +34,7 @@
 	return len(servers) > 0 && !slices.ContainsFunc(servers, func(srv *Server) bool { return !srv.IsSuspect() })
 }
 
-// checkAfterFailure checks all servers that have sent nothing lately if another than the failed one has become unreachable
+// checkAfterFailure checks all servers outside evacuated data centres that have sent nothing lately if another than the failed one has become unreachable
 // within failureWindow: this instance may be partitioned from all of them.
 func (r *Registry) checkAfterFailure(failed *Server) {
 	id, now := failed.Entry().ID, time.Now()
@@ -47,7 +47,9 @@
 	}
 	r.sweptAt = now
 	for _, srv := range r.servers {
-		go srv.check()
+		if !r.evacuated[srv.Entry().DataCentre] {
+			go srv.check()
+		}
 	}
 }
 
