registry: an instance that doesn't know the others sends cold servers nothing

Cause: until an instance has read which others there are, it takes itself for one of eight at least; with 78, its share of what a cold server stands was too large.

Change: KnowsOthers; cold servers get nothing until the instances were read. Limits and brittle servers keep the estimate.

Not done: Rank is still called for each server in Usable. Open: while the store can't be read at the start, a pool all of whose servers are cold is refused at that instance, for as long as they are cold.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -231,6 +231,7 @@
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable, Ask: g.askServer,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
+		KnowsOthers:   func() bool { return g.mesh.KnowsOthers() },
 		Cold:          g.coldLimit,
 		OnLimitChange: func() { notify(g.limitsChanged) },
 	}
--- a/process/mesh/broadcast.go
+++ b/process/mesh/broadcast.go
@@ -57,6 +57,13 @@
 // there are.
 const minRankInstances = 8
 
+// KnowsOthers reports whether the instances were read from the store, so that Rank counts all of them.
+func (m *Mesh) KnowsOthers() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
 // Rank returns the position of this instance, from 0, among all known instances in the order of their names, and their
 // number. Silent instances count too: they may only be cut off from this one.
 func (m *Mesh) Rank() (position, count int) {
--- a/process/mesh/broadcast_test.go
+++ b/process/mesh/broadcast_test.go
@@ -61,9 +61,11 @@
 	m := &Mesh{Instance: "i0"}
 	_, count := m.Rank()
 	assert.Equal(t, count, minRankInstances)
+	assert.Assert(t, !m.KnowsOthers())
 	m.addListed(nil)
 	_, count = m.Rank()
 	assert.Equal(t, count, 1)
+	assert.Assert(t, m.KnowsOthers())
 }
 
 func TestBroadcastReachesAllOrSome(t *testing.T) {
--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -85,9 +85,13 @@
 }
 
 // coldAllows reports whether the server isn't cold at a time, or this instance may send it a request in the frame of that
-// time. The caller holds mu.
+// time. An instance that has just started, and doesn't know yet among how many the requests are dealt out, has no share. The
+// caller holds mu.
 func (srv *Server) coldAllows(at time.Time) bool {
 	rate := srv.coldRate(at)
+	if rate > 0 && srv.knowsOthers != nil && !srv.knowsOthers() {
+		return false
+	}
 	return rate == 0 || srv.share(at, rate, coldFrame, srv.cold.sent) > 0
 }
 
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -538,3 +538,19 @@
 	assert.DeepEqual(t, fields["pools_shut"], []any{"p"})
 	assert.Assert(t, r.IsEvacuated("p") && !r.IsEvacuated("q") && !r.IsEvacuated("none"))
 }
+
+// An instance that doesn't know yet how many others there are sends cold servers nothing, and others what it would.
+func TestColdServersWaitForInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		knows := false
+		r := &Registry{Log: zap.NewNop(), Cold: testColdLimit, KnowsOthers: func() bool { return knows }}
+		r.Reset([]Entry{{ID: "cold", Pool: "p", StartedMs: time.Now().UnixMilli(), WarmupTime: time.Second}, {ID: "warm", Pool: "p", StartedMs: 1}}, false)
+		for range 8 {
+			list := r.Usable("p", Selection{})
+			assert.Assert(t, len(list) == 1 && list[0].Entry().ID == "warm")
+			time.Sleep(coldFrame / 2)
+		}
+		knows = true
+		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
+	})
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -32,6 +32,9 @@
 	// Rank returns the position of this instance among all known ones, from 0, and their number, by which limits of requests
 	// are divided; nil means that there is no other instance.
 	Rank func() (position, count int)
+	// KnowsOthers reports whether the number that Rank returns counts all instances, before which cold servers get nothing
+	// from this one; nil means always. It must not call the registry.
+	KnowsOthers func() bool
 	// Cold returns what the cold servers of a pool stand; nil means that none needs care. It must not call the registry.
 	Cold func(pool string) ColdLimit
 	// OnLimitChange is called when the answer of a server changed its limit, or made it cold; it may be nil. It must not call the registry.
@@ -91,7 +94,7 @@
 		}
 		srv = newServer(e, r.Log, r.Probe)
 		srv.rank, srv.onLimitChange, srv.onUnreachable, srv.coldLimit = r.Rank, r.OnLimitChange, r.checkAfterFailure, r.Cold
-		srv.onUnanswered = r.noteUnanswered
+		srv.onUnanswered, srv.knowsOthers = r.noteUnanswered, r.KnowsOthers
 		srv.listCold(e, false)
 		if removed, ok := r.removedStarts[e.ID]; ok && removed.startedMs == e.StartedMs {
 			// It wrote no entry for a while, so it may have been out of reach and cold since.
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -52,6 +52,8 @@
 	// cold is what is known of the server's coldness; coldLimit is the field Cold of Registry.
 	cold      coldness
 	coldLimit func(pool string) ColdLimit
+	// knowsOthers is the field KnowsOthers of Registry.
+	knowsOthers func() bool
 
 	// brittle is what is known of the server's brittleness.
 	brittle brittleness
