sizing: keep the replacements of an evacuated data centre until its servers are warm

Cause: at the moment an evacuation ended, what was ordered elsewhere was given up, while the servers that returned were cold.

Change: a data centre whose servers have been cold since its evacuation counts as evacuated for the base of the others.

Not done: an instance that takes the sizing over in that time doesn't know of it.

--- a/process/gateway/fleet.go
+++ b/process/gateway/fleet.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/platform"
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/sizing"
 	"github.com/toucanroute/toucanroute/process/sleep"
 	"github.com/toucanroute/toucanroute/request/placement"
@@ -82,6 +83,8 @@
 	wasOverloaded     map[string]bool
 	// baseSizeMissing is true for a pool whose base size isn't stored yet, since the operator is still adding servers.
 	baseSizeMissing map[string]bool
+	// evacuated holds the pools' data centres that are evacuated, or whose servers are still cold after that.
+	evacuated map[serverGroup]bool
 }
 
 // run sizes all pools at each sizeInterval until ctx ends, and orders servers while this instance holds the lease.
@@ -295,11 +298,33 @@
 			}
 		}
 		site.Evacuated = slices.Contains(evacuated, dc)
+		site.Returning = !site.Evacuated && f.isReturning(poolConfig.Name, dc)
+		f.noteEvacuated(serverGroup{pool: poolConfig.Name, dataCentre: dc}, site.Evacuated || site.Returning)
 		sites = append(sites, site)
 	}
 	return sizing.WithoutEvacuated(sites)
 }
 
+// isReturning reports whether a pool's data centre was evacuated, as this instance knows, and has servers that have been cold
+// since.
+func (f *fleetSizer) isReturning(pool, dataCentre string) bool {
+	return f.evacuated[serverGroup{pool: pool, dataCentre: dataCentre}] && slices.ContainsFunc(f.g.registry.Serving(pool), func(srv *registry.Server) bool {
+		return srv.Entry().DataCentre == dataCentre && srv.IsCold()
+	})
+}
+
+// noteEvacuated records whether a pool's data centre is evacuated, or its servers are still cold after that.
+func (f *fleetSizer) noteEvacuated(group serverGroup, is bool) {
+	if !is {
+		delete(f.evacuated, group)
+		return
+	}
+	if f.evacuated == nil {
+		f.evacuated = map[serverGroup]bool{}
+	}
+	f.evacuated[group] = true
+}
+
 // order orders count servers of a group; serving is the number of the group's present servers. It sends nothing if the
 // last order was for the same count and either enough servers are present or the order was sent recently. Before
 // the first order, it also sends nothing for regular servers if count equals serving.
--- a/process/sizing/evacuated_test.go
+++ b/process/sizing/evacuated_test.go
@@ -18,3 +18,16 @@
 	assert.Equal(t, len(WithoutEvacuated(testSites(func(_ int, s *PoolSite) { s.Evacuated = true }))), 0)
 	assert.DeepEqual(t, WithoutEvacuated(testSites(func(int, *PoolSite) {})), testSites(func(int, *PoolSite) {}))
 }
+
+// What makes up for an evacuated data centre stays until its servers aren't cold any more; its own base is as usual.
+func TestReturningSiteIsMadeUpElsewhere(t *testing.T) {
+	evacuated := WithoutEvacuated(testSites(func(i int, s *PoolSite) { s.Evacuated = i == 1 }))
+	returning := WithoutEvacuated(testSites(func(i int, s *PoolSite) { s.Returning = i == 1 }))
+	assert.Equal(t, returning[0].BaseServers, evacuated[0].BaseServers)
+	assert.Equal(t, returning[2].BaseServers, evacuated[1].BaseServers)
+	assert.Equal(t, returning[1].BaseServers, testSites(func(int, *PoolSite) {})[1].BaseServers)
+	all := WithoutEvacuated(testSites(func(_ int, s *PoolSite) { s.Returning = true }))
+	for i, s := range testSites(func(int, *PoolSite) {}) {
+		assert.Equal(t, all[i].BaseServers, s.BaseServers)
+	}
+}
--- a/process/sizing/sizing.go
+++ b/process/sizing/sizing.go
@@ -24,6 +24,8 @@
 	CheapUnavailable bool
 	// Evacuated is set while no requests are sent to the servers of this data centre.
 	Evacuated bool
+	// Returning is set after an evacuation while servers of this data centre are still cold.
+	Returning bool
 }
 
 // Bounds limits the number of servers in each data centre.
