--- a/cmd/toucanctl/operator/evacuations.go
+++ b/cmd/toucanctl/operator/evacuations.go
@@ -35,6 +35,8 @@
 	Name string `json:"data_centre"`
 	// Servers is the number of its backend servers that aren't draining.
 	Servers int `json:"servers"`
+	// Pools holds the names of the pools of these servers, in order.
+	Pools []string `json:"pools,omitempty"`
 	// Evacuated is set if it has an evacuation, which Record describes.
 	Evacuated bool             `json:"evacuated"`
 	Record    EvacuationRecord `json:"record"`
@@ -74,7 +76,11 @@
 	for _, o := range servers {
 		// An entry that can't be read describes no server that could be used.
 		if entry, err := e.ParseServerEntry(o); err == nil && !entry.Draining {
-			get(entry.DataCentre).Servers++
+			dc := get(entry.DataCentre)
+			dc.Servers++
+			if !slices.Contains(dc.Pools, entry.Pool) {
+				dc.Pools = append(dc.Pools, entry.Pool)
+			}
 		}
 	}
 	for _, o := range evacuations {
@@ -85,6 +91,7 @@
 	}
 	list := make([]DataCentre, 0, len(byName))
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		slices.Sort(byName[name].Pools)
 		list = append(list, *byName[name])
 	}
 	return list, nil
@@ -102,7 +109,8 @@
 }
 
 // Begin evacuates a data centre. An evacuation that exists isn't changed. Begin returns an ErrUnknown if the data centre has
-// no backend servers, and an ErrLastDataCentre if no other one would be left.
+// no backend servers, and an ErrLastDataCentre if no other one would be left. The pools that lose
+// their last servers are logged.
 func (e *Evacuations) Begin(ctx context.Context, name string) error {
 	list, err := e.List(ctx)
 	if err != nil {
@@ -120,7 +128,11 @@
 	if err != nil {
 		return fmt.Errorf("the evacuation of %s may or may not have begun: %w", name, err)
 	}
-	e.log("evacuation_begin", zap.String("data_centre", name), zap.Int("version", o.Version))
+	fields := []zap.Field{zap.String("data_centre", name), zap.Int("version", o.Version)}
+	if pools := poolsShut(list, name); len(pools) > 0 {
+		fields = append(fields, zap.Strings("pools_shut", pools))
+	}
+	e.log("evacuation_begin", fields...)
 	return nil
 }
 
@@ -148,6 +160,21 @@
 	return nil
 }
 
+// poolsShut returns the names of the pools whose last backend servers that aren't in evacuated data centres are in the named
+// one.
+func poolsShut(list []DataCentre, name string) []string {
+	var here, left []string
+	for _, dc := range list {
+		switch {
+		case dc.Name == name:
+			here = dc.Pools
+		case !dc.Evacuated:
+			left = append(left, dc.Pools...)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(here), func(pool string) bool { return slices.Contains(left, pool) })
+}
+
 // End ends the evacuation of a data centre. It returns an ErrUnknown if there is none.
 func (e *Evacuations) End(ctx context.Context, name string) error {
 	ended := false
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -213,6 +213,7 @@
 		return
 	}
 	g.currentSettings.Store(newSettings.Forwarding)
+	g.evacuations.Refresh()
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(newSettings.Forwarding.MemoryMb) * (1 << 20)))
 }
 
@@ -233,6 +234,7 @@
 	g.registry = &registry.Registry{
 		Log: g.Log, Probe: g.checkReachable, Ask: g.askServer,
 		Rank:          func() (position, count int) { return g.mesh.Rank() },
+		KnowsOthers:   func() bool { return g.mesh.KnowsOthers() },
 		Cold:          g.coldLimit,
 		OnLimitChange: func() { notify(g.limitsChanged) },
 	}
--- a/process/registry/cold.go
+++ b/process/registry/cold.go
@@ -15,7 +15,8 @@
 const (
 	// coldFrame is the length of a frame for cold servers. Requests that arrive up to two frames late, by clocks that differ
 	// or on new connections, then leave a second with at most one and three quarters of the number, and the parts of the
-	// whole numbers of the frames.
+	// whole numbers of the frames. Above 20 requests a second that can exceed one and a half times the number and 5 more, if
+	// the shares of late instances lie on the worst frames.
 	coldFrame = 250 * time.Millisecond
 	// minColdRate and maxColdRate bound the number of requests a second that is kept. A server that stands none gets one now
 	// and then, which any server stands; a higher number is beyond what all instances send.
@@ -84,9 +85,13 @@
 }
 
 // coldAllows reports whether the server isn't cold at a time, or this instance may send it a request in the frame of that
-// time. The caller holds mu.
+// time. An instance that has just started, and doesn't know yet among how many the requests are dealt out, has no share. The
+// caller holds mu.
 func (srv *Server) coldAllows(at time.Time) bool {
 	rate := srv.coldRate(at)
+	if rate > 0 && srv.knowsOthers != nil && !srv.knowsOthers() {
+		return false
+	}
 	return rate == 0 || srv.share(at, rate, coldFrame, srv.cold.sent) > 0
 }
 
--- a/process/registry/cold_test.go
+++ b/process/registry/cold_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -328,7 +329,7 @@
 			srv.coldLimit, srv.rank = f.Cold, f.Rank
 		}
 		time.Sleep(maxColdTime)
-		isMute := false
+		var isMute atomic.Bool
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() {
 			cancel()
@@ -338,7 +339,7 @@
 			for ; ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
 				for _, srv := range f.Servers() {
 					srv.mu.Lock()
-					if !isMute || srv.entry.ID != "a0" {
+					if !isMute.Load() || srv.entry.ID != "a0" {
 						srv.markHeardElsewhere(time.Now())
 					}
 					srv.mu.Unlock()
@@ -347,9 +348,7 @@
 		}()
 		f.wait(2)
 		assert.Assert(t, f.IsUnreachable("p"))
-		f.servers["a0"].mu.Lock()
-		isMute = true
-		f.servers["a0"].mu.Unlock()
+		isMute.Store(true)
 		time.Sleep(10 * time.Second)
 		f.carries.Store(true)
 		time.Sleep(maxAskDelay + time.Second)
@@ -528,3 +527,30 @@
 		}
 	}
 }
+
+// A pool all of whose servers are evacuated is named.
+func TestEvacuatedPoolIsNamed(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	r := &Registry{Log: zap.New(core)}
+	r.Reset([]Entry{{ID: "a", Pool: "p", DataCentre: "one"}, {ID: "b", Pool: "q", DataCentre: "one"}, {ID: "c", Pool: "q", DataCentre: "two"}}, false)
+	r.SetEvacuated(map[string]bool{"one": true})
+	fields := logs.FilterMessage("servers_evacuated").All()[0].ContextMap()
+	assert.DeepEqual(t, fields["pools_shut"], []any{"p"})
+	assert.Assert(t, r.IsEvacuated("p") && !r.IsEvacuated("q") && !r.IsEvacuated("none"))
+}
+
+// An instance that doesn't know yet how many others there are sends cold servers nothing, and others what it would.
+func TestColdServersWaitForInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		knows := false
+		r := &Registry{Log: zap.NewNop(), Cold: testColdLimit, KnowsOthers: func() bool { return knows }}
+		r.Reset([]Entry{{ID: "cold", Pool: "p", StartedMs: time.Now().UnixMilli(), WarmupTime: time.Second}, {ID: "warm", Pool: "p", StartedMs: 1}}, false)
+		for range 8 {
+			list := r.Usable("p", Selection{})
+			assert.Assert(t, len(list) == 1 && list[0].Entry().ID == "warm")
+			time.Sleep(coldFrame / 2)
+		}
+		knows = true
+		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
+	})
+}
