placement: idle, lying and unrelated reports decided the split

Decide ran only on a request, so that an instance without any told its last decision for ever and the majority undid a split; following it took the little work left for that of the split, which then never ended. The rates of another instance were taken as they came, and streams late without long prompts split the servers for as long as nothing was tolerant.

Decide also when workloads are told, tell none after peerRatesTTL, keep the work of an earlier split while following, split only from the work that fills one server, bound late to begun and both to four times the median instance's.

TestIdleInstancesDoNotEndASplit, TestFollowedSplitEnds, TestNoSplitWithoutDelayTolerantWork and TestPaceWithALyingInstance failed before and pass.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/platform"
 	"github.com/toucanroute/toucanroute/process/quarantine"
+	"github.com/toucanroute/toucanroute/request/forward"
 	"github.com/toucanroute/toucanroute/request/placement"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -75,18 +77,25 @@
 
 // ownWorkloads returns the work that this instance's own requests cause in each pool to which it has sent requests. The
 // fields P, H, R and M are rates in tokens to prefill per second: P of delay-tolerant, H of latency-sensitive and R of
-// refused requests; M is the part of H that may become delay-tolerant. B, L and G tell of the pool's streams.
+// refused requests; M is the part of H that may become delay-tolerant. B, L and G tell of the pool's streams, of which
+// instances without requests decide here.
 func (g *Gateway) ownWorkloads() []wire.NewsMix {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	list := make([]wire.NewsMix, 0, len(g.workloadMixes))
-	for pool, m := range g.workloadMixes {
+	mixes, allShares := maps.Clone(g.workloadMixes), maps.Clone(g.shares)
+	g.mu.Unlock()
+	list := make([]wire.NewsMix, 0, len(mixes))
+	for pool, m := range mixes {
+		if m.Pace.HasDecided() {
+			if change, ok := m.DecidePace(); ok {
+				forward.LogPaceChange(g.Log, pool, change)
+			}
+		}
 		r, pace := m.LocalRates(), m.Pace.Report()
 		news := wire.NewsMix{
 			S: pool, P: int(r.DelayTolerant), H: int(r.LatencySensitive), R: int(r.Refused), M: int(r.Movable),
 			B: int(pace.Began * paceUnit), L: int(pace.Late * paceUnit), G: int(pace.Groups),
 		}
-		if shares := g.shares[pool]; shares != nil {
+		if shares := allShares[pool]; shares != nil {
 			all, told := shares.Told()
 			news.A = int(all)
 			for _, w := range told {
@@ -107,7 +116,10 @@
 		}
 		if _, ok := t.Pool(n.S); ok {
 			m := g.workloadMix(n.S)
-			m.SetPeerRates(instance, placement.WorkRates{DelayTolerant: float64(n.P), LatencySensitive: float64(n.H), Refused: float64(n.R), Movable: float64(n.M)})
+			m.SetPeerRates(instance, placement.WorkRates{
+				DelayTolerant: float64(max(n.P, 0)), LatencySensitive: float64(max(n.H, 0)),
+				Refused: float64(max(n.R, 0)), Movable: float64(max(n.M, 0)),
+			})
 			m.Pace.SetPeer(instance, placement.PaceReport{Began: float64(n.B) / paceUnit, Late: float64(n.L) / paceUnit, Groups: placement.PaceGroups(n.G)})
 			told := make([]placement.WorkspaceRate, len(n.W))
 			for i, w := range n.W {
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/request/placement"
@@ -49,3 +50,19 @@
 	assert.Equal(t, withOld.Movable, rates.Movable)
 	assert.Equal(t, old[0].G, int(placement.PaceUnknown))
 }
+
+// An instance to which requests have stopped coming follows the others when it tells its workloads, instead of telling an
+// old decision. Negative rates of another instance count as none.
+func TestIdleInstanceFollowsPace(t *testing.T) {
+	table, err := hostroute.NewTable(hostroute.Config{Version: 1, Pools: []hostroute.Pool{{Name: "p"}}})
+	assert.NilError(t, err)
+	g := &Gateway{Log: zap.NewNop(), workloadMixes: map[string]*placement.WorkloadMix{}, shares: map[string]*placement.WorkspaceShares{}}
+	g.table.Store(table)
+	g.workloadMix("p").DecidePace()
+	time.Sleep(200 * time.Millisecond)
+	for _, name := range []string{"a", "b", "c"} {
+		g.receiveWorkloads(name, []wire.NewsMix{{S: "p", P: -1e9, H: -1e9, R: -1e9, M: -1e9, G: int(placement.PaceSplit)}})
+	}
+	assert.Equal(t, g.ownWorkloads()[0].G, int(placement.PaceSplit))
+	assert.Equal(t, g.workloadMix("p").TotalRates(), placement.WorkRates{})
+}
--- a/request/forward/pace.go
+++ b/request/forward/pace.go
@@ -38,10 +38,7 @@
 func (c *call) classifyByPace() {
 	mix := c.f.WorkloadMix(c.pool.Name)
 	if change, ok := mix.DecidePace(); ok {
-		c.f.Log.Info("stream_pace_changed",
-			zap.String("pool", c.pool.Name), zap.Bool("split", change.Split), zap.String("reason", change.Reason),
-			zap.Float64("began", change.Began), zap.Float64("late", change.Late), zap.Int("work", int(change.Work)),
-			zap.Int("peers", change.Peers), zap.Duration("oldest", change.OldestReport))
+		LogPaceChange(c.f.Log, c.pool.Name, change)
 	}
 	c.followsPace = c.config.HasShortGap(c.route, c.pool.Name)
 	prompt := c.meta.Prompt
@@ -50,6 +47,14 @@
 	prompt.DelayTolerant = c.splitsServers && prompt.Movable
 }
 
+// LogPaceChange logs a change of placement.StreamPace in a pool.
+func LogPaceChange(log *zap.Logger, pool string, change placement.PaceChange) {
+	log.Info("stream_pace_changed",
+		zap.String("pool", pool), zap.Bool("split", change.Split), zap.String("reason", change.Reason),
+		zap.Float64("began", change.Began), zap.Float64("late", change.Late), zap.Int("work", int(change.Work)),
+		zap.Int("peers", change.Peers), zap.Duration("oldest", change.OldestReport))
+}
+
 // settleGroups keeps the prompt away from servers that change their group in a pool that is split by its streams' pauses.
 func (c *call) settleGroups(candidates []placement.Candidate) {
 	if c.meta.Prompt == nil || !c.followsPace && !c.meta.Prompt.Movable {
--- a/request/placement/pace.go
+++ b/request/placement/pace.go
@@ -27,6 +27,9 @@
 	followDelay = 5 * time.Second
 	// minFollowed is the number of instances that must be heard to follow them.
 	minFollowed = 2
+	// minSplitWork is the delay-tolerant work, in prefill tokens per second, from which the servers are split: what fills
+	// one server. Without it, long prompts aren't what makes the streams late.
+	minSplitWork = tolerantUtilization * initialPrefillRate * 1000
 	// paceInterval is the minimum time between two decisions.
 	paceInterval = 100 * time.Millisecond
 )
@@ -121,26 +124,37 @@
 	p.decayedAt = now
 }
 
-// Report returns what the other instances are told. An instance that hasn't decided yet has no vote.
+// Report returns what the other instances are told. An instance that hasn't decided within peerRatesTTL has no vote.
 func (p *StreamPace) Report() PaceReport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.decay(time.Now())
+	now := time.Now()
+	p.decay(now)
 	r := PaceReport{Began: p.began / rateDecay.Seconds(), Late: p.late / rateDecay.Seconds()}
 	switch {
+	case p.decidedAt.IsZero() || now.Sub(p.decidedAt) > peerRatesTTL:
 	case p.isSplit:
 		r.Groups = PaceSplit
-	case !p.decidedAt.IsZero():
+	default:
 		r.Groups = PaceMixed
 	}
 	return r
 }
 
-// SetPeer stores the report of another instance, unless that one doesn't decide.
+// HasDecided reports whether a decision was ever due.
+func (p *StreamPace) HasDecided() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.decidedAt.IsZero()
+}
+
+// SetPeer stores the report of another instance, unless that one doesn't decide. Impossible rates are bounded.
 func (p *StreamPace) SetPeer(instance string, r PaceReport) {
-	if r.Groups == PaceUnknown {
+	if r.Groups != PaceMixed && r.Groups != PaceSplit {
 		return
 	}
+	r.Began = max(r.Began, 0)
+	r.Late = min(max(r.Late, 0), r.Began)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.peers == nil {
@@ -181,7 +195,10 @@
 	if isChanged {
 		p.isSplit, p.changedAt = state.Split, now
 		p.lateSince, p.calmSince = time.Time{}, time.Time{}
-		p.splitWork, p.splitWorkPerInstance = 0, 0
+		if state.Reason == "late" {
+			// One that follows the others knows the work of an earlier split better than what is left of it.
+			p.splitWork, p.splitWorkPerInstance = 0, 0
+		}
 	}
 	if p.isSplit && now.Sub(p.changedAt) <= riseTime {
 		p.splitWork = max(p.splitWork, state.Work)
@@ -193,10 +210,10 @@
 // next returns the decision for the present state and the reason for it.
 func (p *StreamPace) next(now time.Time, s PaceChange, splitVotes, mixedVotes int) (split bool, reason string) {
 	tooLate := s.Began*rateDecay.Seconds() >= minPacedStreams && s.Late > maxLateStreams*s.Began
-	if lasts(&p.lateSince, tooLate && !p.isSplit, now) >= splitDelay {
+	if lasts(&p.lateSince, tooLate && s.Work >= minSplitWork && !p.isSplit, now) >= splitDelay {
 		return true, "late"
 	}
-	calm := s.Work < mergeWorkRatio*p.splitWork && s.Work/float64(1+s.Peers) < mergeWorkRatio*p.splitWorkPerInstance
+	calm := s.Work <= mergeWorkRatio*p.splitWork && s.Work/float64(1+s.Peers) <= mergeWorkRatio*p.splitWorkPerInstance
 	if lasts(&p.calmSince, calm && !tooLate && p.isSplit, now) >= mergeDelay {
 		return false, "calm"
 	}
@@ -222,18 +239,37 @@
 	return now.Sub(*since)
 }
 
+// maxPeerRate returns the streams per second up to which those of another instance count: maxPeerFactor times the median
+// of the instances that have any. The caller holds the lock.
+func (p *StreamPace) maxPeerRate() float64 {
+	rates := make([]float64, 0, 1+len(p.peers))
+	if p.began > 0 {
+		rates = append(rates, p.began/rateDecay.Seconds())
+	}
+	for _, r := range p.peers {
+		if r.Began > 0 {
+			rates = append(rates, r.Began)
+		}
+	}
+	return maxPeerFactor * Median(rates)
+}
+
 // sum adds up the streams of all instances, counts their decisions and drops outdated reports; the caller holds the
 // lock.
 func (p *StreamPace) sum(now time.Time) (state PaceChange, splitVotes, mixedVotes int) {
 	state.Began, state.Late = p.began/rateDecay.Seconds(), p.late/rateDecay.Seconds()
+	limit := p.maxPeerRate()
 	for name, r := range p.peers {
 		age := now.Sub(r.receivedAt)
 		if age > peerRatesTTL {
 			delete(p.peers, name)
 			continue
 		}
-		state.Began += r.Began
-		state.Late += r.Late
+		if r.Began > 0 {
+			factor := min(1, limit/r.Began)
+			state.Began += factor * r.Began
+			state.Late += factor * r.Late
+		}
 		state.Peers++
 		state.OldestReport = max(state.OldestReport, age)
 		switch r.Groups {
--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -175,6 +175,86 @@
 	assert.Assert(t, m.Pace.IsSplit())
 }
 
+// Instances to which no requests come any more keep no others from a split: they have no vote.
+func TestIdleInstancesDoNotEndASplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPaceFleet(30)
+		f.run(3, 0, 10_000)
+		time.Sleep(2 * peerRatesTTL)
+		for _, m := range f.mixes {
+			assert.Equal(t, m.Pace.Report().Groups, PaceUnknown)
+		}
+	})
+}
+
+// An instance that follows the others into a split when most of its work is gone keeps what it knows of the work, so that
+// the split ends.
+func TestFollowedSplitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPaceFleet(9)
+		f.run(8, 0.4, 40_000)
+		assert.Equal(t, f.splits(), 9)
+		m := f.mixes[0]
+		follow := func(groups PaceGroups, seconds int) {
+			for range seconds {
+				for i := range 8 {
+					m.Pace.SetPeer(fmt.Sprint(i+1), PaceReport{Groups: groups})
+				}
+				m.AddRequest(&Prompt{Movable: true}, 2_000)
+				m.DecidePace()
+				time.Sleep(time.Second)
+			}
+		}
+		follow(PaceMixed, 8)
+		assert.Assert(t, !m.Pace.IsSplit())
+		follow(PaceSplit, 8)
+		f.mixes = f.mixes[:1]
+		f.run(20, 0, 2_000)
+		assert.Assert(t, !m.Pace.IsSplit())
+	})
+}
+
+// Streams that are late without long prompts, as by a slow network, don't split the servers.
+func TestNoSplitWithoutDelayTolerantWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPaceFleet(9)
+		f.run(20, 0.5, 0)
+		assert.Equal(t, f.splits(), 0)
+		work := 0.8 * minSplitWork / 9
+		f.run(20, 0.5, int(work))
+		assert.Equal(t, f.splits(), 0)
+	})
+}
+
+// What another instance tells can neither split the servers alone nor keep them from a split.
+func TestPaceWithALyingInstance(t *testing.T) {
+	for name, lie := range map[string]PaceReport{
+		"all late":   {Began: 0, Late: 1e9, Groups: PaceMixed},
+		"many late":  {Began: 1e9, Late: 1e9, Groups: PaceMixed},
+		"many began": {Began: 1e9, Groups: PaceSplit},
+		"negative":   {Began: -1e9, Late: -1e9, Groups: PaceMixed},
+		"no group":   {Began: 1e9, Late: 1e9, Groups: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newPaceFleet(60)
+				run := func(seconds int, late float64) {
+					for range seconds {
+						for _, m := range f.mixes {
+							m.Pace.SetPeer("liar", lie)
+						}
+						f.run(1, late, 10_000)
+					}
+				}
+				run(12, 0)
+				assert.Equal(t, f.splits(), 0)
+				run(6, 0.5)
+				assert.Equal(t, f.splits(), 60)
+			})
+		})
+	}
+}
+
 // The share of the servers for delay-tolerant work counts what a split moves there from its first moment on.
 func TestShareAtTheBeginOfASplit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
