mesh: datagrams with token rates passed 1,400 bytes

The token rates of all pools went with thirty loads into one datagram.

They go in datagrams of their own, divided by their encoded size, as loads are.

--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -51,8 +51,11 @@
 	silentRetryInterval = time.Second
 	// relistInterval is the interval at which the store is listed for instances that sent no datagram yet.
 	relistInterval = 20 * time.Second
-	// loadsPerDatagram is the largest number of servers whose loads are sent in one datagram. It keeps the datagram below
-	// 1,400 bytes, the usual size limit.
+	// maxDatagramBytes is the size below which networks usually don't divide a datagram.
+	maxDatagramBytes = 1400
+	// listBytes is the size of a list in a datagram without its items: its name and the punctuation.
+	listBytes = 16
+	// loadsPerDatagram is the largest number of servers whose loads are sent in one datagram.
 	loadsPerDatagram = 30
 	// workspacesPerDatagram is the largest number of workspaces whose request counts are sent in one datagram. It keeps
 	// the datagram below the same size.
@@ -220,28 +223,54 @@
 }
 
 // sendStatus sends the status and the loads of this instance to all peers. With withMix, it also sends the token rates
-// per pool. It sends at least one datagram, as a heartbeat.
+// per pool, apart from the loads. It sends at least one datagram, as a heartbeat.
 func (m *Mesh) sendStatus(now time.Time, loads []wire.NewsLoad, withMix bool) {
 	targets := m.targets(now)
 	if len(targets) == 0 {
 		return
 	}
 	datagram := m.datagram()
+	var mix []wire.NewsMix
 	if withMix && m.LocalMix != nil {
-		datagram.Mix = m.LocalMix()
+		mix = m.LocalMix()
 	}
 	if !withMix {
 		// The newest reported window changes seldom and is sent with the token rates.
 		datagram.ReportedMs = 0
 	}
-	for heartbeat := true; heartbeat || len(loads) > 0; heartbeat = false {
-		n := min(len(loads), loadsPerDatagram)
+	room := maxDatagramBytes - encodedSize(datagram) - listBytes
+	heartbeat := len(mix) == 0
+	for len(mix) > 0 {
+		n := fitting(mix, len(mix), room)
+		datagram.Mix, mix = mix[:n], mix[n:]
+		m.send(targets, datagram)
+	}
+	datagram.Mix = nil
+	for ; heartbeat || len(loads) > 0; heartbeat = false {
+		n := fitting(loads, loadsPerDatagram, room)
 		datagram.Loads, loads = loads[:n], loads[n:]
 		m.sendLoads(targets, datagram)
-		datagram.Mix = nil
 	}
 }
 
+// encodedSize returns the size of a value in a datagram, in bytes.
+func encodedSize(v any) int {
+	data, _ := json.Marshal(v)
+	return len(data)
+}
+
+// fitting returns how many of the items, at most limit, fit into a number of bytes: at least one if there are any.
+func fitting[T any](items []T, limit, room int) int {
+	n := 0
+	for n < min(len(items), limit) {
+		if room -= encodedSize(items[n]) + 1; room < 0 && n > 0 {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // sendLoads sends a datagram with loads. Work times are of use for less than a second and go to the instances of the own
 // data centre only.
 func (m *Mesh) sendLoads(targets []netip.AddrPort, datagram wire.News) {
