memory: a doubled return ended the process

Budget.Return panicked when more was returned than granted, also in the goroutine that writes held responses, which nothing recovers.

Return gives back what is taken, counts the rest in Stats.OverReturned, and the first time is logged as memory_over_returned.

--- a/connection/entry/held_test.go
+++ b/connection/entry/held_test.go
@@ -65,6 +65,7 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Equal(t, h.budget.Stats().OverReturned, int64(0))
 }
 
 // request sends a request on a new connection.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -254,6 +254,7 @@
 		Sent:   &g.sentWindows, StartedAt: time.Now(),
 	}
 	g.requestMemory = memory.NewBudget(int64(requestMemoryShare * float64(forwarding.MemoryMb) * (1 << 20)))
+	g.requestMemory.OnOverReturned = func(n int64) { g.Log.Error("memory_over_returned", zap.Int64("bytes", n)) }
 	g.forwarder = &forward.Forwarder{
 		Headers:       g.Platform.Headers,
 		Send:          g.transport.Send,
--- a/process/memory/budget.go
+++ b/process/memory/budget.go
@@ -31,6 +31,9 @@
 // It handles many callers or backend servers that read slowly, and bursts of large requests: the newest and least urgent
 // requests find no room, while running ones go on.
 type Budget struct {
+	// OnOverReturned is called when bytes without a grant are returned for the first time; it may be nil.
+	OnOverReturned func(n int64)
+
 	size int64
 	// whole is the budget of which this one is a part; nil if there is none. What is taken here is taken there too.
 	whole *Budget
@@ -38,15 +41,17 @@
 	mu sync.Mutex
 	// taken is at least 0 and at most size; peak is the most that was taken at a time.
 	taken, peak int64
-	// refused counts the grants that were refused.
-	refused int64
+	// refused counts the grants that were refused, and overReturned the bytes that were returned without a grant.
+	refused, overReturned int64
 }
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(size int64) *Budget { return &Budget{size: size} }
 
 // NewPart returns a budget of a number of bytes that is a part of this one.
-func (b *Budget) NewPart(size int64) *Budget { return &Budget{size: size, whole: b} }
+func (b *Budget) NewPart(size int64) *Budget {
+	return &Budget{OnOverReturned: b.OnOverReturned, size: size, whole: b}
+}
 
 // Size returns the size in bytes.
 func (b *Budget) Size() int64 { return b.size }
@@ -64,14 +69,19 @@
 	return true
 }
 
-// Return gives back n granted bytes.
+// Return gives back n granted bytes. More than was granted counts in Stats.OverReturned and frees nothing, since it runs
+// where a panic would end the process with the responses of all callers.
 func (b *Budget) Return(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.taken -= n
-	if b.taken < 0 {
-		panic("memory: more was returned than granted")
+	if n > b.taken {
+		if b.overReturned == 0 && b.OnOverReturned != nil {
+			b.OnOverReturned(n - b.taken)
+		}
+		b.overReturned += n - b.taken
+		n = b.taken
 	}
+	b.taken -= n
 	if b.whole != nil {
 		b.whole.Return(n)
 	}
@@ -83,11 +93,13 @@
 	Size, Taken, Peak int64
 	// Refused is the number of grants that were refused.
 	Refused int64
+	// OverReturned is the number of bytes that were returned without a grant; it is a fault if it isn't 0.
+	OverReturned int64
 }
 
 // Stats returns the current figures.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Stats{Size: b.size, Taken: b.taken, Peak: b.peak, Refused: b.refused}
+	return Stats{Size: b.size, Taken: b.taken, Peak: b.peak, Refused: b.refused, OverReturned: b.overReturned}
 }
--- /dev/null
+++ b/process/memory/budget_test.go
@@ -0,0 +1,24 @@
+package memory
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Bytes that are returned without a grant free nothing, neither of the part nor of the whole, and are counted.
+func TestReturnWithoutGrant(t *testing.T) {
+	whole, calls := NewBudget(100), 0
+	whole.OnOverReturned = func(n int64) {
+		calls++
+		assert.Equal(t, n, int64(20))
+	}
+	part := whole.NewPart(50)
+	assert.Assert(t, whole.TryTake(20, Running) && part.TryTake(10, Running))
+	part.Return(30)
+	assert.Equal(t, part.Stats(), Stats{Size: 50, Peak: 10, OverReturned: 20})
+	assert.Equal(t, whole.Stats(), Stats{Size: 100, Taken: 20, Peak: 30})
+	part.Return(1)
+	assert.Equal(t, whole.Stats().Taken, int64(20))
+	assert.Equal(t, calls, 1, "only the first is told")
+}
--- a/request/forward/memory_test.go
+++ b/request/forward/memory_test.go
@@ -78,6 +78,7 @@
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Equal(t, e.forwarder.Memory.Stats().OverReturned, int64(0))
 }
 
 // slowRequest is a request of a caller that is slow but sound.
