placement: calm growth never became usual, silent workspaces took parts

Add left out what exceeds the part also in a pool with room, and a part was the work of the others divided by all workspaces of the last minutes, silent ones included.

Only growth in a strained pool isn't usual, and a part is divided by as many others of the same size as make up the usual work. A workspace beside which no other asks has no excess. TestCalmGrowthBecomesUsual and TestSilentWorkspacesDoNotCount failed before and pass.

--- a/request/placement/share.go
+++ b/request/placement/share.go
@@ -107,8 +107,11 @@
 		w = &workspaceWork{name: workspace}
 		s.workspaces[hash] = w
 	}
-	// What exceeds the part doesn't become usual.
-	excess := s.excess(s.rate(w.recent, recentDecay), s.rate(w.usual, usualDecay), s.rate(s.all, recentDecay))
+	// What exceeds the part while the pool is strained doesn't become usual.
+	excess := 0.0
+	if s.isStrained(s.decayedAt) {
+		excess = s.excess(w, s.rate(w.recent, recentDecay), s.rate(w.usual, usualDecay), s.rate(s.all, recentDecay))
+	}
 	w.recent, w.usual = w.recent+work, w.usual+work*(1-excess)
 	s.all += work
 	s.requests++
@@ -151,6 +154,11 @@
 	s.strainedAt = time.Now()
 }
 
+// isStrained reports whether the pool counts as strained; the caller holds the lock.
+func (s *WorkspaceShares) isStrained(now time.Time) bool {
+	return !s.strainedAt.IsZero() && now.Sub(s.strainedAt) <= strainedFor
+}
+
 // Record counts a request that was admitted after the expected wait, or refused.
 func (s *WorkspaceShares) Record(workspace string, wait time.Duration, admitted bool) {
 	s.mu.Lock()
@@ -208,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.strainedAt.IsZero() || now.Sub(s.strainedAt) > strainedFor {
+	if !s.isStrained(now) {
 		return 0, nil
 	}
 	s.decay(now)
@@ -268,17 +276,20 @@
 			}
 		}
 	}
-	return s.excess(recent, usual, all)
+	return s.excess(w, recent, usual, all)
 }
 
 // excess returns the part of a workspace's rate that is beyond its part, given its own rates and that of all; the caller
-// holds the lock.
-func (s *WorkspaceShares) excess(recent, usual, all float64) float64 {
+// holds the lock. While no other workspace asks for anything, nothing is beyond it.
+func (s *WorkspaceShares) excess(w *workspaceWork, recent, usual, all float64) float64 {
 	if len(s.workspaces) < 2 || s.requests == 0 {
 		return 0
 	}
-	part := max((all-recent)/float64(len(s.workspaces)-1), usual)
 	perRequest := s.all / s.requests
+	if (all-recent)*recentDecay.Seconds() < perRequest/math.E {
+		return 0
+	}
+	part := max((all-recent)/s.othersOf(w), usual)
 	expected := borrowFactor * part * recentDecay.Seconds()
 	if recent*recentDecay.Seconds() <= expected+partDeviations*math.Sqrt(expected*perRequest)+perRequest {
 		return 0
@@ -286,6 +297,22 @@
 	return min(1-part/recent, maxExcess)
 }
 
+// othersOf returns the number of other workspaces, as many of the same size as make up the work that is usual beside w.
+// One that has asked for nothing for minutes hardly counts. The caller holds the lock.
+func (s *WorkspaceShares) othersOf(w *workspaceWork) float64 {
+	sum, squares := 0.0, 0.0
+	for _, other := range s.workspaces {
+		if other != w {
+			sum += other.usual
+			squares += other.usual * other.usual
+		}
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / squares
+}
+
 // ExcessLimit returns the wait limit of a request beyond its workspace's part, given that of all others.
 func (s *WorkspaceShares) ExcessLimit(limit time.Duration) time.Duration {
 	s.mu.Lock()
--- a/request/placement/share_test.go
+++ b/request/placement/share_test.go
@@ -241,6 +241,55 @@
 	})
 }
 
+// Growth that lasts for three minutes in a pool with room is usual; growth in a strained pool isn't.
+func TestCalmGrowthBecomesUsual(t *testing.T) {
+	for _, strained := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &WorkspaceShares{}
+			grow := func(seconds, factor int) {
+				for i := range 100 * seconds {
+					time.Sleep(10 * time.Millisecond)
+					if strained && factor > 1 {
+						s.ObserveWait(time.Second, time.Second)
+					}
+					for range factor {
+						s.Add("growing", 1000)
+					}
+					for j := range 5 {
+						s.Add(fmt.Sprint("w", (i+j)%10), 500)
+					}
+				}
+			}
+			grow(120, 1)
+			grow(180, 6)
+			assert.Equal(t, s.Excess("growing") > 0, strained)
+		})
+	}
+}
+
+// Workspaces that have asked for nothing for minutes don't reduce the part of those that ask.
+func TestSilentWorkspacesDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &WorkspaceShares{}
+		for i := range 6000 {
+			time.Sleep(10 * time.Millisecond)
+			s.Add(fmt.Sprint("w", i%50), 1000)
+		}
+		time.Sleep(4 * time.Minute)
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			s.Add("a", 1000)
+			s.Add("b", 1000)
+		}
+		assert.Equal(t, s.Excess("a"), 0.0)
+		for range 10 * 100 {
+			time.Sleep(10 * time.Millisecond)
+			s.Add("a", 1000)
+		}
+		assert.Equal(t, s.Excess("a"), 0.0, "nobody else asks")
+	})
+}
+
 // Clients that were refused together return over the time in which the backlog ends, the more urgent first, and within a
 // third of the time left to them if the backlog ends in that time.
 func TestReturnsAreSpread(t *testing.T) {
