memory: running requests took the room of held responses

Held responses were refused once half of the budget was taken by anything: 24 kB for each running request did that at a few hundred, so that sound slow streams waited at their servers just under load.

They have a part of their own, half of the budget, and leave a tenth of the whole to running requests. What one connection may hold stays the same.

--- a/connection/entry/held.go
+++ b/connection/entry/held.go
@@ -20,8 +20,9 @@
 	stallTimeout = 30 * time.Second
 	// minChunkBytes and maxChunkBytes are the smallest and the largest piece in which responses are held.
 	minChunkBytes, maxChunkBytes = 4 << 10, 64 << 10
-	// heldShare is the part of the budget that is held for one connection at most, so that a few callers can't take all.
-	heldShare = 1.0 / 16
+	// heldShare is the part of the budget for held responses that is held for one connection at most, so that a few callers
+	// can't take all.
+	heldShare = 1.0 / 8
 	// closeDelay is the time from the end of a response until its connection closes: the caller may not have read the end
 	// yet, and a reset, caused by a request that it still sends, would discard it.
 	closeDelay = 500 * time.Millisecond
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -95,6 +95,7 @@
 	relayListener    *gossip.Listener
 	relayServer      atomic.Pointer[entry.Server]
 	requestMemory    *memory.Budget
+	heldMemory       *memory.Budget
 	forwarder        *forward.Forwarder
 	callerServer     atomic.Pointer[entry.Server]
 	metrics          *metrics.Metrics
@@ -255,6 +256,7 @@
 	}
 	g.requestMemory = memory.NewBudget(int64(requestMemoryShare * float64(forwarding.MemoryMb) * (1 << 20)))
 	g.requestMemory.OnOverReturned = func(n int64) { g.Log.Error("memory_over_returned", zap.Int64("bytes", n)) }
+	g.heldMemory = g.requestMemory.HeldPart()
 	g.forwarder = &forward.Forwarder{
 		Headers:       g.Platform.Headers,
 		Send:          g.transport.Send,
@@ -374,7 +376,7 @@
 	callerServer := &entry.Server{
 		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)), Budget: g.requestMemory,
+		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)), Budget: g.heldMemory,
 	}
 	g.callerServer.Store(callerServer)
 	return callerServer.Run(ctx)
@@ -395,7 +397,7 @@
 	server := &entry.Server{
 		Handler: http.HandlerFunc(g.forwarder.ServeRelayed), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes + relayHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		Budget: g.requestMemory,
+		Budget: g.heldMemory,
 	}
 	g.relayServer.Store(server)
 	return server.Serve(ctx, g.relayListener)
--- a/process/memory/budget.go
+++ b/process/memory/budget.go
@@ -11,9 +11,9 @@
 	// Running is the use of requests that were sent to a backend server. They get whatever there is: giving one of them
 	// up would waste what the server has done.
 	Running Use = 1
-	// Held is the use of responses that slow callers haven't accepted yet. The other half of a budget is left to requests
-	// of other callers; without a grant the response waits at the backend server.
-	Held Use = 0.5
+	// Held is the use of responses that slow callers haven't accepted yet, granted from a HeldPart. As the most urgent new
+	// requests, they leave a tenth to running ones; without a grant the response waits at the backend server.
+	Held Use = 0.9
 )
 
 const (
@@ -53,6 +53,13 @@
 	return &Budget{OnOverReturned: b.OnOverReturned, size: size, whole: b}
 }
 
+// heldPart is the part of a budget that is there for held responses; the other half is left to requests.
+const heldPart = 0.5
+
+// HeldPart returns a part of the budget for held responses. What requests take counts only against the whole, so that
+// responses are held also beside many running requests.
+func (b *Budget) HeldPart() *Budget { return b.NewPart(int64(heldPart * float64(b.size))) }
+
 // Size returns the size in bytes.
 func (b *Budget) Size() int64 { return b.size }
 
--- a/process/memory/budget_test.go
+++ b/process/memory/budget_test.go
@@ -22,3 +22,20 @@
 	assert.Equal(t, whole.Stats().Taken, int64(20))
 	assert.Equal(t, calls, 1, "only the first is told")
 }
+
+// Beside running requests that take more than half of the memory, responses are held while a tenth of it is left, and held
+// ones alone never take more than half.
+func TestResponsesAreHeldBesideRunningRequests(t *testing.T) {
+	whole := NewBudget(1000)
+	held := whole.HeldPart()
+	assert.Assert(t, whole.TryTake(600, Running))
+	assert.Assert(t, held.TryTake(300, Held))
+	assert.Assert(t, !held.TryTake(1, Held), "a tenth is left to running requests")
+	assert.Assert(t, whole.TryTake(100, Running))
+	held.Return(300)
+	whole.Return(700)
+	for held.TryTake(10, Held) {
+	}
+	assert.Assert(t, held.Stats().Taken >= 440 && held.Stats().Taken <= 500, "%+v", held.Stats())
+	assert.Assert(t, whole.TryTake(400, NewRequest(0)))
+}
--- a/request/forward/memory_test.go
+++ b/request/forward/memory_test.go
@@ -59,7 +59,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	e.address = ln.Addr().String()
-	server := &entry.Server{Handler: e.forwarder, Log: zap.NewNop(), HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Budget: e.forwarder.Memory}
+	server := &entry.Server{Handler: e.forwarder, Log: zap.NewNop(), HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, Budget: e.forwarder.Memory.HeldPart()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ctx, ln) }()
