forward: a caller's short timeout counted as strain of its pool

The wait limit was cut to the caller's time before the pool was judged by it; a route without a target refused at three quarters of the caller's time; and each failed choice of a server counted the request's work again.

The pool is judged by the route's limit, a route without one waits as long as its caller, and work counts once for each pool.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -169,10 +169,7 @@
 		choice = placement.ChooseEngine(c.meta.Prompt, candidates)
 		prefillTokens = c.meta.Prompt.Tokens - c.meta.Prompt.SharedTokens()
 		if c.sends == 0 {
-			c.f.WorkloadMix(c.pool.Name).AddRequest(c.meta.Prompt, prefillTokens)
-			if c.workspace != "" {
-				c.f.Shares(c.pool.Name).Add(c.workspace, c.meta.Prompt.Work(prefillTokens))
-			}
+			c.countWork(prefillTokens)
 			var err error
 			if choice, err = c.admit(choice, candidates); err != nil {
 				return assignment{}, err
@@ -198,11 +195,22 @@
 	return target, nil
 }
 
+// countWork counts the work of the request, once for each pool, however often a server is chosen.
+func (c *call) countWork(prefillTokens int) {
+	if c.countedPool == c.pool.Name {
+		return
+	}
+	c.countedPool = c.pool.Name
+	c.f.WorkloadMix(c.pool.Name).AddRequest(c.meta.Prompt, prefillTokens)
+	if c.workspace != "" {
+		c.f.Shares(c.pool.Name).Add(c.workspace, c.meta.Prompt.Work(prefillTokens))
+	}
+}
+
 // admit returns the choice if its expected wait is within the limit, which is lower for what a workspace asks for beyond
-// its part. If not, admit chooses a server of the group for
-// delay-tolerant requests, where the request goes ahead of less urgent ones. If the wait is too long there too, the
-// first event would come too late, and admit returns an overload error. A request that was already sent to a server is
-// not checked again.
+// its part. If not, admit chooses a server of the group for delay-tolerant requests, where the request goes ahead of less
+// urgent ones. If the wait is too long there too, the first event would come too late, and admit returns an overload
+// error. A request that was already sent to a server is not checked again.
 func (c *call) admit(choice placement.Choice, candidates []placement.Candidate) (placement.Choice, error) {
 	limit, rate := c.config.WaitLimit(c.route, c.pool.Name, c.rank), c.f.PrefillRate(c.pool.Name).TokensPerMs()
 	lessUrgentLimit := c.config.LessUrgentWaitLimit(c.pool.Name, c.rank)
@@ -210,14 +218,20 @@
 		// Engines prefill this prompt before less urgent ones, so that it isn't refused while these are admitted.
 		limit = max(limit, lessUrgentLimit)
 	}
-	if left := c.remainingTime(); left > 0 && (limit <= 0 || left < limit) {
+	poolLimit := limit
+	if left := c.remainingTime(); left > 0 {
 		// The caller would be gone before its prompt is prefilled.
-		limit = left
+		if limit <= 0 {
+			limit = placement.LimitOf(left)
+		} else {
+			limit = min(limit, left)
+		}
 	}
 	refusal, ok := placement.Admit(&candidates[choice.Index], rate, limit)
 	excess := 0.0
 	if shares := c.f.Shares(c.pool.Name); c.workspace != "" {
-		shares.ObserveWait(refusal.Wait, limit)
+		// The time that one caller has left doesn't tell whether the pool is strained.
+		shares.ObserveWait(refusal.Wait, poolLimit)
 		excess = shares.Excess(c.workspace)
 		switch {
 		case placement.IsAmong(c.meta.ID, excess):
--- a/request/placement/admit.go
+++ b/request/placement/admit.go
@@ -55,6 +55,9 @@
 // limit, and an error of the estimate must not make all requests late.
 const maxWaitShare = 0.75
 
+// LimitOf returns the wait limit with which Admit admits expected waits up to the given one.
+func LimitOf(wait time.Duration) time.Duration { return time.Duration(float64(wait) / maxWaitShare) }
+
 // Refusal describes the wait of a request, and when the client may retry if it isn't admitted.
 type Refusal struct {
 	// Wait is the expected time at the best server until the prompt is prefilled.
@@ -66,9 +69,9 @@
 }
 
 // Admit reports whether a request may wait at the chosen server. The expected wait is the server's pending prefill
-// divided by the prefill rate in tokens per millisecond, and longer on a server that is slower than usual; the limit is the longest useful wait, and 0 means no limit.
-// The length of the request's own prompt doesn't count: long prompts would be refused far more often than short ones,
-// though they wait no longer.
+// divided by the prefill rate in tokens per millisecond, and longer on a server that is slower than usual; the limit is
+// the longest useful wait, and 0 means no limit. The length of the request's own prompt doesn't count: long prompts would
+// be refused far more often than short ones, though they wait no longer.
 //
 // Admission handles overload: if all requests were admitted, all would be late. Refusing at once those that would be
 // late lets the servers finish the others in time.
@@ -94,8 +97,8 @@
 // ReturnAfter returns when a client that wasn't admitted may return, with the wait limit and the time that is left to it
 // (0 if unknown). Returns are spread over the time from that at which the servers' backlog is down to what is admitted,
 // until RetryAfter. The rankShare, from 0 for the most urgent requests to 1, and the position, a request's own number
-// from 0 to 1, set the place within: more urgent clients return first. A client that would give up rather than wait for so long returns as late as it
-// would, unless the backlog lasts longer.
+// from 0 to 1, set the place within: more urgent clients return first. A client that would give up rather than wait for
+// so long returns as late as it would, unless the backlog lasts longer.
 //
 // It handles clients that were refused together in a burst: if all returned at once, most would be refused again.
 func (r Refusal) ReturnAfter(limit, left time.Duration, rankShare, position float64) time.Duration {
