--- a/request/placement/pace_test.go
+++ b/request/placement/pace_test.go
@@ -187,6 +187,27 @@
 	})
 }
 
+// Six of thirty instances that still get requests end a split together; the last decisions of the others don't undo it.
+func TestMergeBesideIdleInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newPaceFleet(30)
+		all.run(8, 0.4, 20_000)
+		assert.Equal(t, all.splits(), 30)
+		active := &paceFleet{mixes: all.mixes[:6]}
+		for range 40 {
+			for i, idle := range all.mixes[6:] {
+				rates, report := idle.LocalRates(), idle.Pace.Report()
+				for _, m := range active.mixes {
+					m.SetPeerRates(fmt.Sprint("idle", i), rates)
+					m.Pace.SetPeer(fmt.Sprint("idle", i), report)
+				}
+			}
+			active.run(1, 0, 1_000)
+		}
+		assert.Equal(t, active.splits(), 0)
+	})
+}
+
 // An instance that follows the others into a split when most of its work is gone keeps what it knows of the work, so that
 // the split ends.
 func TestFollowedSplitEnds(t *testing.T) {
