--- a/connection/entry/held.go
+++ b/connection/entry/held.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// stallTimeout is the default of Server.StallTimeout, the time in which a caller must accept something of a response that waits for it. It is twice the
-	// longest usual time limit of callers, so that a caller which still wants its response is never cut.
+	// stallTimeout is the default of Server.StallTimeout, the time in which a caller must accept something of a response
+	// that waits for it. It is twice the longest usual timeout of callers, so that a caller which still wants its response
+	// is never cut.
 	stallTimeout = 30 * time.Second
 	// minChunkBytes and maxChunkBytes are the smallest and the largest piece in which responses are held.
 	minChunkBytes, maxChunkBytes = 4 << 10, 64 << 10
--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -20,7 +20,7 @@
 	// goroutines of the caller's and the server's connection.
 	requestBytes = 24 << 10
 	// bodyStallTimeout is the time in which some of a body must arrive. A caller that sends it byte by byte is served as
-	// long as its time limit and the route's last.
+	// long as its timeout and the route's last.
 	bodyStallTimeout = 10 * time.Second
 	// refusalReadTimeout is the time for which the rest of a body is read and dropped before its request is refused for
 	// lack of memory: a caller that still sends may not read the refusal.
