--- a/process/streamorigin/keeper.go
+++ b/process/streamorigin/keeper.go
@@ -25,9 +25,8 @@
 	// minRetryDelay and maxRetryDelay bound the time after which a failed call of the store is repeated.
 	minRetryDelay = time.Second
 	maxRetryDelay = reloadDelay
-	// rereadJitter bounds the random delay of reads after a cut, so that all instances don't read at once. At the start an
-	// instance reads at once, since callers take up the streams that broke off with its earlier process.
-	rereadJitter = 250 * time.Millisecond
+	// startJitter bounds the random delay of reads at the start or after a cut, so that all instances don't read at once.
+	startJitter = 250 * time.Millisecond
 	// compareInterval is the interval at which the history is compared with the stored one without a change, for what is
 	// forgotten and for another era of the store.
 	compareInterval = time.Second
@@ -83,6 +82,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	k.delays = backoff.ExponentialBackOff{InitialInterval: minRetryDelay, RandomizationFactor: 0.3, Multiplier: 2, MaxInterval: maxRetryDelay}
 	k.delays.Reset()
+	k.callAfter = time.Now().Add(rand.N(startJitter))
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -110,9 +110,9 @@
 	}
 	if k.read || wasFrozen {
 		k.Log.Info("stream_origins_missed", zap.Bool("frozen", wasFrozen), zap.Bool("current", !k.missed))
-		k.callAfter = now.Add(rand.N(rereadJitter))
 	}
 	k.read = false
+	k.callAfter = now.Add(rand.N(startJitter))
 	k.History.BeginAgain()
 }
 
