--- a/review/_harness/endless.go
+++ b/review/_harness/endless.go
@@ -97,9 +97,9 @@
 		id := req.Header.Get("X-Toucanroute-Attempt-Id")
 		body, _ := io.ReadAll(req.Body)
 		if len(body) > 100 {
-			w.note("run %s", id)
-			time.Sleep(3 * time.Second)
-			w.note("run %s ends", id)
+			w.note("%s runs at a sound server, %d bytes", id, len(body))
+			time.Sleep(4 * time.Second)
+			w.note("%s ends", id)
 		} else {
 			time.Sleep(15 * time.Millisecond)
 		}
@@ -150,8 +150,8 @@
 		}
 	})
 	var lost atomic.Int64
-	upload := bytes.Repeat([]byte("x"), 3_000_000)
-	for i := range 8 {
+	upload := bytes.Repeat([]byte("x"), 4_000_000)
+	for i := range 9 {
 		wg.Go(func() {
 			c, err := dial(a.callers)
 			if err != nil {
@@ -168,7 +168,7 @@
 		})
 	}
 	time.Sleep(600 * time.Millisecond)
-	for i := range 10 {
+	for i := range 20 {
 		c, err := dial(a.callers)
 		if err != nil {
 			w.note("dial: %v", err)
