--- a/review/_harness/removed.go
+++ b/review/_harness/removed.go
@@ -20,8 +20,10 @@
 	stableAfter = 3300 * time.Millisecond
 	// removalGap is the time between the two removals.
 	removalGap = 50 * time.Millisecond
-	// lingerTime is the time for which a backend server serves after its entry was removed.
-	lingerTime = 4 * time.Second
+	// lingerTime is the time for which a backend server serves after its entry was removed: drainMs and a little longer.
+	lingerTime = drainTime + 100*time.Millisecond
+	// watchTime is the time for which requests go on after the last removal.
+	watchTime = 4 * time.Second
 )
 
 // removedAfterOutage removes the entries of two backend servers, which never report that they drain, once the store has
@@ -101,10 +103,11 @@
 		w.store.DeleteObject("servers", r.id)
 		removedAt[r.id] = time.Now()
 		mu.Unlock()
-		w.note("the store removes the entry of %s, which serves on for %v", r.id, lingerTime)
+		w.note("the store removes the entry of %s, which serves on for %v and then exits", r.id, lingerTime)
+		time.AfterFunc(lingerTime, r.close)
 		time.Sleep(removalGap)
 	}
-	time.Sleep(lingerTime)
+	time.Sleep(watchTime)
 	close(stop)
 	callers.Wait()
 	w.note("%d requests sent, %d not answered with 200; %d reached a removed server later than %v, the last %v after its removal", sent.Load(), failed.Load(), late, drainTime, latest)
