forward: log permitted retries, and those refused after a failed response

A permitted retry left no line, and neither did one that the budget refused after a server's failure: retry_refused was written only for attempts that were lost or rejected. So the log couldn't tell whether the budget's fixed part is granted too often, divided by too few instances, or passed by. retry_permitted and retry_refused have this instance's requests and retries in the window, its part of the fixed number and the age of its budget.

--- a/request/attempt/window.go
+++ b/request/attempt/window.go
@@ -57,14 +57,38 @@
 	return w.remaining()
 }
 
-// remaining counts all buckets, which cover more time than a window that ends now. The caller holds the lock.
-func (w *WindowBudget) remaining() float64 {
-	requests, taken := 0, 0
+// WindowUsage is how far a WindowBudget is used.
+type WindowUsage struct {
+	// Requests and Taken are the numbers of requests and further attempts in the window.
+	Requests, Taken int
+	// FixedAllowance is this instance's part of the fixed number.
+	FixedAllowance float64
+	// Age is the time since the first call.
+	Age time.Duration
+}
+
+// Usage returns how far the budget is used now.
+func (w *WindowBudget) Usage() WindowUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.usage()
+}
+
+// usage returns the same as Usage. The caller holds the lock and has called advance.
+func (w *WindowBudget) usage() WindowUsage {
+	u := WindowUsage{FixedAllowance: w.FixedAllowance(), Age: time.Since(w.startedAt)}
 	for i := range bucketCount {
-		requests += w.requests[i]
-		taken += w.taken[i]
+		u.Requests += w.requests[i]
+		u.Taken += w.taken[i]
 	}
-	return w.Ratio*float64(requests) + w.FixedAllowance() - float64(taken)
+	return u
+}
+
+// remaining counts all buckets, which cover more time than a window that ends now. The caller holds the lock.
+func (w *WindowBudget) remaining() float64 {
+	u := w.usage()
+	return w.Ratio*float64(u.Requests) + u.FixedAllowance - float64(u.Taken)
 }
 
 // advance clears the buckets that are older than the window and returns the index of the current one. The caller holds
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -109,12 +109,26 @@
 		return false
 	}
 	if !c.f.RetryBudget(c.pool.Name).TryTake() {
-		c.f.Log.Info("retry_refused", zap.String("request_id", c.meta.ID), zap.String("pool", c.pool.Name))
+		c.logRetry("retry_refused")
 		return false
 	}
+	c.logRetry("retry_permitted")
 	return true
 }
 
+// logRetry writes how far the pool's retry budget is used.
+func (c *call) logRetry(event string) {
+	usage := c.f.RetryBudget(c.pool.Name).Usage()
+	c.f.Log.Info(event,
+		zap.String("request_id", c.meta.ID),
+		zap.String("pool", c.pool.Name),
+		zap.Int("requests", usage.Requests),
+		zap.Int("retries", usage.Taken),
+		zap.Float64("fixed", roundHundredths(usage.FixedAllowance)),
+		zap.Duration("budget_age", usage.Age),
+	)
+}
+
 // serverChoice describes a choice of a server for the log.
 type serverChoice struct {
 	// cost is the cost of the chosen server; see placement.Choice.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -127,9 +127,13 @@
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		attempt.End(registry.OutcomeFailed)
-		if c.route.MayRepeat() && c.canRetryFailure() {
+		switch {
+		case !c.route.MayRepeat():
+		case c.canRetryFailure():
 			c.logUnusedResponse(resp.StatusCode, "failed")
 			return errUnusable
+		case c.possibleRuns < c.route.MaxAttempts && c.f.RetryBudget(c.pool.Name).Remaining() < 1:
+			c.logRetry("retry_refused")
 		}
 	}
 	c.beginResponse(resp)
--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -248,6 +248,7 @@
 	"server_out":         "Server %s was removed.",
 	"data_centre_silent": "Nothing was received from data centre %s.",
 	"stream_interrupted": "Server %s broke off the stream; another was asked to go on.",
+	"retry_permitted":    "The retry budget permitted another attempt.",
 	"retry_refused":      "The retry budget was used up.",
 	"store_lost":         "The instance couldn't reach the platform's store.",
 	"instance_leaving":   "The instance was shutting down.",
