gateway: a restart doesn't grant the retry budget's fixed part again

Callers saw nothing wrong; servers in trouble got more repeats than they are promised.

Cause: the budget of a process begins empty. Each instance has its part of the fixed number (194) in each window, but its count of what it has used ends with the process, so that each start granted the whole number again. Besides, until a new process has read the others' records it divided by 8 instead of 77: 19 to 23 of the retries in the first second after each start, and all of them while the store is down.

Ruled out by retry_permitted lines: retries past the budget (1,993 lines, 1,986 arrivals).

Now an instance has no part of the fixed number until it knows the others, and for one window after a restart. The ratio needs nothing of the kind, since it counts only requests of the process itself. Processes of a deployment that starts for the first time have their part at once.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -134,6 +134,8 @@
 	shuttingDown   atomic.Bool
 	// configured is closed once a configuration is in force.
 	configured chan struct{}
+	// startedAt is the time at which the gateway was built, soon after the start of the process.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// retryBudgets holds the retry budget of each pool, and workloadMixes the shares of delay-tolerant and
@@ -223,7 +225,8 @@
 	forwarding := g.Settings.Forwarding
 	g.currentSettings.CompareAndSwap(nil, forwarding)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(forwarding.MemoryMb) * (1 << 20)))
-	g.run = g.Settings.Instance + "." + strconv.FormatInt(time.Now().UnixMilli(), 36)
+	g.startedAt = time.Now()
+	g.run = g.Settings.Instance + "." + strconv.FormatInt(g.startedAt.UnixMilli(), 36)
 	g.metrics = metrics.New(g.gauges)
 	g.configured = make(chan struct{})
 	g.retryBudgets = map[string]*attempt.WindowBudget{}
@@ -259,7 +262,7 @@
 		Window: seconds(forwarding.UsageWindowS), Delay: seconds(forwarding.UsageDelayS), Store: g.Platform.Store, Log: g.Log,
 		Held:   g.held,
 		Report: g.reportUsage,
-		Sent:   &g.sentWindows, StartedAt: time.Now(),
+		Sent:   &g.sentWindows, StartedAt: g.startedAt,
 	}
 	g.requestMemory = memory.NewBudget(int64(requestMemoryShare * float64(forwarding.MemoryMb) * (1 << 20)))
 	g.requestMemory.OnOverReturned = func(n int64) { g.Log.Error("memory_over_returned", zap.Int64("bytes", n)) }
@@ -451,13 +454,20 @@
 	// is a safety margin: the windows of this instance don't begin at the same moment as those in which the ratio is
 	// checked, so that a request near the end of a window may be counted in the next one.
 	retryRatioShare = 0.8
-	// minBudgetInstances is the minimum number of instances by which the fixed part of the retry budget is divided,
-	// since an instance that has just started doesn't know the other instances yet.
+	// minBudgetInstances is the minimum number of instances by which the fixed part of the retry budget is divided.
 	minBudgetInstances = 8
 )
 
-// ownRetryExtra returns this instance's part of the fixed number of retries that all instances share.
+// ownRetryExtra returns this instance's part of the fixed number of retries that all instances share. It is 0 until this
+// instance knows the others, and for one window after a restart, since the process before may have used it until its end.
 func (g *Gateway) ownRetryExtra() float64 {
+	if !g.mesh.KnowsOthers() {
+		return 0
+	}
+	isFirst, _ := g.mesh.IsFirstRun()
+	if !isFirst && time.Since(g.startedAt) <= seconds(g.Settings.Forwarding.RetryWindowS) {
+		return 0
+	}
 	return g.currentSettings.Load().RetryExtra / float64(max(g.mesh.InstanceCount(), minBudgetInstances))
 }
 
--- a/request/attempt/window.go
+++ b/request/attempt/window.go
@@ -10,7 +10,8 @@
 
 // WindowBudget is a budget of further attempts (retries) in a sliding time window. It permits as many further attempts
 // as a ratio of the requests in the window plus a fixed number. All instances of a deployment share one budget: each
-// uses the ratio of its own requests and its part of the fixed number. The counts are lost when the process restarts.
+// uses the ratio of its own requests and its part of the fixed number. The counts are lost when the process restarts, so
+// that FixedAllowance must not grant again what an earlier process of the instance may have used in the same window.
 type WindowBudget struct {
 	// Length is the length of the window.
 	Length time.Duration
