forward: a relayed request that servers rejected takes a retry

An instance that reaches no server relays a request to another one; if that one answered no_server, a second one got the request without a retry from the budget, although servers of the first may have rejected it and so counted an arrival. The other instance now says how often it has sent the request (X-Relay-Sent); unless that is 0, or if an older build doesn't tell, relaying again takes a retry.

TestRejectedRelayTakesRetry failed before (2 arrivals with a used-up budget, 1 allowed) and passes now.

--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -182,6 +182,7 @@
 	}
 	if c.isRelayed {
 		h.Set(headerRelayError, response.Code)
+		h.Set(headerRelaySent, strconv.Itoa(c.sends))
 	}
 	body, _ := json.Marshal(response.Body(c.meta.ID))
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -21,6 +21,9 @@
 	headerRelayWaited = "X-Relay-Waited-Ms"
 	// headerRelayError holds the code of the error if the response to a relayed request is the second instance's own.
 	headerRelayError = "X-Relay-Error"
+	// headerRelaySent holds, beside headerRelayError, the number of times that the second instance sent the request to a
+	// backend server.
+	headerRelaySent = "X-Relay-Sent"
 	// maxRelays is the number of other instances to which a request is relayed until one takes it.
 	maxRelays = 2
 	// relayTimeout is the time beyond the request's own after which a relayed request is given up. The other instance gives
@@ -167,11 +170,17 @@
 		// An earlier attempt may have run.
 		return true, c.finalError(errRefused)
 	case refusal.Code == request.CodeNoServer && refusal.NotRun:
-		return false, refusal
+		return !c.mayRelayAgain(resp), refusal
 	}
 	return true, refusal
 }
 
+// mayRelayAgain reports whether a request that the other instance refused may go to a further one. If it has arrived at a
+// backend server, or the other instance doesn't tell, this takes one attempt from the pool's retry budget.
+func (c *call) mayRelayAgain(resp *http.Response) bool {
+	return resp.Header.Get(headerRelaySent) == "0" || c.mayTryAnother(errRefused)
+}
+
 // copyRelayed forwards the response of a backend server that another instance relays. An error means that it broke off,
 // and that another server may begin or resume it unless the outcome is OutcomeInterrupted.
 func (c *call) copyRelayed(resp *http.Response) error {
--- a/request/forward/relay_test.go
+++ b/request/forward/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/toucanroute/toucanroute/connection/upstream"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
+	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 )
 
@@ -352,3 +354,31 @@
 	assert.Assert(t, h.Get("Retry-After") != "")
 	assert.Equal(t, f.received.Load(), int32(1))
 }
+
+// A request that a server of another instance rejected is relayed once more only within the retry budget.
+func TestRejectedRelayTakesRetry(t *testing.T) {
+	for name, tt := range map[string]struct {
+		extra float64
+		want  int32
+	}{"budget used up": {0, 1}, "budget left": {1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			var arrivals atomic.Int32
+			rejecting := func() string {
+				f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+					arrivals.Add(1)
+					w.Header().Set("X-Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				})
+				return f.relayServer(t)
+			}
+			f := newPartitioned(t, rejecting(), rejecting())
+			budget := &attempt.WindowBudget{Length: 10 * time.Second, FixedAllowance: func() float64 { return tt.extra }}
+			f.forwarder.RetryBudget = func(string) *attempt.WindowBudget { return budget }
+			status, _, h := f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Assert(t, h.Get("Retry-After") != "")
+			assert.Equal(t, h.Get(headerRelaySent), "")
+			assert.Equal(t, arrivals.Load(), tt.want)
+		})
+	}
+}
