gateway: an instance that is out of step infers no stream's version

Cause: where nobody remembers a stream, an instance infers what began it if it knows of one version only. It notices that it is cut off after four missed heartbeats (a second with 77 instances) or when its watch times out, and after a freeze not before it has read what came meanwhile; until then it trusts its old list. docs/design/stream-origin.md named the cut as not covered.

Now nothing is inferred without a read of the servers and of the configuration from the store that began after the take-up; versions that the list has besides count. Take-ups that come together share the read, and one that isn't answered within 600 ms is refused as not run. Remembered streams, and take-ups where several versions are known, need no read.

--- a/process/gateway/fuzz_test.go
+++ b/process/gateway/fuzz_test.go
@@ -92,7 +92,7 @@
 		}
 		g.streamHistory.Merge(record)
 		g.streamHistory.MarkComplete()
-		g.onlyOrigin("h", "/")
+		g.onlyOrigin(t.Context(), "h", "/")
 		g.streamHistory.Record(0)
 	})
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/gossip"
@@ -134,6 +135,8 @@
 	shuttingDown   atomic.Bool
 	// configured is closed once a configuration is in force.
 	configured chan struct{}
+	// inStepChecks shares the checks of checkInStep.
+	inStepChecks singleflight.Group
 	// startedAt is the time at which the gateway was built, soon after the start of the process.
 	startedAt time.Time
 
--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
 	"github.com/toucanroute/toucanroute/connection/gossip"
+	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/sleep"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/wire"
 )
@@ -29,16 +36,105 @@
 }
 
 // onlyOrigin returns what began all streams of a route that callers may still take up, if that is certain: this instance
-// must not lack changes of the servers or of the configuration either, also if others have had them for a moment only.
-func (g *Gateway) onlyOrigin(host, prefix string) (streamorigin.Origin, streamorigin.Answer) {
-	lacksServers := int(g.awaitedServers.Load()) > g.serverFeed.KnownVersion()
-	lacksConfig := int(g.newestConfig.Load()) > g.configVersion()
-	if lacksServers || lacksConfig || g.mesh.MayLackChanges(g.serverFeed.IsFresh()) {
+// must not lack changes of the servers or of the configuration either, also if others have had them for a moment only. It
+// reads both from the store, since an instance that was frozen or is just being cut off doesn't notice it by itself.
+func (g *Gateway) onlyOrigin(ctx context.Context, host, prefix string) (streamorigin.Origin, streamorigin.Answer) {
+	if g.lacksChanges() {
+		return streamorigin.Origin{}, streamorigin.NotKnown
+	}
+	if _, answer := g.streamHistory.Only(host, prefix); answer != streamorigin.Single {
+		return streamorigin.Origin{}, answer
+	}
+	if err := g.checkInStep(ctx); err != nil {
+		g.Log.Info("stream_origin_not_inferred", zap.Error(err))
+		return streamorigin.Origin{}, streamorigin.NotKnown
+	}
+	if g.lacksChanges() {
 		return streamorigin.Origin{}, streamorigin.NotKnown
 	}
 	return g.streamHistory.Only(host, prefix)
 }
 
+// lacksChanges reports whether this instance may lack changes of the servers or of the configuration, as far as it has
+// learned of them.
+func (g *Gateway) lacksChanges() bool {
+	lacksServers := int(g.awaitedServers.Load()) > g.serverFeed.KnownVersion()
+	lacksConfig := int(g.newestConfig.Load()) > g.configVersion()
+	return lacksServers || lacksConfig || g.mesh.MayLackChanges(g.serverFeed.IsFresh())
+}
+
+const (
+	// inStepTimeout bounds the time of a check against the store, a part of the two seconds after which callers give a stream
+	// up.
+	inStepTimeout = 600 * time.Millisecond
+	// inStepDelay is the time for which a check is held back so that take-ups that come together share it.
+	inStepDelay = 10 * time.Millisecond
+)
+
+// checkInStep compares this instance with the store, in a check that begins after the call. It returns an error if the
+// store can't be read or has a newer configuration, and adds the versions of servers that this instance lacks to the
+// history.
+func (g *Gateway) checkInStep(ctx context.Context) error {
+	result := g.inStepChecks.DoChan("", func() (any, error) {
+		sleep.For(context.Background(), inStepDelay)
+		// Later calls need a check that begins after them.
+		g.inStepChecks.Forget("")
+		return nil, g.compareWithStore()
+	})
+	select {
+	case r := <-result:
+		return r.Err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// errNewerConfig reports that the store's configuration is newer than the one in force here.
+var errNewerConfig = errors.New("the store has a newer configuration")
+
+func (g *Gateway) compareWithStore() error {
+	ctx, cancel := context.WithTimeout(context.Background(), inStepTimeout)
+	defer cancel()
+	reads, ctx := errgroup.WithContext(ctx)
+	reads.Go(func() error {
+		config, err := g.Platform.Store.Get(ctx, g.Platform.ConfigKind, g.Platform.ConfigName)
+		if err != nil {
+			return err
+		}
+		return g.compareConfig(config)
+	})
+	reads.Go(func() error {
+		servers, err := g.Platform.Store.List(ctx, g.Platform.ServerKind, "")
+		if err == nil {
+			g.addVersions(servers.Items)
+		}
+		return err
+	})
+	return reads.Wait()
+}
+
+// compareConfig returns an error unless the configuration of an object of the store is in force, or an older one than that.
+func (g *Gateway) compareConfig(o wire.Object) error {
+	if inForce := g.configObject.Load(); inForce != nil && o.Version == inForce.Version {
+		return nil
+	}
+	cfg, err := g.Platform.Config(o)
+	if err == nil && cfg.Version > g.configVersion() {
+		err = errNewerConfig
+	}
+	return err
+}
+
+// addVersions adds the software versions of listed servers to the history that this instance doesn't know.
+func (g *Gateway) addVersions(items []wire.Object) {
+	for _, o := range items {
+		e, ok := g.serverEntry(o)
+		if ok && !slices.Contains(g.registry.Versions(e.Pool, registry.MaxVersionMemory), e.Version) {
+			g.registry.AddVersion(e.Pool, e.Version)
+		}
+	}
+}
+
 // beginStream remembers what began a stream, here and at other instances, for the case that the caller takes it up
 // there.
 func (g *Gateway) beginStream(id string, origin streamorigin.Origin) {
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -122,8 +122,10 @@
 		Quarantine:   &quarantine.Table{Log: zap.NewNop(), Probe: func(string) error { return nil }},
 		ResetOnClose: entry.ResetOnClose,
 		BeginStream:  f.origins.Add,
-		OnlyOrigin:   f.history.Only,
-		FindStream:   func(_ context.Context, id string) (streamorigin.Origin, bool) { return f.origins.Find(id) },
+		OnlyOrigin: func(_ context.Context, host, prefix string) (streamorigin.Origin, streamorigin.Answer) {
+			return f.history.Only(host, prefix)
+		},
+		FindStream: func(_ context.Context, id string) (streamorigin.Origin, bool) { return f.origins.Find(id) },
 		OnStarted: func(w string, _ time.Time) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -58,7 +58,7 @@
 	FindStream func(ctx context.Context, id string) (streamorigin.Origin, bool)
 	// OnlyOrigin returns what began all streams of a route, given by its host and prefix, that callers may still take up, if
 	// the answer is streamorigin.Single.
-	OnlyOrigin func(host, prefix string) (streamorigin.Origin, streamorigin.Answer)
+	OnlyOrigin func(ctx context.Context, host, prefix string) (streamorigin.Origin, streamorigin.Answer)
 	// ObserveTakeUp is called with the result of each stream that a caller takes up; it may be nil.
 	ObserveTakeUp func(result string)
 	// StallTimeout is the shortest time without an event after which a stream that has begun counts as stalled; 0 means
--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -21,8 +21,8 @@
 	}
 	origin, known := c.knownOrigin()
 	answer := streamorigin.NotKnown
-	if !known {
-		origin, answer = c.f.OnlyOrigin(c.route.Host, c.route.Prefix)
+	if !known && c.meta.LastEventID != "" {
+		origin, answer = c.f.OnlyOrigin(c.ctx, c.route.Host, c.route.Prefix)
 	}
 	inferred := answer == streamorigin.Single
 	c.f.Log.Info("stream_taken_up",
--- a/request/forward/resume_test.go
+++ b/request/forward/resume_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -81,7 +82,7 @@
 		var results []string
 		f.forwarder.ObserveTakeUp = func(result string) { results = append(results, result) }
 		certain := f.forwarder.OnlyOrigin
-		f.forwarder.OnlyOrigin = func(string, string) (streamorigin.Origin, streamorigin.Answer) {
+		f.forwarder.OnlyOrigin = func(context.Context, string, string) (streamorigin.Origin, streamorigin.Answer) {
 			return streamorigin.Origin{}, streamorigin.NotKnown
 		}
 		status, body, h := f.do(t, f.resume(t, began))
