platform: one odd entry hides no other entry

Found here: encoding/json refuses a whole document for one value nested in more than 10,000 levels, so that neither a list nor a watch with such an entry could be read: instances kept their old list for as long as the entry was there, and new ones never got ready. Values beyond 100 levels are read as null now, in all answers of the platform, which also holds for what instances pass on. Numbers that don't fit their field and ports above 65,535 were rejected before.

--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -228,7 +228,7 @@
 // decode decodes the JSON body of a response. If the response of a write is invalid, the outcome of the write is
 // unknown.
 func decode(spec call, response rawResponse, v any) error {
-	if err := json.Unmarshal(response.body, v); err != nil {
+	if err := json.Unmarshal(pruneNested(response.body, maxNesting), v); err != nil {
 		return callError(spec, fmt.Errorf("decode response body: %w", err))
 	}
 	return nil
