forward: a refusal that a server repeats answers no later attempt

A response on a kept connection counts only if it has its request's id, so that another request's refusal is skipped. But all attempts of a request have one id, and the same request could be sent twice on one connection: where a server was replaced by another one at its address, the first attempt is refused there (421), the second goes to the new entry on the kept connection, and the refusal, written once more, has the right id. Now a further attempt at the same address takes a new connection. The completions form has an id for each attempt, and nothing to mend.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -39,7 +39,7 @@
 
 // run sends the request to one server after the other until one responds. A nil error means that the response was sent.
 func (c *call) run() error {
-	c.triedServers, c.relays = map[string]bool{}, map[string]bool{}
+	c.triedServers, c.triedAddresses, c.relays = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	if !c.isRelayed {
 		// A relayed request counts at the instance that got it from the caller.
 		c.f.RetryBudget(c.pool.Name).CountRequest()
@@ -459,7 +459,11 @@
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
 		req.ContentLength = int64(len(c.body))
 	}
-	return c.f.Send(req, c.meta.ID, false)
+	// The id tells the responses on a connection apart, unless the request was sent on it before: one server may have another
+	// one's address.
+	fresh := c.triedAddresses[entry.Address]
+	c.triedAddresses[entry.Address] = true
+	return c.f.Send(req, c.meta.ID, fresh)
 }
 
 // reportStarted reports the request to Forwarder.OnStarted, at most once.
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -151,6 +151,8 @@
 	splitsServers bool
 	// triedServers holds the ids of the servers that were tried.
 	triedServers map[string]bool
+	// triedAddresses holds the addresses to which the request was sent.
+	triedAddresses map[string]bool
 	// countedPool is the pool of which the request's work was counted last.
 	countedPool string
 	// sends counts the attempts of which a byte may have been sent; possibleRuns counts those that a server may have
