forward: a refusal for lack of memory left its connection answering empty successes

Cause: the rest of the body is dropped before the refusal, and then the read deadline is set into the past so that the connection closes. Where the body had arrived whole, net/http already waits for the next request; it takes the deadline for the caller's leaving and cancels the context of the connection. Each later request on it began cancelled, counted as one whose caller had left, and net/http sent its empty response. Now the deadline is lifted if the body has ended, and a request whose caller has left, of which nothing was written, resets its connection instead of ending with an empty 200.

--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -141,9 +141,13 @@
 // setDeadline sets the time until which the next read waits. A response writer without deadlines isn't a connection.
 func (r *patientReader) setDeadline(t time.Time) { _ = r.rc.SetReadDeadline(t) }
 
-// discard drops what arrives of the body for a time. The connection closes after the response if more is left.
+// discard drops what arrives of the body for a time. The connection closes after the response if more is left. Otherwise
+// net/http already waits for the next request, and takes a deadline in the past for the caller's leaving.
 func (r *patientReader) discard(d time.Duration) {
 	r.setDeadline(time.Now().Add(d))
-	_, _ = io.Copy(io.Discard, r.body)
-	r.setDeadline(time.Unix(1, 0))
+	next := time.Time{}
+	if _, err := io.Copy(io.Discard, r.body); err != nil {
+		next = time.Unix(1, 0)
+	}
+	r.setDeadline(next)
 }
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -217,9 +217,9 @@
 		c.writeError(err)
 	}
 	c.logRequest()
-	if c.outcome == OutcomeInterrupted {
+	if c.outcome == OutcomeInterrupted || c.outcome == OutcomeCallerLeft && c.status == 0 {
 		// Closes the connection without a proper end, so that the caller can't take the partial response for a complete
-		// one.
+		// one, nor net/http's empty response if nothing was written.
 		panic(http.ErrAbortHandler)
 	}
 	c.completeResponse()
