gateway: health checks read the heads of servers in trouble without a bound

Cause: health checks parsed the answer by themselves, past the bound of connection/upstream. They use its parser now, which gives up after 32 kB, and don't read the rest of an answer before they close its connection. No other place reads answers without it.

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -42,6 +42,15 @@
 	return &conn{Conn: c, address: address, r: bufio.NewReaderSize(input, readBufferBytes), input: input}
 }
 
+// Ask sends a request without a body on a new connection and returns the response, whose head is bounded. The caller closes
+// the connection instead of the response's body.
+func Ask(c net.Conn, req *http.Request) (*http.Response, error) {
+	if err := req.Write(c); err != nil {
+		return nil, err
+	}
+	return newConn(c, req.URL.Host).readResponse(req)
+}
+
 // errHeadTooLarge reports that the head of a response has more than maxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the response is too large")
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -4,7 +4,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -327,14 +326,11 @@
 		return 0, err
 	}
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: p.HealthPath}, Header: http.Header{"Connection": {"close"}}}
-	if err := req.Write(conn); err != nil {
-		return 0, err
-	}
-	res, err := http.ReadResponse(bufio.NewReader(conn), req)
+	res, err := upstream.Ask(conn, req) //nolint:bodyclose // The connection is closed instead.
 	if err != nil {
 		return 0, err
 	}
-	return g.Platform.Headers.ReadResponse(res.StatusCode, res.Header).ColdTime, res.Body.Close()
+	return g.Platform.Headers.ReadResponse(res.StatusCode, res.Header).ColdTime, nil
 }
 
 // errNoHealthCheck reports that a pool isn't in the configuration.
