forward: long heads of requests weren't counted as memory

Cause: each request was granted 24 kB beside its body, however long its head was, while a running request holds several copies of it (read, parsed, sent on, the prompt's parts). Now four times the length of its target and headers is granted besides; what finds no memory is refused at once as not run.

--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -16,9 +16,12 @@
 )
 
 const (
-	// requestBytes is the memory that a running request takes beside its body and response: its headers, the buffers and
-	// goroutines of the caller's and the server's connection.
+	// requestBytes is the memory that a running request takes beside its body, its response and a long head: the buffers and
+	// goroutines of the caller's and the server's connection, and a head of the usual length.
 	requestBytes = 24 << 10
+	// headCopies is the number of copies of a head that a running request holds: as it was read, parsed, sent on, and the parts
+	// of the prompt.
+	headCopies = 4
 	// bodyStallTimeout is the time in which some of a body must arrive. A caller that sends it byte by byte is served as
 	// long as its timeout and the route's last.
 	bodyStallTimeout = 10 * time.Second
@@ -32,13 +35,25 @@
 
 // takeMemory takes the memory of a request, or refuses it.
 func (c *call) takeMemory() error {
-	if !c.f.Memory.TryTake(requestBytes, memory.NewRequest(c.rank)) {
-		return c.memoryError(requestBytes)
+	size := int64(requestBytes + headCopies*headBytes(c.r))
+	if !c.f.Memory.TryTake(size, memory.NewRequest(c.rank)) {
+		return c.memoryError(int(size))
 	}
-	c.memory = requestBytes
+	c.memory = size
 	return nil
 }
 
+// headBytes returns the length of the target and the headers of a request.
+func headBytes(r *http.Request) int {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value)
+		}
+	}
+	return n
+}
+
 // returnMemory returns the memory of a request and its body.
 func (c *call) returnMemory() {
 	c.requestBody.reset()
--- a/request/forward/memory_test.go
+++ b/request/forward/memory_test.go
@@ -90,6 +90,8 @@
 	// readAfter is the time until the caller reads the response, of wantBytes.
 	readAfter time.Duration
 	wantBytes int64
+	// headBytes is the length of a further header.
+	headBytes int
 }
 
 // Ends of a request for its caller.
@@ -107,7 +109,7 @@
 		return endBroken
 	}
 	defer func() { _ = conn.Close() }()
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n", s.path, id, s.bodyBytes)
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Key: k\r\nX-Id: %s\r\nX-Long: %s\r\nContent-Length: %d\r\n\r\n", s.path, id, strings.Repeat("x", s.headBytes), s.bodyBytes)
 	piece := make([]byte, s.bodyBytes/max(s.pieces, 1))
 	for range s.pieces {
 		// An error means that the request was refused.
@@ -215,6 +217,28 @@
 	e.waitReturned(t)
 }
 
+// Requests with heads of 15 kB take no more memory than there is: what finds none is refused at once as not run.
+func TestLongHeadsFitInMemory(t *testing.T) {
+	const running = 2 * time.Second
+	e := newEdge(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(running)
+		w.Header().Set("X-Signed", "1")
+		_, _ = w.Write(make([]byte, 8))
+	})
+	requests := make([]slowRequest, 1150)
+	for i := range requests {
+		requests[i] = slowRequest{path: "/once/", headBytes: 15_000, wantBytes: 8}
+	}
+	peak := watchHeap(t)
+	debug.SetMemoryLimit(edgeHeap)
+	ends := e.sendAll(requests)
+	t.Logf("peak of the heap: %.1f MB; whole %d, refused %d, broken %d", float64(peak())/(1<<20), ends[endWhole], ends[endRefused], ends[endBroken])
+	assert.Equal(t, ends[endBroken], 0)
+	assert.Assert(t, 2*ends[endWhole] > ends[endRefused])
+	assert.Assert(t, peak() < edgeHeap, "%d MB of heap", peak()>>20)
+	e.waitReturned(t)
+}
+
 // A burst of the largest bodies takes no more memory than there is: what finds none is refused at once as not run.
 func TestBurstOfLargestBodiesFitsInMemory(t *testing.T) {
 	e := newEdge(t, slowServer)
