forward: a path that begins with two slashes reached servers changed

Cause: a request's target was passed to net/http as an opaque URL, and net/http puts the scheme before an opaque part that begins with two slashes. Such a target is split into path and query now, in the one place that forwarding and relaying use; where net/http would still write it otherwise (characters that need an escape in it), the request is refused with 400 as not run.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"time"
 
@@ -449,9 +448,10 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
 	}
+	target, _ := targetURL(entry.Address, c.r.RequestURI)
 	req := (&http.Request{
 		Method: c.r.Method,
-		URL:    &url.URL{Scheme: "http", Host: entry.Address, Opaque: c.r.RequestURI},
+		URL:    target,
 		Host:   c.r.Host,
 		Header: h,
 	}).WithContext(ctx)
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -258,6 +258,9 @@
 		return request.NewRefusal(http.StatusNotFound, request.CodeNotFound, "no route leads there")
 	}
 	c.route = route
+	if _, ok := targetURL("", c.r.RequestURI); !ok {
+		return request.NewRefusal(http.StatusBadRequest, request.CodeBadRequest, "the request's target can't be sent on unchanged")
+	}
 	var owner *hostroute.Workspace
 	if c.config.NeedsKey(route) {
 		if owner, ok = c.config.WorkspaceByKey(meta.Key); !ok {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -116,8 +115,9 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
 	}
+	target, _ := targetURL(peer, c.r.RequestURI)
 	req := (&http.Request{
-		Method: c.r.Method, URL: &url.URL{Scheme: "http", Host: peer, Opaque: c.r.RequestURI}, Host: c.r.Host, Header: h,
+		Method: c.r.Method, URL: target, Host: c.r.Host, Header: h,
 	}).WithContext(ctx)
 	if c.r.ContentLength != 0 || len(c.body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
