--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -134,7 +134,7 @@
 	shuttingDown   atomic.Bool
 	// configured is closed once a configuration is in force.
 	configured chan struct{}
-	// inStepChecks shares the checks of checkInStep.
+	// inStepChecks holds the run of compareWithStore that later calls of checkInStep may join.
 	inStepChecks singleflight.Group
 	// startedAt is the time at which the gateway was built, soon after the start of the process.
 	startedAt time.Time
@@ -413,14 +413,6 @@
 	return server.Serve(ctx, g.relayListener)
 }
 
-// retryBudget returns the retry budget of a pool, which limits the retries within a time window.
-func (g *Gateway) retryBudget(pool string) *attempt.WindowBudget {
-	return getOrCreateForPool(g, g.retryBudgets, pool, func() *attempt.WindowBudget {
-		forwarding := g.Settings.Forwarding
-		return &attempt.WindowBudget{Length: seconds(forwarding.RetryWindowS), Ratio: forwarding.RetryRatio * retryRatioShare, FixedAllowance: g.ownRetryExtra}
-	})
-}
-
 // workloadMix returns the shares of delay-tolerant and latency-sensitive requests in a pool's work.
 func (g *Gateway) workloadMix(pool string) *placement.WorkloadMix {
 	return getOrCreateForPool(g, g.workloadMixes, pool, func() *placement.WorkloadMix { return &placement.WorkloadMix{} })
@@ -448,28 +440,6 @@
 	return v
 }
 
-const (
-	// retryRatioShare is the share of the configured ratio of retries to requests that this instance uses up. The rest
-	// is a safety margin: the windows of this instance don't begin at the same moment as those in which the ratio is
-	// checked, so that a request near the end of a window may be counted in the next one.
-	retryRatioShare = 0.8
-	// minBudgetInstances is the minimum number of instances by which the fixed part of the retry budget is divided.
-	minBudgetInstances = 8
-)
-
-// ownRetryExtra returns this instance's part of the fixed number of retries that all instances share. It is 0 until this
-// instance knows the others, and for one window after a restart, since the process before may have used it until its end.
-func (g *Gateway) ownRetryExtra() float64 {
-	if !g.mesh.KnowsOthers() {
-		return 0
-	}
-	isFirst, _ := g.mesh.IsFirstRun()
-	if !isFirst && time.Since(g.startedAt) <= seconds(g.Settings.Forwarding.RetryWindowS) {
-		return 0
-	}
-	return g.currentSettings.Load().RetryExtra / float64(max(g.mesh.InstanceCount(), minBudgetInstances))
-}
-
 const (
 	// balancerDetectionTime is the time in which the load balancer detects that the instance is shutting down: it
 	// checks the readiness once per second and needs two failed checks.
--- a/process/gateway/streams.go
+++ b/process/gateway/streams.go
@@ -64,20 +64,17 @@
 }
 
 const (
-	// inStepTimeout bounds the time of a check against the store, a part of the two seconds after which callers give a stream
-	// up.
+	// inStepTimeout bounds the reads of compareWithStore. Callers give a stream up after a pause of two seconds.
 	inStepTimeout = 600 * time.Millisecond
-	// inStepDelay is the time for which a check is held back so that take-ups that come together share it.
+	// inStepDelay is the time before the reads in which other take-ups may join.
 	inStepDelay = 10 * time.Millisecond
 )
 
-// checkInStep compares this instance with the store, in a check that begins after the call. It returns an error if the
-// store can't be read or has a newer configuration, and adds the versions of servers that this instance lacks to the
-// history.
+// checkInStep runs compareWithStore, which begins after checkInStep was called. Calls that come together share one run.
 func (g *Gateway) checkInStep(ctx context.Context) error {
 	result := g.inStepChecks.DoChan("", func() (any, error) {
 		sleep.For(context.Background(), inStepDelay)
-		// Later calls need a check that begins after them.
+		// The reads of this run begin now, so that later calls need another one.
 		g.inStepChecks.Forget("")
 		return nil, g.compareWithStore()
 	})
@@ -92,6 +89,8 @@
 // errNewerConfig reports that the store's configuration is newer than the one in force here.
 var errNewerConfig = errors.New("the store has a newer configuration")
 
+// compareWithStore returns an error if the store can't be read or has a newer configuration than this instance. It adds the
+// versions of servers that this instance lacks to the history.
 func (g *Gateway) compareWithStore() error {
 	ctx, cancel := context.WithTimeout(context.Background(), inStepTimeout)
 	defer cancel()
@@ -125,7 +124,7 @@
 	return err
 }
 
-// addVersions adds the software versions of listed servers to the history that this instance doesn't know.
+// addVersions adds those software versions of listed servers to the history that this instance doesn't know.
 func (g *Gateway) addVersions(items []wire.Object) {
 	for _, o := range items {
 		e, ok := g.serverEntry(o)
