gateway: test that the fixed part of the retry budget comes back

Without it, a budget that never grants the fixed number would pass TestRestartedInstancesKeepRetryBudget.

--- a/process/gateway/retries_test.go
+++ b/process/gateway/retries_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,9 +43,9 @@
 	kill    context.CancelFunc
 }
 
-func newRetryFleet(t *testing.T, storeDown *bool) *retryFleet {
+func newRetryFleet(t *testing.T, storeDown *atomic.Bool) *retryFleet {
 	f := &retryFleet{store: &platformtest.Objects{ChooseFault: func(platformtest.Call) platformtest.Fault {
-		if *storeDown {
+		if storeDown.Load() {
 			return platformtest.Fault{Outcome: platformtest.OutcomeUnavailable}
 		}
 		return platformtest.Fault{Before: 4 * time.Millisecond}
@@ -115,10 +116,10 @@
 	for name, storeDown := range map[string]bool{"store_reached": false, "store_down": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				isStoreDown := false
+				var isStoreDown atomic.Bool
 				f := newRetryFleet(t, &isStoreDown)
 				f.serve(2 * testRetryWindow)
-				isStoreDown = storeDown
+				isStoreDown.Store(storeDown)
 				for range 4 {
 					f.restart(t)
 					f.serve(testRetryWindow / 4)
@@ -129,3 +130,24 @@
 		})
 	}
 }
+
+// The first processes of a deployment have the whole fixed number of retries at once, and later ones after a window.
+func TestFixedRetriesAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRetryFleet(t, &atomic.Bool{})
+		remaining := func() float64 {
+			sum := 0.0
+			for _, i := range f.instances {
+				sum += i.gateway.retryBudget("p").Remaining()
+			}
+			return sum
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, remaining(), float64(testRetryExtra))
+		f.restart(t)
+		time.Sleep(testRetryWindow)
+		assert.Equal(t, remaining(), 0.0)
+		time.Sleep(time.Second)
+		assert.Equal(t, remaining(), float64(testRetryExtra))
+	})
+}
