--- a/Makefile
+++ b/Makefile
@@ -45,9 +45,17 @@
 	$(BIN)/golangci-lint run --allow-parallel-runners ./...
 	cd tools && $(BIN)/golangci-lint run --allow-parallel-runners --config ../.golangci.yml ./...
 
+# UNRACED are the packages in whose tests the race detector itself crashes on arm64.
+UNRACED := process/gateway
+
 unit:
 	go vet ./... ./tools/...
+ifeq ($(shell go env GOARCH),arm64)
+	go run ./tools/testrun -- ./$(UNRACED)
+	go run ./tools/testrun -- -race $$(go list ./... ./tools/... | grep -v '/$(UNRACED)$$')
+else
 	go run ./tools/testrun -- -race ./... ./tools/...
+endif
 
 # test runs all checks: build, vet, linter, unit tests with the race detector, scenarios.
 test: build lint unit cost
