--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -77,6 +77,7 @@
 	}
 	// The other instance has counted the request.
 	c.startReported = true
+	c.logImpliedRejection(resp)
 	if isSuccess(resp) && !c.f.Headers.ReadResponse(resp.StatusCode, resp.Header).Signed {
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		c.possibleRuns++
@@ -231,6 +232,9 @@
 			return c.streamInterrupted(err)
 		}
 		c.beganRelayed = true
+		if index == 0 {
+			c.logResumed(id)
+		}
 		if c.firstByteAt.IsZero() {
 			c.beginResponse(resp)
 			c.w.WriteHeader(resp.StatusCode)
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -47,11 +48,12 @@
 	}
 	if responseMeta.NotRun {
 		attempt.End(notRunOutcome(responseMeta))
-		c.logUnusedResponse(resp.StatusCode, "not_run")
+		c.logRejected(resp, responseMeta)
 		c.drainBody(resp)
 		return errRefused
 	}
 	c.possibleRuns++
+	c.logImpliedRejection(resp)
 	if isSuccess(resp) && (!responseMeta.Signed || resp.Header.Get("Content-Encoding") != "") {
 		attempt.End(registry.OutcomeFailed)
 		c.reportStarted()
@@ -103,6 +105,38 @@
 
 func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
 
+// logRejected writes a rejection by a server, and whether it states that the request hasn't run or only implies it by its
+// status.
+func (c *call) logRejected(resp *http.Response, meta ResponseMeta) {
+	c.f.Log.Info("answer_not_used",
+		zap.String("request_id", c.meta.ID),
+		zap.String("server", c.serverID),
+		zap.Int("status", resp.StatusCode),
+		zap.String("reason", "not_run"),
+		zap.Bool("stated", meta.StatedNotRun),
+		zap.Bool("wrong_server", meta.WrongServer),
+		zap.Int("possible_runs", c.possibleRuns),
+	)
+}
+
+// notRunStatuses are the statuses by which a caller takes its request for not run.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// logImpliedRejection writes that a server's status implies that the request hasn't run, while the server doesn't state
+// that.
+func (c *call) logImpliedRejection(resp *http.Response) {
+	if !slices.Contains(notRunStatuses, resp.StatusCode) {
+		return
+	}
+	c.f.Log.Info("rejection_not_stated",
+		zap.String("request_id", c.meta.ID),
+		zap.String("server", c.serverID),
+		zap.String("relayed_to", c.relayedTo),
+		zap.Int("status", resp.StatusCode),
+		zap.Bool("may_repeat", c.route.MayRepeat()),
+	)
+}
+
 func (c *call) logUnusedResponse(status int, reason string) {
 	c.f.Log.Info("answer_not_used",
 		zap.String("request_id", c.meta.ID),
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -42,6 +42,9 @@
 				attempt.RecordStepTime(pause)
 			}
 			c.observePace(pause)
+			if index == 0 {
+				c.logResumed(id)
+			}
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
 			}
@@ -96,6 +99,20 @@
 	return errCallerLeft
 }
 
+// logResumed writes where a stream goes on, given the id of the first event that arrives.
+func (c *call) logResumed(id string) {
+	if c.meta.LastEventID == "" {
+		return
+	}
+	c.f.Log.Info("stream_resumed",
+		zap.String("request_id", c.meta.ID),
+		zap.String("server", c.serverID),
+		zap.String("relayed_to", c.relayedTo),
+		zap.String("last_event", c.meta.LastEventID),
+		zap.String("next_event", id),
+	)
+}
+
 // observePrefill records the time that the chosen engine took to prefill its pending prompts and then this one.
 func (c *call) observePrefill() {
 	if c.meta.Prompt == nil || c.pool.Engine == nil {
--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -248,6 +248,8 @@
 	"server_out":         "Server %s was removed.",
 	"data_centre_silent": "Nothing was received from data centre %s.",
 	"stream_interrupted": "Server %s broke off the stream; another was asked to go on.",
+	"stream_resumed":     "Server %s goes on with the stream.",
+	"rejection_not_stated": "Server %s rejected the request without a statement that it hasn't run.",
 	"retry_permitted":    "The retry budget permitted another attempt.",
 	"retry_refused":      "The retry budget was used up.",
 	"store_lost":         "The instance couldn't reach the platform's store.",
