--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -241,19 +241,19 @@
 
 // eventTexts are the explanations of single events. %s is the server, or the data centre if the event names no server.
 var eventTexts = map[string]string{
-	"server_suspected":   "Server %s couldn't be reached.",
-	"server_mute":        "Server %s accepted connections and didn't respond.",
-	"server_replaced":    "Another server answered at the address of server %s.",
-	"server_draining":    "Server %s was draining.",
-	"server_out":         "Server %s was removed.",
-	"data_centre_silent": "Nothing was received from data centre %s.",
-	"stream_interrupted": "Server %s broke off the stream; another was asked to go on.",
-	"stream_resumed":     "Server %s goes on with the stream.",
+	"server_suspected":     "Server %s couldn't be reached.",
+	"server_mute":          "Server %s accepted connections and didn't respond.",
+	"server_replaced":      "Another server answered at the address of server %s.",
+	"server_draining":      "Server %s was draining.",
+	"server_out":           "Server %s was removed.",
+	"data_centre_silent":   "Nothing was received from data centre %s.",
+	"stream_interrupted":   "Server %s broke off the stream; another was asked to go on.",
+	"stream_resumed":       "Server %s goes on with the stream.",
 	"rejection_not_stated": "Server %s rejected the request without a statement that it hasn't run.",
-	"retry_permitted":    "The retry budget permitted another attempt.",
-	"retry_refused":      "The retry budget was used up.",
-	"store_lost":         "The instance couldn't reach the platform's store.",
-	"instance_leaving":   "The instance was shutting down.",
+	"retry_permitted":      "The retry budget permitted another attempt.",
+	"retry_refused":        "The retry budget was used up.",
+	"store_lost":           "The instance couldn't reach the platform's store.",
+	"instance_leaving":     "The instance was shutting down.",
 }
 
 // codeTexts are the explanations of the codes of an instance's own error responses.
