forward: replace a server's status that falsely says a request hasn't run

Cause: only a header states that a server hasn't run a request. A server that has begun one and then answers with such a status and without the header (one that shuts down, a web framework's own limit) had its answer passed on unchanged, and callers take these statuses for a promise.

The response is now read as before, so that what is recorded of the server stays, and then replaced by the instance's own 502 outcome_unknown, without any header of the server: its signature must not stand on another status, and its Retry-After would ask the caller to come back.

--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -65,8 +65,12 @@
 			NotRun: true, RetryAfter: retryAfter, Cause: cause,
 		}
 	}
+	message := "the backend server's answer was lost"
+	if rejection, ok := errors.AsType[errNotStated](cause); ok {
+		message = rejection.Error()
+	}
 	return request.ErrResponse{
-		Status: http.StatusBadGateway, Code: request.CodeOutcomeUnknown, Message: "the backend server's answer was lost", Cause: cause,
+		Status: http.StatusBadGateway, Code: request.CodeOutcomeUnknown, Message: message, Cause: cause,
 	}
 }
 
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -68,7 +67,7 @@
 	if isEventStream(resp) {
 		return c.forwardStream(ctx, attempt, resp)
 	}
-	return c.forwardPlain(ctx, attempt, resp)
+	return c.forwardPlain(ctx, attempt, resp, responseMeta)
 }
 
 // notRunOutcome returns the outcome of an attempt that the server did not run.
@@ -119,24 +118,6 @@
 	)
 }
 
-// notRunStatuses are the statuses by which a caller takes its request for not run.
-var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
-
-// logImpliedRejection writes that a server's status implies that the request hasn't run, while the server doesn't state
-// that.
-func (c *call) logImpliedRejection(resp *http.Response) {
-	if !slices.Contains(notRunStatuses, resp.StatusCode) {
-		return
-	}
-	c.f.Log.Info("rejection_not_stated",
-		zap.String("request_id", c.meta.ID),
-		zap.String("server", c.serverID),
-		zap.String("relayed_to", c.relayedTo),
-		zap.Int("status", resp.StatusCode),
-		zap.Bool("may_repeat", c.route.MayRepeat()),
-	)
-}
-
 func (c *call) logUnusedResponse(status int, reason string) {
 	c.f.Log.Info("answer_not_used",
 		zap.String("request_id", c.meta.ID),
@@ -148,7 +129,7 @@
 
 // forwardPlain forwards a response that is not an event stream. Up to maxBufferedBytes, or less if other responses need
 // the memory, are read from the server before any byte is sent to the caller.
-func (c *call) forwardPlain(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
+func (c *call) forwardPlain(ctx context.Context, attempt *registry.Attempt, resp *http.Response, meta ResponseMeta) error {
 	c.reportStarted()
 	attempt.MarkPrefilled()
 	body := buffer{budget: c.f.Buffers, maxBytes: maxBufferedBytes}
@@ -170,6 +151,11 @@
 			c.logRetry("retry_refused")
 		}
 	}
+	if c.isFalsePromise(resp, meta) {
+		attempt.End(registry.OutcomeAnswered)
+		c.logUnusedResponse(resp.StatusCode, "not_stated")
+		return errNotStated{resp.StatusCode}
+	}
 	c.beginResponse(resp)
 	h := c.w.Header()
 	if complete && !hasNoBody(resp) && !c.endsWithConnection {
