forward, platform: a 421 without the header may have run

Cause: readResponseMeta took status 421 alone for the statement that a request hasn't run, so that the instance itself sent it to another server, and in the end told the caller not_run. Only the header states that.

The server at the address still counts as replaced. A request that may be repeated goes to another server, as after any failed attempt: within maxAttempts and the retry budget. If none is left, or the request may not be repeated, the caller gets 502 outcome_unknown, not the 421. ResponseMeta.StatedNotRun goes, since it equals NotRun now; answer_not_used has reason=not_stated for what isn't stated.

--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -53,8 +53,8 @@
 type ResponseMeta struct {
 	// Signed is true if the response has the server's signature. A successful response without one isn't forwarded.
 	Signed bool
-	// NotRun is true if the server did not run the request, and StatedNotRun if it states that in a header.
-	NotRun, StatedNotRun bool
+	// NotRun is true if the server states that it did not run the request. A status that only implies it is no statement.
+	NotRun bool
 	// WrongServer is true if another server responded because the intended one is no longer at its address.
 	WrongServer bool
 	// Load is the load that the server reports; nil if it reports none.
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -53,6 +53,13 @@
 	}
 	c.possibleRuns++
 	c.logImpliedRejection(resp)
+	if responseMeta.WrongServer {
+		attempt.End(registry.OutcomeReplaced)
+		c.reportStarted()
+		c.logRejected(resp, responseMeta)
+		c.drainBody(resp)
+		return errNotStated{resp.StatusCode}
+	}
 	if isSuccess(resp) && (!responseMeta.Signed || resp.Header.Get("Content-Encoding") != "") {
 		attempt.End(registry.OutcomeFailed)
 		c.reportStarted()
@@ -104,15 +111,19 @@
 
 func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
 
-// logRejected writes a rejection by a server, and whether it states that the request hasn't run or only implies it by its
-// status.
+// logRejected writes a rejection by a server that isn't passed on, and whether it states that the request hasn't run or
+// only implies it by its status.
 func (c *call) logRejected(resp *http.Response, meta ResponseMeta) {
+	reason := "not_run"
+	if !meta.NotRun {
+		reason = "not_stated"
+	}
 	c.f.Log.Info("answer_not_used",
 		zap.String("request_id", c.meta.ID),
 		zap.String("server", c.serverID),
 		zap.Int("status", resp.StatusCode),
-		zap.String("reason", "not_run"),
-		zap.Bool("stated", meta.StatedNotRun),
+		zap.String("reason", reason),
+		zap.Bool("stated", meta.NotRun),
 		zap.Bool("wrong_server", meta.WrongServer),
 		zap.Int("possible_runs", c.possibleRuns),
 	)
@@ -153,7 +164,7 @@
 	}
 	if c.isFalsePromise(resp, meta) {
 		attempt.End(registry.OutcomeAnswered)
-		c.logUnusedResponse(resp.StatusCode, "not_stated")
+		c.logRejected(resp, meta)
 		return errNotStated{resp.StatusCode}
 	}
 	c.beginResponse(resp)
