forward: check the rejection of a server that another instance passes on

Two builds run side by side during a rollout.

Cause: a relayed response without X-Relay-Error is a backend server's, and was copied to the caller whatever its status.

It is now checked as a server's response to this instance is: a status that says that a request hasn't run, which may not be repeated, is passed on only if the server states so. The errors of the other instance itself are believed as before.

--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -77,8 +77,16 @@
 	}
 	// The other instance has counted the request.
 	c.startReported = true
-	c.logImpliedRejection(resp)
-	if isSuccess(resp) && !c.f.Headers.ReadResponse(resp.StatusCode, resp.Header).Signed {
+	responseMeta := c.f.Headers.ReadResponse(resp.StatusCode, resp.Header)
+	if !responseMeta.NotRun {
+		c.logImpliedRejection(resp)
+	}
+	if c.isFalsePromise(resp, responseMeta) {
+		c.logRejected(resp, responseMeta)
+		c.possibleRuns++
+		return true, c.finalError(errNotStated{resp.StatusCode})
+	}
+	if isSuccess(resp) && !responseMeta.Signed {
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		c.possibleRuns++
 		return true, c.finalError(errUnusable)
