forward: another instance's 500 doesn't say that a request hasn't run

Found by reading while looking for the same cause elsewhere; no caller is known to have met it. An instance answers 500 for a fault of its own after which it doesn't say whether the request has run (request.ResponseOf). relayRefused took all but 502 and 504 for "not run", so that the request was relayed once more, and the caller told not_run.

Before: TestRelayedErrorWithoutPromise: 500: 200 second, sent once more. After: passes, with the race detector.

--- a/request/forward/promise_test.go
+++ b/request/forward/promise_test.go
@@ -249,3 +249,23 @@
 		assert.Check(t, f.received.Load() == want, "%s: %d requests", route, f.received.Load())
 	}
 }
+
+// An error of another instance that promises nothing isn't taken for one: neither is the request relayed once more, nor
+// does the caller learn that it hasn't run.
+func TestRelayedErrorWithoutPromise(t *testing.T) {
+	for _, peerStatus := range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout} {
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			w.Header().Set(headerRelayError, "internal")
+			w.Header().Set(headerRelaySent, "1")
+			w.WriteHeader(peerStatus)
+		}))
+		t.Cleanup(peer.Close)
+		other := newFixture(t, signedResponse(http.StatusOK, "second"))
+		f := newPartitioned(t, strings.TrimPrefix(peer.URL, "http://"), other.relayServer(t))
+		status, body, h := f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
+		assert.Check(t, status == peerStatus && strings.Contains(body, `"not_run":false`), "%d: %d %s", peerStatus, status, body)
+		assert.Check(t, h.Get("Retry-After") == "", "%d", peerStatus)
+		assert.Check(t, other.received.Load()+f.received.Load() == 0, "%d: sent once more", peerStatus)
+	}
+}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -163,7 +163,8 @@
 	}
 	refusal := request.ErrResponse{
 		Status: resp.StatusCode, Code: code, Message: "the request was refused by the instance that reaches the backend servers",
-		NotRun: resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout, RetryAfter: time.Duration(seconds * float64(time.Second)),
+		// Of an instance's own errors with a 5xx status, only 503 says that the request hasn't run.
+		NotRun: resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable, RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 	switch {
 	case !refusal.NotRun:
