--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -2,7 +2,8 @@
 // the request there and copies the response to the caller. Method, path, body and status pass through unchanged.
 //
 // A request that must not run twice is not sent again after a server may have started to run it. An error response says
-// that the request has not run only if no backend server can have started to run it.
+// that the request has not run only if no backend server can have started to run it. A server's response whose
+// status says so, while the server doesn't state it, is replaced by an error response that doesn't.
 package forward
 
 import (
@@ -52,8 +53,8 @@
 type ResponseMeta struct {
 	// Signed is true if the response has the server's signature. A successful response without one isn't forwarded.
 	Signed bool
-	// NotRun is true if the server did not run the request, and StatedNotRun if it states that in a header.
-	NotRun, StatedNotRun bool
+	// NotRun is true if the server states that it did not run the request. A status that only implies it is no statement.
+	NotRun bool
 	// WrongServer is true if another server responded because the intended one is no longer at its address.
 	WrongServer bool
 	// Load is the load that the server reports; nil if it reports none.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -77,8 +77,16 @@
 	}
 	// The other instance has counted the request.
 	c.startReported = true
-	c.logImpliedRejection(resp)
-	if isSuccess(resp) && !c.f.Headers.ReadResponse(resp.StatusCode, resp.Header).Signed {
+	responseMeta := c.f.Headers.ReadResponse(resp.StatusCode, resp.Header)
+	if !responseMeta.NotRun {
+		c.logImpliedRejection(resp)
+	}
+	if c.isFalsePromise(resp, responseMeta) {
+		c.logRejected(resp, responseMeta)
+		c.possibleRuns++
+		return true, c.finalError(errNotStated{resp.StatusCode})
+	}
+	if isSuccess(resp) && !responseMeta.Signed {
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		c.possibleRuns++
 		return true, c.finalError(errUnusable)
@@ -155,7 +163,8 @@
 	}
 	refusal := request.ErrResponse{
 		Status: resp.StatusCode, Code: code, Message: "the request was refused by the instance that reaches the backend servers",
-		NotRun: resp.StatusCode != http.StatusBadGateway && resp.StatusCode != http.StatusGatewayTimeout, RetryAfter: time.Duration(seconds * float64(time.Second)),
+		// Of an instance's own errors with a 5xx status, only 503 says that the request hasn't run.
+		NotRun: resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable, RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 	switch {
 	case !refusal.NotRun:
