--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -59,6 +59,14 @@
 	return ids
 }
 
+// goOn returns a handler that sends the events after Last-Event-Id up to the last.
+func goOn(last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		idStream(regular, idRange(lastID+1, last)...)(w, r)
+	}
+}
+
 // setMaxAttempts permits each request of the fixture that number of attempts.
 func (f *fixture) setMaxAttempts(t *testing.T, n int) {
 	t.Helper()
@@ -117,7 +125,7 @@
 // stream.
 func TestResumedStreamRepeatsNoEvent(t *testing.T) {
 	whole, part := received{"1 2 3 4 5 6", true}, received{"1 2 3", false}
-	broken, good := idStream(betweenEvents, idRange(1, 3)...), events(6, 0)
+	broken, good := idStream(betweenEvents, idRange(1, 3)...), goOn(6)
 	for first := 1; first <= 3; first++ {
 		repeating := idStream(regular, idRange(first, 6)...)
 		for name, tc := range map[string]struct {
@@ -142,7 +150,7 @@
 // The caller of a stream that it takes up gets no event before or at the one that it names: another server goes on, or the
 // caller learns that the answer was lost.
 func TestTakenUpStreamRepeatsNoEvent(t *testing.T) {
-	good := events(6, 0)
+	good := goOn(6)
 	for first := 1; first <= 3; first++ {
 		repeating := idStream(regular, idRange(first, 6)...)
 		for name, f := range map[string]*fixture{
@@ -177,7 +185,7 @@
 // A server that goes on after a later event than the caller's last one leaves a gap. It shows if the ids rose evenly so far.
 func TestResumedStreamHasNoGap(t *testing.T) {
 	whole, part := received{"1 2 3 4 5 6", true}, received{"1 2 3", false}
-	broken, good := idStream(betweenEvents, "1", "2", "3"), events(6, 0)
+	broken, good := idStream(betweenEvents, "1", "2", "3"), goOn(6)
 	for name, tc := range map[string]struct {
 		f    *fixture
 		want received
@@ -229,7 +237,7 @@
 // A server whose ids go back sends parts of another run, whether it goes on with a stream or began it.
 func TestIDsThatGoBackEndRun(t *testing.T) {
 	whole, part := received{"1 2 3 4 5 6", true}, received{"1 2 3", false}
-	broken, good := idStream(betweenEvents, "1", "2", "3"), events(6, 0)
+	broken, good := idStream(betweenEvents, "1", "2", "3"), goOn(6)
 	for name, tc := range map[string]struct {
 		f    *fixture
 		want received
@@ -301,7 +309,7 @@
 			assert.Check(t, got == want, "%s, break %d: %v", name, how, got)
 		}
 	}
-	_, got := newOrderFixture(t, idStream(insideEvent, "1", "2", "3"), empty, events(6, 0)).stream(t, "")
+	_, got := newOrderFixture(t, idStream(insideEvent, "1", "2", "3"), empty, goOn(6)).stream(t, "")
 	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "another server goes on: %v", got)
 	_, got = newOrderFixture(t, idStream(insideEvent, "1", "2", "3"), idStream(regular, "4", "4"), empty).stream(t, "")
 	assert.Check(t, got == received{"1 2 3 4", true}, "the event came: %v", got)
@@ -314,7 +322,7 @@
 		defer close(cancelled)
 		idStream(regular, "1")(w, r)
 		<-r.Context().Done()
-	}, events(6, 0))
+	}, goOn(6))
 	f.forwarder.StallTimeout = 3 * time.Second
 	_, got := f.stream(t, "")
 	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
