forward: a stream's events must go on from those that the caller has

Cause: forwardStream and copyRelayedStream passed on every whole event; the id was kept only to be sent as Last-Event-Id. Nothing compared it with what came.

Now the call keeps the highest number among the ids that the caller has (the caller's own Last-Event-Id at first), and an event from any server or peer must have a higher one. If it hasn't, the event isn't forwarded, the attempt counts as failed, its connection is reset, and another server is tried as after a break, within the attempts and the retry budget; else the stream is broken off, or answered with 502 before its first event. Later events of that run are dropped too, since they belong to another run. No further run is joined to an event without a number, and a Last-Event-Id that is no number is refused as not run. Comments between events pass.

TestRejectedRunIsLogged is new: the line stream_run_rejected has the ids, and the server's failure rate rises.

--- /dev/null
+++ b/request/forward/event_order.go
@@ -0,0 +1,131 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"go.uber.org/zap"
+)
+
+// errEventOrder is the error of an attempt whose server doesn't go on with the stream from the caller's last event.
+type errEventOrder struct {
+	// lastID is the id of the caller's last event, and nextID that of the event that arrived; both may be empty.
+	lastID, nextID string
+	fault          orderFault
+}
+
+func (e errEventOrder) Error() string {
+	return fmt.Sprintf("the stream doesn't go on from event %q with event %q: %s", e.lastID, e.nextID, e.fault)
+}
+
+// orderFault says why an event doesn't go on from another one.
+type orderFault string
+
+const (
+	// faultNotHigher means that the event's id isn't higher than that of an earlier event.
+	faultNotHigher orderFault = "not_higher"
+	// faultNotComparable means that a further run begins with an event whose id can't be compared with the last one's.
+	faultNotComparable orderFault = "not_comparable"
+)
+
+// eventOrder compares the events of a stream with those that the caller has, from whatever servers and instances they
+// come. A run is what one of them sends.
+type eventOrder struct {
+	// highest is the highest number among the ids so far; valid if hasNumber.
+	highest   uint64
+	hasNumber bool
+	// isComparable is set if the last event with an id or data has a number, with which a further run can be compared.
+	isComparable bool
+	// joins is set from the beginning of a further run until its first event with a number.
+	joins bool
+}
+
+// eventNumber returns the number that an event's id is; false if it is none of at most 64 bits.
+func eventNumber(id string) (uint64, bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
+
+// beginRun prepares for the events of a run that goes on after the event lastID; empty if it is the first run.
+func (o *eventOrder) beginRun(lastID string) {
+	o.joins = lastID != ""
+	if n, ok := eventNumber(lastID); ok && !o.hasNumber {
+		o.highest, o.hasNumber, o.isComparable = n, true, true
+	}
+}
+
+// check returns an errEventOrder if an event doesn't go on from the event lastID and those before it.
+func (o *eventOrder) check(event []byte, id, lastID string) error {
+	n, isNumber := eventNumber(id)
+	switch {
+	case isNumber && o.hasNumber && n <= o.highest, id != "" && id == lastID:
+		return errEventOrder{lastID, id, faultNotHigher}
+	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
+		return errEventOrder{lastID, id, faultNotComparable}
+	}
+	return nil
+}
+
+// record records an event that was forwarded.
+func (o *eventOrder) record(event []byte, id string) {
+	if !isPiece(event, id) {
+		return
+	}
+	n, isNumber := eventNumber(id)
+	o.isComparable = isNumber
+	if !isNumber {
+		return
+	}
+	o.highest, o.hasNumber, o.joins = n, true, false
+}
+
+// isPiece reports whether an event is a part of what the stream says, rather than a comment.
+func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
+
+// checkEvent returns an error if an event that has arrived doesn't go on from those that the caller has.
+func (c *call) checkEvent(event []byte, id string) error {
+	if err := c.order.check(event, id, c.meta.LastEventID); err != nil {
+		return err
+	}
+	if c.order.joins && id != "" {
+		c.logResumed(id)
+	}
+	return nil
+}
+
+// recordEvent records an event that the caller has.
+func (c *call) recordEvent(event []byte, id string) {
+	c.order.record(event, id)
+	if id != "" {
+		c.meta.LastEventID = id
+	}
+}
+
+// runRejected handles a run that doesn't go on from the caller's last event, like one that broke off: no later event of it
+// may be forwarded either.
+func (c *call) runRejected(err error) error {
+	var orderErr errEventOrder
+	errors.As(err, &orderErr)
+	c.f.Log.Info("stream_run_rejected",
+		zap.String("request_id", c.meta.ID),
+		zap.String("server", c.serverID),
+		zap.String("relayed_to", c.relayedTo),
+		zap.Bool("begun", !c.firstByteAt.IsZero()),
+		zap.String("last_event", orderErr.lastID),
+		zap.String("next_event", orderErr.nextID),
+		zap.String("reason", string(orderErr.fault)),
+	)
+	return c.streamInterrupted(err)
+}
+
+// logResumed writes where a stream goes on, given the id of the first event that arrives.
+func (c *call) logResumed(id string) {
+	c.f.Log.Info("stream_resumed",
+		zap.String("request_id", c.meta.ID),
+		zap.String("server", c.serverID),
+		zap.String("relayed_to", c.relayedTo),
+		zap.String("last_event", c.meta.LastEventID),
+		zap.String("next_event", id),
+	)
+}
--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/process/streamorigin"
@@ -151,12 +153,20 @@
 // caller learns that the answer was lost.
 func TestTakenUpStreamRepeatsNoEvent(t *testing.T) {
 	good := goOn(6)
+	commentOnly := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, ": here\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	for first := 1; first <= 3; first++ {
 		repeating := idStream(regular, idRange(first, 6)...)
 		for name, f := range map[string]*fixture{
 			"another server goes on": newOrderFixture(t, repeating, good),
 			"a peer's server":        newPartitioned(t, newOrderFixture(t, repeating, good).relayServer(t)),
 			"a peer":                 newPartitioned(t, rawPeer(t, repeating), newOrderFixture(t, good).relayServer(t)),
+			"after a comment only":   newOrderFixture(t, commentOnly, repeating, good),
 		} {
 			f.origins.Add("r1", streamorigin.Origin{Pool: "p"})
 			status, got := f.stream(t, "3")
@@ -332,3 +342,24 @@
 		t.Fatal("the server still runs the request")
 	}
 }
+
+// A rejected run is logged with the ids, and its server counts as failing.
+func TestRejectedRunIsLogged(t *testing.T) {
+	f := newOrderFixture(t, idStream(betweenEvents, "1", "2", "3"), idStream(regular, "2", "3", "4"))
+	core, logs := observer.New(zap.InfoLevel)
+	f.forwarder.Log = zap.New(core)
+	_, got := f.stream(t, "")
+	assert.Equal(t, got, received{"1 2 3", false})
+	lines := logs.FilterMessage("stream_run_rejected").All()
+	assert.Equal(t, len(lines), 1)
+	fields := lines[0].ContextMap()
+	for name, want := range map[string]any{"request_id": "r1", "server": "s1", "begun": true, "last_event": "3", "next_event": "2", "reason": "not_higher"} {
+		assert.Check(t, fields[name] == want, "%s: %v", name, fields[name])
+	}
+	assert.Equal(t, logs.FilterMessage("stream_resumed").Len(), 0)
+	for _, server := range f.forwarder.Registry.Serving("p") {
+		if server.Entry().ID == "s1" {
+			assert.Assert(t, server.State(time.Now()).FailureRate > 0)
+		}
+	}
+}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -172,6 +172,8 @@
 	serverID, serverVersion string
 	// origin is what began the stream; zero before its first event.
 	origin streamorigin.Origin
+	// order is that of the stream's events.
+	order eventOrder
 	// serverChoice and cacheSource describe the last choice of a server; see logRequest.
 	serverChoice serverChoice
 	cacheSource  string
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -223,6 +223,7 @@
 func (c *call) copyRelayedStream(resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
+	c.order.beginRun(c.meta.LastEventID)
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
@@ -231,10 +232,10 @@
 		if err != nil {
 			return c.streamInterrupted(err)
 		}
-		c.beganRelayed = true
-		if index == 0 {
-			c.logResumed(id)
+		if err = c.checkEvent(event, id); err != nil {
+			return c.runRejected(err)
 		}
+		c.beganRelayed = true
 		if c.firstByteAt.IsZero() {
 			c.beginResponse(resp)
 			c.w.WriteHeader(resp.StatusCode)
@@ -248,9 +249,7 @@
 			c.cancel(errCallerLeft)
 			return errCallerLeft
 		}
-		if id != "" {
-			c.meta.LastEventID = id
-		}
+		c.recordEvent(event, id)
 	}
 }
 
--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -19,6 +19,10 @@
 	if c.route.Kind != hostroute.Stream || c.meta.LastEventID == "" && c.meta.Resumes == "" {
 		return nil
 	}
+	if _, ok := eventNumber(c.meta.LastEventID); !ok && c.meta.LastEventID != "" {
+		c.observeTakeUp(takeUpRefused)
+		return notComparableError()
+	}
 	origin, known := c.knownOrigin()
 	answer := streamorigin.NotKnown
 	if !known && c.meta.LastEventID != "" {
@@ -137,3 +141,12 @@
 		NotRun: true,
 	}
 }
+
+// notComparableError is the error of a stream whose caller names an event by no number, so that it wouldn't show whether a
+// server goes on from there.
+func notComparableError() error {
+	return request.ErrResponse{
+		Status: http.StatusServiceUnavailable, Code: request.CodeNotResumable, Message: "the last event's id is no number",
+		NotRun: true,
+	}
+}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -23,17 +23,23 @@
 const maxEventBytes = 1 << 20
 
 // forwardStream forwards an event stream (server-sent events), one event at a time. A stream that ends inside an event,
-// or with its connection before its first event, has been broken off.
+// or with its connection before its first event, has been broken off. One whose events don't go on from those that the
+// caller has is given up.
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
 	stalls := c.watchForStall()
 	defer stalls.timer.Stop()
+	c.order.beginRun(c.meta.LastEventID)
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if err == nil {
 			stalls.pause()
+			if err = c.checkEvent(event, id); err != nil {
+				attempt.End(registry.OutcomeFailed)
+				return c.runRejected(err)
+			}
 			pause := time.Duration(0)
 			if index > 0 {
 				// The time that the caller takes to read isn't part of the pause.
@@ -42,17 +48,12 @@
 				attempt.RecordStepTime(pause)
 			}
 			c.observePace(pause)
-			if index == 0 {
-				c.logResumed(id)
-			}
 			if writeErr := c.forwardEvent(attempt, resp, event, index); writeErr != nil {
 				return writeErr
 			}
 			stalls.resume(hasDataField(event))
 			lastEventAt = time.Now()
-			if id != "" {
-				c.meta.LastEventID = id
-			}
+			c.recordEvent(event, id)
 		}
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
 			return c.endStream(attempt, resp)
@@ -99,20 +100,6 @@
 	return errCallerLeft
 }
 
-// logResumed writes where a stream goes on, given the id of the first event that arrives.
-func (c *call) logResumed(id string) {
-	if c.meta.LastEventID == "" {
-		return
-	}
-	c.f.Log.Info("stream_resumed",
-		zap.String("request_id", c.meta.ID),
-		zap.String("server", c.serverID),
-		zap.String("relayed_to", c.relayedTo),
-		zap.String("last_event", c.meta.LastEventID),
-		zap.String("next_event", id),
-	)
-}
-
 // observePrefill records the time that the chosen engine took to prefill its pending prompts and then this one.
 func (c *call) observePrefill() {
 	if c.meta.Prompt == nil || c.pool.Engine == nil {
@@ -153,7 +140,7 @@
 		c.outcome = OutcomeInterrupted
 		return errCallerLeft
 	}
-	if !c.route.Resumable || c.meta.LastEventID == "" {
+	if !c.route.Resumable || c.meta.LastEventID == "" || !c.order.isComparable {
 		c.outcome = OutcomeInterrupted
 		return err
 	}
--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -249,6 +249,7 @@
 	"data_centre_silent":   "Nothing was received from data centre %s.",
 	"stream_interrupted":   "Server %s broke off the stream; another was asked to go on.",
 	"stream_resumed":       "Server %s goes on with the stream.",
+	"stream_run_rejected":  "Server %s sent events that don't go on from the caller's last one.",
 	"rejection_not_stated": "Server %s rejected the request without a statement that it hasn't run.",
 	"retry_permitted":      "The retry budget permitted another attempt.",
 	"retry_refused":        "The retry budget was used up.",
