forward: a 204 doesn't end a stream that has begun

What callers saw: a stream broke off after event 2 of 4, the next server answered 204 with the content type of a stream, and the response ended as if it were complete, directly and through relays.

Cause: every success with that content type counted as the rest of the stream. A 204 has no body, and so was read as a stream that ends at once. Only the status of the answer that began the stream goes on with it now; another answer isn't used.

Failed before, on each of the five paths: TestAnswerAfterBrokenStreamDoesNotReachCaller/direct/204_of_a_stream: v.complete is not (v.body == whole): status 200, complete true, body "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n" (length, after an event, HTTP/1.0)

--- a/request/forward/broken_stream_test.go
+++ b/request/forward/broken_stream_test.go
@@ -240,6 +240,7 @@
 	{name: "JSON", rawAnswer: rawAnswer{text: framed("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: 1\r\nContent-Type: application/json\r\n", "length", errorText, errorText)}},
 	{name: "unsigned stream", rawAnswer: rawAnswer{text: strings.ReplaceAll(framed(streamHead, "chunks", eventTexts(3, lastEvent), eventTexts(3, lastEvent)), "X-Signed: 1\r\n", "")}},
 	{name: "204", rawAnswer: rawAnswer{text: "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Signed: 1\r\n\r\n"}},
+	{name: "204 of a stream", rawAnswer: rawAnswer{text: "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\n\r\n"}},
 	{name: "cut head", rawAnswer: rawAnswer{text: streamHead[:len(streamHead)-9]}},
 	{name: "cut head after a line", rawAnswer: rawAnswer{text: streamHead}},
 	{name: "text", rawAnswer: rawAnswer{text: errorText + "\r\n\r\n"}},
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -186,12 +186,12 @@
 // and that another server may begin or resume it unless the outcome is OutcomeInterrupted.
 func (c *call) copyRelayed(resp *http.Response) error {
 	c.framing = request.FramingOf(resp)
+	if !c.firstByteAt.IsZero() && !c.continuesStream(resp) {
+		return errUnusable
+	}
 	if isEventStream(resp) {
 		return c.copyRelayedStream(resp)
 	}
-	if !c.firstByteAt.IsZero() {
-		return errUnusable
-	}
 	body := buffer{budget: c.f.Buffers, maxBytes: maxBufferedBytes}
 	defer body.reset()
 	err := body.readAll(resp.Body)
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -60,7 +60,7 @@
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		return errUnusable
 	}
-	if !c.firstByteAt.IsZero() && !isEventStream(resp) {
+	if !c.firstByteAt.IsZero() && !c.continuesStream(resp) {
 		attempt.End(registry.OutcomeFailed)
 		c.logUnusedResponse(resp.StatusCode, "no_stream")
 		return errUnusable
@@ -83,6 +83,12 @@
 	return isSuccess(resp) && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// continuesStream reports whether a response can go on with the stream that has begun. Another status, such as 204, is no
+// stream that ends.
+func (c *call) continuesStream(resp *http.Response) bool {
+	return isEventStream(resp) && resp.StatusCode == c.status
+}
+
 const (
 	// maxDrainBytes and drainTimeout bound the rest of a refusal that is read so that its connection can be reused. A
 	// server sends it together with the head.
