forward: text that is no event doesn't join a stream

What callers saw: a stream broke off after event 2 of 4, the next server sent the text of an error, or its whole head, in a stream of events, and the text stood in the middle of the caller's stream; where the text was all, the response ended as if it were complete. Directly and through relays, in all framings.

A caller's reader of events skips such text, but the caller's stream then holds bytes of no stream, and ends as complete after them. In the part that joins another server's stream, a text is an event now only if it has a field that the format defines, or a comment; other text breaks the stream off, so that a further server may go on with it. What the server that began the stream sends is its body, and passes unchanged.

Failed before (20 subtests, four kinds of text on five paths), for one: TestAnswerAfterBrokenStreamDoesNotReachCaller/direct/stream_of_an_error's_head: v.complete is not (v.body == whole): status 200, complete true, body "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nHTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\n..."

--- a/request/forward/broken_stream_test.go
+++ b/request/forward/broken_stream_test.go
@@ -164,6 +164,7 @@
 	streamHead  = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\n"
 	failureHead = "X-Id: ID\r\nContent-Type: text/plain\r\n"
 	errorText   = "upstream connect error or disconnect before headers"
+	errorHead   = "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/plain\r\nContent-Length: 0\r\n\r\n"
 	lastEvent   = 4
 )
 
@@ -246,6 +247,10 @@
 	{name: "text", rawAnswer: rawAnswer{text: errorText + "\r\n\r\n"}},
 	{name: "events without a head", rawAnswer: rawAnswer{text: eventTexts(3, lastEvent)}},
 	{name: "stream of text", rawAnswer: rawAnswer{text: framed(streamHead, "chunks", errorText, errorText)}},
+	{name: "stream of text lines", rawAnswer: rawAnswer{text: framed(streamHead, "chunks", errorText+"\n\n", errorText+"\n\n")}, streamBody: errorText + "\n\n"},
+	{name: "stream of text, then events", rawAnswer: rawAnswer{text: framed(streamHead, "chunks", errorText+"\n\n"+eventTexts(3, lastEvent), errorText+"\n\n"+eventTexts(3, lastEvent))}, streamBody: errorText + "\n\n" + eventTexts(3, lastEvent)},
+	{name: "stream of an error's head", rawAnswer: rawAnswer{text: framed(streamHead, "chunks", errorHead, errorHead)}, streamBody: errorHead},
+	{name: "events, then an error's head", rawAnswer: rawAnswer{text: framed(streamHead, "connection", eventTexts(3, 3)+errorHead, "")}, streamBody: eventTexts(3, 3) + errorHead},
 	{name: "103, then 500", rawAnswer: rawAnswer{text: "HTTP/1.1 103 Early Hints\r\nX-Id: ID\r\n\r\n" + framed("HTTP/1.1 500 No\r\n"+failureHead, "length", errorText, errorText)}},
 	{name: "103, then nothing", rawAnswer: rawAnswer{text: "HTTP/1.1 103 Early Hints\r\nX-Id: ID\r\n\r\n"}},
 	{name: "nothing", rawAnswer: rawAnswer{text: "", reset: true}},
@@ -334,3 +339,13 @@
 		}
 	}
 }
+
+func TestIsEvent(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\ndata: x\n\n": true, "data\r\n\r\n": true, "weight-versions: 2\nid: 4\ndata: x\n\n": true, "event:end\n\n": true, "retry: 5\n\n": true,
+		": keep-alive\n\n": true, ":\n: a\n\n": true, "\n": true,
+		"database is down\n\n": false, "Data: x\n\n": false, `{"error":"no"}` + "\n\n": false, ": a\nupstream error: reset\n\n": false, errorHead: false,
+	} {
+		assert.Check(t, isEvent([]byte(text)) == want, "%q", text)
+	}
+}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -223,6 +223,7 @@
 func (c *call) copyRelayedStream(resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
+	events.rejectText = !c.firstByteAt.IsZero()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -27,6 +27,7 @@
 func (c *call) forwardStream(ctx context.Context, attempt *registry.Attempt, resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
+	events.rejectText = !c.firstByteAt.IsZero()
 	stalls := c.watchForStall()
 	defer stalls.timer.Stop()
 	lastEventAt := time.Now()
@@ -170,11 +171,17 @@
 	r *bufio.Reader
 	// event holds the bytes of the event that was read last.
 	event buffer
+	// rejectText makes next fail for text that is no event. It is set where the events join those of another server, whose
+	// stream doesn't vouch for them.
+	rejectText bool
 }
 
+// errNoEvent reports that a stream holds text that is no event.
+var errNoEvent = errors.New("the stream holds text that is no event")
+
 // next reads one event including its final empty line, and the value of its id field. The event is valid until the next
 // call. next returns io.EOF at the end of a stream that ends after a whole event, io.ErrUnexpectedEOF if the stream ends
-// inside an event, and errBufferFull if the event is too long.
+// inside an event, errBufferFull if the event is too long, and errNoEvent if it isn't one and rejectText is set.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.event.reset()
 	lineStart := 0
@@ -195,6 +202,9 @@
 		fullLine := bytes.TrimRight(e.event.data[lineStart:], "\r\n")
 		lineStart = len(e.event.data)
 		if len(fullLine) == 0 {
+			if e.rejectText && !isEvent(e.event.data) {
+				return nil, "", errNoEvent
+			}
 			return e.event.data, id, nil
 		}
 		if bytes.HasPrefix(fullLine, idFieldPrefix) {
@@ -202,3 +212,19 @@
 		}
 	}
 }
+
+// isEvent reports whether the lines up to an empty one are an event or a comment: they have a field that the format defines,
+// or begin with a colon throughout.
+func isEvent(text []byte) bool {
+	isComment := true
+	for line := range bytes.Lines(text) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		isComment = isComment && (len(line) == 0 || line[0] == ':')
+	}
+	return isComment
+}
