forward: an encoded answer isn't taken from another instance either

What callers would see: a success with a Content-Encoding, which isn't the server's body, if what answers at another instance's address passes such an answer on. Instances of this code refuse it before; the relaying one only looked for the signature.

Cause: two checks of the same thing. Both places use one function now.

Failed before: TestEncodedResponseDoesNotReachCaller/peers_themselves and TestAnswerAfterBrokenStreamDoesNotReachCaller/peers_themselves/encoded_stream (status 200, complete true); the same passed on the four paths that end at servers.

--- a/request/forward/broken_stream_test.go
+++ b/request/forward/broken_stream_test.go
@@ -239,6 +239,7 @@
 	{name: "502 of an instance", rawAnswer: rawAnswer{text: framed("HTTP/1.1 502 No\r\nX-Relay-Error: outcome_unknown\r\nX-Relay-Sent: 1\r\n"+failureHead, "length", errorText, errorText)}},
 	{name: "503 of an instance", rawAnswer: rawAnswer{text: framed("HTTP/1.1 503 No\r\nX-Relay-Error: no_server\r\nX-Relay-Sent: 0\r\n"+failureHead, "length", errorText, errorText)}},
 	{name: "JSON", rawAnswer: rawAnswer{text: framed("HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: 1\r\nContent-Type: application/json\r\n", "length", errorText, errorText)}},
+	{name: "encoded stream", rawAnswer: rawAnswer{text: framed(streamHead+"Content-Encoding: gzip\r\n", "chunks", eventTexts(3, lastEvent), eventTexts(3, lastEvent))}},
 	{name: "unsigned stream", rawAnswer: rawAnswer{text: strings.ReplaceAll(framed(streamHead, "chunks", eventTexts(3, lastEvent), eventTexts(3, lastEvent)), "X-Signed: 1\r\n", "")}},
 	{name: "204", rawAnswer: rawAnswer{text: "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Signed: 1\r\n\r\n"}},
 	{name: "204 of a stream", rawAnswer: rawAnswer{text: "HTTP/1.1 204 No Content\r\nX-Id: ID\r\nX-Signed: 1\r\nContent-Type: text/event-stream\r\n\r\n"}},
--- a/request/forward/framing_test.go
+++ b/request/forward/framing_test.go
@@ -208,3 +208,21 @@
 		})
 	}
 }
+
+// An encoded body isn't the server's, whether a server sends it or another instance does.
+func TestEncodedResponseDoesNotReachCaller(t *testing.T) {
+	for pathName, path := range scriptedPaths {
+		t.Run(pathName, func(t *testing.T) {
+			t.Parallel()
+			script := &rawScript{}
+			f := path(t, script).withRetries()
+			for _, head := range []string{"HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: 1\r\n", streamHead} {
+				body := eventTexts(1, lastEvent)
+				script.set(rawAnswer{text: framed(head+"Content-Encoding: gzip\r\n", "length", body, body)})
+				f.markUnreachable()
+				v := f.view(t, "/fixed/", rawCallers[0])
+				assert.Check(t, v.resp.StatusCode == http.StatusBadGateway, "%s", v)
+			}
+		})
+	}
+}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -78,7 +78,7 @@
 	// The other instance has counted the request.
 	c.startReported = true
 	c.logImpliedRejection(resp)
-	if isSuccess(resp) && !c.f.Headers.ReadResponse(resp.StatusCode, resp.Header).Signed {
+	if isSuccess(resp) && !isServersBody(resp, c.f.Headers.ReadResponse(resp.StatusCode, resp.Header)) {
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		c.possibleRuns++
 		return true, c.finalError(errUnusable)
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -54,7 +54,7 @@
 	}
 	c.possibleRuns++
 	c.logImpliedRejection(resp)
-	if isSuccess(resp) && (!responseMeta.Signed || resp.Header.Get("Content-Encoding") != "") {
+	if isSuccess(resp) && !isServersBody(resp, responseMeta) {
 		attempt.End(registry.OutcomeFailed)
 		c.reportStarted()
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
@@ -109,6 +109,11 @@
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 }
 
+// isServersBody reports whether a success has the body of a backend server: it is signed and nothing on the way encoded it.
+func isServersBody(resp *http.Response, meta ResponseMeta) bool {
+	return meta.Signed && resp.Header.Get("Content-Encoding") == ""
+}
+
 func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
 
 // logRejected writes a rejection by a server, and whether it states that the request hasn't run or only implies it by its
