forward: a server's headers named like those between instances reach no caller

What callers saw: X-Relay-Sent and X-Relay-Waited-Ms of a backend server passed through, directly and relayed. Only X-Relay-Error was removed. All three names mean something between instances only and are removed in one place.

Failed before: TestRelayHeadersOfServerDoNotReachCaller: "direct: X-Relay-Sent", "direct: X-Relay-Waited-Ms", and the same relayed.

--- a/request/forward/relay_test.go
+++ b/request/forward/relay_test.go
@@ -382,3 +382,21 @@
 		})
 	}
 }
+
+// A server's headers with the names of those between instances reach no caller.
+func TestRelayHeadersOfServerDoNotReachCaller(t *testing.T) {
+	server := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerRelayWaited, "7")
+		w.Header().Set(headerRelaySent, "0")
+		w.Header().Set(headerRelayError, "overload")
+		signedResponse(http.StatusOK, "yes")(w, r)
+	}
+	reaching := newFixture(t, server)
+	for name, f := range map[string]*fixture{"direct": reaching, "relayed": newPartitioned(t, reaching.relayServer(t))} {
+		_, body, h := f.do(t, f.request(t, http.MethodPost, "/once/x", "b"))
+		assert.Check(t, body == "yes", name)
+		for header := range h {
+			assert.Check(t, !strings.HasPrefix(header, "X-Relay"), "%s: %s", name, header)
+		}
+	}
+}
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -240,7 +240,9 @@
 	}
 	request.StripHopHeaders(resp.Header)
 	c.f.Headers.StripResponse(resp.Header)
-	resp.Header.Del(headerRelayError)
+	for _, name := range []string{headerRelayWaited, headerRelayError, headerRelaySent} {
+		resp.Header.Del(name)
+	}
 	h := c.w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
