--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -86,7 +86,7 @@
 		c.possibleRuns++
 		return true, c.finalError(errNotStated{resp.StatusCode})
 	}
-	if isSuccess(resp) && !responseMeta.Signed {
+	if isSuccess(resp) && !isServersBody(resp, responseMeta) {
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		c.possibleRuns++
 		return true, c.finalError(errUnusable)
@@ -195,12 +195,12 @@
 // and that another server may begin or resume it unless the outcome is OutcomeInterrupted.
 func (c *call) copyRelayed(resp *http.Response) error {
 	c.framing = request.FramingOf(resp)
+	if !c.firstByteAt.IsZero() && !c.continuesStream(resp) {
+		return errUnusable
+	}
 	if isEventStream(resp) {
 		return c.copyRelayedStream(resp)
 	}
-	if !c.firstByteAt.IsZero() {
-		return errUnusable
-	}
 	body := buffer{budget: c.f.Buffers, maxBytes: maxBufferedBytes}
 	defer body.reset()
 	err := body.readAll(resp.Body)
@@ -233,6 +233,7 @@
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
 	c.order.beginRun(c.meta.LastEventID)
+	events.rejectText = !c.firstByteAt.IsZero()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -60,13 +60,13 @@
 		c.drainBody(resp)
 		return errNotStated{resp.StatusCode}
 	}
-	if isSuccess(resp) && (!responseMeta.Signed || resp.Header.Get("Content-Encoding") != "") {
+	if isSuccess(resp) && !isServersBody(resp, responseMeta) {
 		attempt.End(registry.OutcomeFailed)
 		c.reportStarted()
 		c.logUnusedResponse(resp.StatusCode, "unsigned")
 		return errUnusable
 	}
-	if !c.firstByteAt.IsZero() && !isEventStream(resp) {
+	if !c.firstByteAt.IsZero() && !c.continuesStream(resp) {
 		attempt.End(registry.OutcomeFailed)
 		c.logUnusedResponse(resp.StatusCode, "no_stream")
 		return errUnusable
@@ -89,6 +89,12 @@
 	return isSuccess(resp) && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// continuesStream reports whether a response can go on with the stream that has begun. Another status, such as 204, is no
+// stream that ends.
+func (c *call) continuesStream(resp *http.Response) bool {
+	return isEventStream(resp) && resp.StatusCode == c.status
+}
+
 const (
 	// maxDrainBytes and drainTimeout bound the rest of a refusal that is read so that its connection can be reused. A
 	// server sends it together with the head.
@@ -109,6 +115,11 @@
 	_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 }
 
+// isServersBody reports whether a success has the body of a backend server: it is signed and nothing on the way encoded it.
+func isServersBody(resp *http.Response, meta ResponseMeta) bool {
+	return meta.Signed && resp.Header.Get("Content-Encoding") == ""
+}
+
 func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
 
 // logRejected writes a rejection by a server that isn't passed on, and whether it states that the request hasn't run or
@@ -226,7 +237,9 @@
 	}
 	request.StripHopHeaders(resp.Header)
 	c.f.Headers.StripResponse(resp.Header)
-	resp.Header.Del(headerRelayError)
+	for _, name := range []string{headerRelayWaited, headerRelayError, headerRelaySent} {
+		resp.Header.Del(name)
+	}
 	h := c.w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
