gateway: a planned stop answers the requests that it ends

What callers saw: at the end of the grace of a planned stop, requests that still ran got no answer; their connections were closed. So for callers' requests sent before the signal, and after it on kept and new connections, for relayed ones and for one whose body was still arriving.

Cause: shutDown waited for the running requests and then closed the servers' connections, which cancels the requests as if their callers had left, so that nothing is written. The last usage counts were written with a context that was over by then.

A response that has begun is broken off as before. An attempt isn't begun for a request whose context is over.

TestStopAnswersEachRequest on (requests of these names):

got.err is not nil: relayed: no answer: unexpected EOF got.err is not nil: body incomplete: no answer: unexpected EOF got.err is not nil: before the stop: no answer: unexpected EOF got.err is not nil: kept connection: no answer: unexpected EOF got.err is not nil: new connection: no answer: unexpected EOF

and passes now. TestStopBreaksStreamsOffVisibly passed before too.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -32,7 +32,6 @@
 	"github.com/toucanroute/toucanroute/process/quarantine"
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/process/requestcount"
-	"github.com/toucanroute/toucanroute/process/sleep"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request/attempt"
 	"github.com/toucanroute/toucanroute/request/forward"
@@ -439,33 +438,3 @@
 	}
 	return v
 }
-
-const (
-	// balancerDetectionTime is the time in which the load balancer detects that the instance is shutting down: it
-	// checks the readiness once per second and needs two failed checks.
-	balancerDetectionTime = 2500 * time.Millisecond
-	// shutdownMargin is the time that is left between the end of the shutdown and the time at which the process is
-	// killed.
-	shutdownMargin = 500 * time.Millisecond
-)
-
-// shutDown reports the instance as not ready, waits for the running requests and stores the last usage counts.
-func (g *Gateway) shutDown(ctx context.Context) {
-	g.shuttingDown.Store(true)
-	started := time.Now()
-	g.Log.Info("instance_leaving", zap.String("instance", g.Settings.Instance))
-	ctx, cancel := context.WithDeadline(ctx, started.Add(seconds(g.currentSettings.Load().ShutdownS)-shutdownMargin))
-	defer cancel()
-	callerServer := g.callerServer.Load()
-	if callerServer == nil {
-		return
-	}
-	callerServer.BeginDrain()
-	sleep.For(ctx, balancerDetectionTime)
-	err := callerServer.Drain(ctx)
-	if relayServer := g.relayServer.Load(); relayServer != nil {
-		err = errors.Join(err, relayServer.Drain(ctx))
-	}
-	g.Log.Info("instance_drained", zap.Duration("took", time.Since(started)), zap.Int64("running", callerServer.Running()), zap.Error(err))
-	_ = g.usageCounter.Write(ctx)
-}
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -45,6 +45,9 @@
 	}
 	var lastErr error
 	for unsentAttempts := 0; ; {
+		if cause := context.Cause(c.ctx); cause != nil {
+			return c.finalError(cause)
+		}
 		if peer, ok := c.findRelay(); ok {
 			isFinal, err := c.relay(peer)
 			if isFinal {
--- a/request/forward/body.go
+++ b/request/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math"
@@ -98,8 +99,10 @@
 	case limit > 0:
 		c.requestBody.maxBytes = limit + 1
 	}
-	body := patientReader{body: c.r.Body, rc: http.NewResponseController(c.w), until: c.callerLimit()}
+	body := patientReader{body: c.r.Body, rc: http.NewResponseController(c.w), ctx: c.ctx, until: c.callerLimit()}
+	stop := context.AfterFunc(c.ctx, body.interrupt)
 	err := c.requestBody.readAll(&body)
+	stop()
 	switch size := len(c.requestBody.data); {
 	case limit > 0 && size > limit:
 		return errBodyTooLarge()
@@ -116,6 +119,9 @@
 
 // bodyError returns the error of a request whose body could not be read.
 func (c *call) bodyError(err error, body *patientReader) error {
+	if c.isStopping() {
+		return c.stoppingError()
+	}
 	response := request.ErrResponse{Status: http.StatusBadRequest, Code: request.CodeBadRequest, Message: "the request's body didn't arrive whole", NotRun: true, Cause: err}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		response.Status = http.StatusRequestTimeout
@@ -139,20 +145,28 @@
 type patientReader struct {
 	body io.Reader
 	rc   *http.ResponseController
+	// ctx ends the read; see interrupt. It is nil if nothing does.
+	ctx context.Context
 	// until is the time at which the request's time is over; zero if there is no limit.
 	until time.Time
 }
 
-// Read reads from the body. It returns an os.ErrDeadlineExceeded if nothing arrives.
+// Read reads from the body. It returns an os.ErrDeadlineExceeded if nothing arrives or the read is interrupted.
 func (r *patientReader) Read(p []byte) (int, error) {
 	deadline := time.Now().Add(bodyStallTimeout)
 	if !r.until.IsZero() && r.until.Before(deadline) {
 		deadline = r.until
 	}
 	r.setDeadline(deadline)
+	if r.ctx != nil && r.ctx.Err() != nil {
+		return 0, os.ErrDeadlineExceeded
+	}
 	return r.body.Read(p)
 }
 
+// interrupt ends a pending read once ctx has ended.
+func (r *patientReader) interrupt() { r.setDeadline(time.Unix(1, 0)) }
+
 // setDeadline sets the time until which the next read waits. A response writer without deadlines isn't a connection.
 func (r *patientReader) setDeadline(t time.Time) { _ = r.rc.SetReadDeadline(t) }
 
--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -139,6 +139,9 @@
 
 // contextError returns the error of a request whose context was cancelled with the cause.
 func (c *call) contextError(cause error) error {
+	if errors.Is(cause, errStopping) {
+		return c.stoppingError()
+	}
 	if !errors.Is(cause, errTimeout) {
 		return errCallerLeft
 	}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,6 +86,11 @@
 	Quarantine *quarantine.Table
 	// Observe records the summary of each finished request in the metrics; it may be nil.
 	Observe func(Summary)
+
+	mu sync.Mutex
+	// running holds the running requests until ended is set.
+	running map[*call]struct{}
+	ended   bool
 }
 
 // Summary describes one finished request.
@@ -138,7 +144,7 @@
 	// starts.
 	timeoutTimer *time.Timer
 	timeLimit    time.Duration
-	// ctx is cancelled when the caller disconnects or at the request's deadline.
+	// ctx is cancelled when the caller disconnects, at the request's deadline or when the instance stops.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// cancelAttempt cancels the running attempt at a server.
@@ -205,6 +211,8 @@
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(nil)
 	c.ctx, c.cancel = ctx, cancel
+	c.f.addRunning(c)
+	defer c.f.removeRunning(c)
 	defer c.returnMemory()
 	err := c.prepare()
 	if err == nil {
@@ -216,6 +224,9 @@
 	if err != nil {
 		c.writeError(err)
 	}
+	if err != nil && c.isStopping() {
+		c.logEnded()
+	}
 	c.logRequest()
 	if c.outcome == OutcomeInterrupted || c.outcome == OutcomeCallerLeft && c.status == 0 {
 		// Closes the connection without a proper end, so that the caller can't take the partial response for a complete
