entry: requests that arrive during a drain are refused with an answer

What callers saw: a request on a connection that was opened before a planned stop, and on which none had come yet, was read from 2.5 s after the signal on and its connection closed without an answer. It hadn't been passed on, but a caller can't see that: a request that may not be repeated ends there, or is repeated although nobody said that it hasn't run.

Cause: net/http's Shutdown drops each request whose head it has read once Shutdown was called.

Drain now closes the listener and the idle connections itself, and has later requests answered by the new handler Refuse: 503, not run, Retry-After 50 ms.

TestStopAnswersEachRequest before:

got.err is not nil: late, connection not used: no answer: unexpected EOF

and passes now.

--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -27,7 +27,13 @@
 	Listen string
 	// Handler serves the requests.
 	Handler http.Handler
-	Log     *zap.Logger
+	// Refuse answers the requests that arrive once Drain was called. It must not pass them on, since their connections may
+	// be closing. nil closes their connections.
+	Refuse http.Handler
+	// KeepOpen is set if connections are still accepted, and idle ones kept, while the server drains, so that the requests
+	// on them are refused with an answer.
+	KeepOpen bool
+	Log      *zap.Logger
 	// HeaderBytes bounds the headers of a request in bytes; larger ones are refused with status 431.
 	HeaderBytes int
 	// HeaderTimeout bounds the time in which the headers of a request must arrive.
@@ -41,12 +47,18 @@
 	StallTimeout time.Duration
 
 	draining atomic.Bool
-	running  atomic.Int64
-	heldMu   sync.Mutex
+	// closed is set by Drain, before the idle connections are closed: a request that finds it unset has an open connection.
+	closed  atomic.Bool
+	running atomic.Int64
+	heldMu  sync.Mutex
 	// held contains the connections for which a response is held.
-	held map[*heldConn]struct{}
-	// http is nil until Serve has begun.
-	http atomic.Pointer[http.Server]
+	held   map[*heldConn]struct{}
+	connMu sync.Mutex
+	// active contains the connections with a request, until its response was written.
+	active map[net.Conn]struct{}
+	// http and listener are nil until Serve has begun; listener is set before http.
+	http     atomic.Pointer[http.Server]
+	listener net.Listener
 }
 
 // Running returns the number of running requests.
@@ -71,9 +83,14 @@
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes,
 		ConnContext:       WithConn,
+		ConnState:         s.trackConn,
 		ErrorLog:          log.New(logWriter{s.Log}, "", 0),
 	}
+	s.listener = ln
 	s.http.Store(server)
+	if s.closed.Load() {
+		s.stopAccepting(server)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if s.Budget != nil {
@@ -84,13 +101,34 @@
 			}
 		}()
 	}
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !s.closed.Load() {
 		return err
 	}
 	<-ctx.Done()
 	return nil
 }
 
+// trackConn keeps the connections with a request. It is a ConnState of net/http's server.
+func (s *Server) trackConn(c net.Conn, state http.ConnState) {
+	s.connMu.Lock()
+	defer s.connMu.Unlock()
+	if state != http.StateActive {
+		delete(s.active, c)
+		return
+	}
+	if s.active == nil {
+		s.active = map[net.Conn]struct{}{}
+	}
+	s.active[c] = struct{}{}
+}
+
+// activeConns returns the number of connections with a request.
+func (s *Server) activeConns() int {
+	s.connMu.Lock()
+	defer s.connMu.Unlock()
+	return len(s.active)
+}
+
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
@@ -117,40 +155,68 @@
 	return c.SetLinger(seconds)
 }
 
-// ServeHTTP serves one request. While the server drains, it sets "Connection: close" on each response.
+// ServeHTTP serves one request. While the server drains, it sets "Connection: close" on each response. Once Drain was
+// called, it refuses the request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.running.Add(1)
 	defer s.running.Add(-1)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.closed.Load() {
+		s.refuse(w, r)
+		return
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
+// refuse answers a request that arrived after Drain was called.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
+	if s.Refuse == nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.Refuse.ServeHTTP(w, r)
+}
+
 // BeginDrain closes each connection after its next response, so that callers connect to other instances.
 func (s *Server) BeginDrain() { s.draining.Store(true) }
 
-// heldPollInterval is the interval at which Drain looks whether slow callers have their responses.
-const heldPollInterval = 10 * time.Millisecond
+// drainPollInterval is the interval at which Drain looks whether requests still run or responses are still written.
+const drainPollInterval = 10 * time.Millisecond
 
-// Drain closes the listener and the idle connections, and waits until the running requests have finished and slow callers
-// have their responses, or ctx ends.
+// Drain has later requests refused, and waits until the running requests have finished and slow callers have their
+// responses, or ctx ends. Unless KeepOpen is set, it closes the listener and the idle connections.
+//
+// net/http's Shutdown isn't used: it closes the connections of requests that arrive meanwhile without an answer.
 func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	s.closed.Store(true)
 	server := s.http.Load()
 	if server == nil {
 		return nil
 	}
-	err := server.Shutdown(ctx)
-	ticker := time.NewTicker(heldPollInterval)
+	s.stopAccepting(server)
+	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for err == nil && s.SlowCallers() > 0 {
+	for s.activeConns() > 0 || s.SlowCallers() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			err = ctx.Err()
+			return ctx.Err()
 		}
 	}
-	return err
+	return nil
+}
+
+// stopAccepting closes the listener and the idle connections, and has the others closed after their responses, unless
+// KeepOpen is set.
+func (s *Server) stopAccepting(server *http.Server) {
+	if s.KeepOpen {
+		return
+	}
+	// An error means that it is already closed.
+	_ = s.listener.Close()
+	server.SetKeepAlivesEnabled(false)
 }
 
 // logWriter logs the lines of net/http's server, which describe failures of single connections.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -383,7 +383,7 @@
 	}
 	limits := g.table.Load().Limits()
 	callerServer := &entry.Server{
-		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Log: g.Log,
+		Listen: g.Settings.Listen.Callers, Handler: http.HandlerFunc(g.forwarder.ServeHTTP), Refuse: http.HandlerFunc(g.forwarder.Refuse), Log: g.Log,
 		HeaderBytes: limits.HeaderBytes, HeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout: limits.IdleTimeout + time.Duration(idleTimeoutSlack*float64(limits.IdleTimeout)), Budget: g.heldMemory,
 	}
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// Refuse answers a request that arrives when the instance takes none any more, because it stops.
+func (f *Forwarder) Refuse(w http.ResponseWriter, r *http.Request) { f.refuse(w, r, false) }
+
+func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, isRelayed bool) {
+	c := &call{f: f, w: w, r: r, arrivedAt: time.Now(), ctx: r.Context(), isRelayed: isRelayed}
+	// A request with invalid headers is refused too, without its id.
+	c.meta, _ = f.Headers.ReadRequest(r.Header)
+	c.writeError(c.stoppingError())
+	c.logRequest()
+}
+
 // addRunning and removeRunning keep the running requests.
 func (f *Forwarder) addRunning(c *call) {
 	f.mu.Lock()
