gateway: a stopping instance refuses relayed requests at once

What callers saw: requests that another instance relayed late in the grace of a planned stop were taken and passed on, and got no answer at the end of the grace, also those that may not be repeated.

Cause: shutDown drained the server of relayed requests only when that of callers had no request left or the time was over. One long request of a caller held it until then.

From 2.5 s after the signal on, when the load balancer and the other instances know, a relayed request is refused as not run with no_server and X-Relay-Sent 0, after which the other instance tries a further one and takes nothing of the retry budget. Kept and new connections of other instances stay open for these answers: on a closed one a request counts as sent, and may not go elsewhere if it can't be repeated.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -404,7 +404,7 @@
 	}
 	limits := g.table.Load().Limits()
 	server := &entry.Server{
-		Handler: http.HandlerFunc(g.forwarder.ServeRelayed), Log: g.Log,
+		Handler: http.HandlerFunc(g.forwarder.ServeRelayed), Refuse: http.HandlerFunc(g.forwarder.RefuseRelayed), KeepOpen: true, Log: g.Log,
 		HeaderBytes: limits.HeaderBytes + relayHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		Budget: g.heldMemory,
 	}
--- a/request/forward/stop.go
+++ b/request/forward/stop.go
@@ -28,6 +28,9 @@
 // Refuse answers a request that arrives when the instance takes none any more, because it stops.
 func (f *Forwarder) Refuse(w http.ResponseWriter, r *http.Request) { f.refuse(w, r, false) }
 
+// RefuseRelayed does the same for a request that another instance relayed, so that this one tries a further instance.
+func (f *Forwarder) RefuseRelayed(w http.ResponseWriter, r *http.Request) { f.refuse(w, r, true) }
+
 func (f *Forwarder) refuse(w http.ResponseWriter, r *http.Request, isRelayed bool) {
 	c := &call{f: f, w: w, r: r, arrivedAt: time.Now(), ctx: r.Context(), isRelayed: isRelayed}
 	// A request with invalid headers is refused too, without its id.
