dispatch: no Retry-After for a request that may have run and isn't idempotent

Found while looking for the cause of REFUSED in the product's own form; no report of it is known.

A call that was sent and isn't idempotent got 503 with Retry-After when the instance's shutdown cut it, and a request that its engine had paused got 503 or 429 with Retry-After when the pool refused it a slot to go on. Idempotent requests are asked back as before.

Before, go test ./request/dispatch:

TestShutdownDuringCallIsUnknownOutcome: leaving (response.Code string) != outcome_unknown TestRefusedSlotOfPausedRequestIsUnknownOutcome: rate_limit (response.Code string) != outcome_unknown

After, with the race detector: request/dispatch, connection/caller and process/instance pass.

--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -130,6 +130,21 @@
 	// Nothing of a refused repeat was sent, but the first call with its idempotency key may have run. A caller that was
 	// told that the call has not run could repeat it with a new key, and it would run twice.
 	response.NotRun = !r.maybeSent && response.Code != request.CodeClaimed
+	if r.maybeSent && !r.authorization.Idempotent && response.RetryAfter > 0 {
+		return r.unknownOutcome(response)
+	}
+	return response
+}
+
+// unknownOutcome returns the error response to a request that may have run and isn't idempotent, in place of one that
+// asks the caller to repeat it.
+func (r *run) unknownOutcome(response request.ErrResponse) request.ErrResponse {
+	response.RetryAfter = 0
+	if r.responseStarted {
+		return response
+	}
+	response.Status, response.Code = http.StatusBadGateway, request.CodeOutcomeUnknown
+	response.Message += "; whether the request ran is unknown"
 	return response
 }
 
