forward: another instance's own error bears the id of its request

A request that may be repeated is relayed over a kept connection. If the other instance refused it, its error had no id, so that it counted as another request's and was discarded; the first instance waited for one more answer until the request's time was over, and its caller got 504 instead of the refusal. The error now bears the id. A peer of an older build still sends none.

Before: TestRefusalOnKeptRelayConnection: 504 after 2.1 s (the route's timeout is 2 s), 503 wanted. After: passes, and so do request/forward whole and platform's TestPartitionedInstanceServesCallers, with the race detector.

--- a/request/forward/error.go
+++ b/request/forward/error.go
@@ -185,6 +185,8 @@
 		h.Set("Retry-After", strconv.FormatFloat(response.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	if c.isRelayed {
+		// Without its id, the response would count as another request's on a connection that has carried some.
+		h.Set(c.f.Headers.ID, c.meta.ID)
 		h.Set(headerRelayError, response.Code)
 		h.Set(headerRelaySent, strconv.Itoa(c.sends))
 	}
--- a/request/forward/relay_test.go
+++ b/request/forward/relay_test.go
@@ -382,3 +382,23 @@
 		})
 	}
 }
+
+// The other instance's own error is known by its id on a connection that has carried other requests, and isn't waited for
+// in vain until the request's time is over.
+func TestRefusalOnKeptRelayConnection(t *testing.T) {
+	reaching := newFixture(t, signedResponse(http.StatusOK, "first"))
+	f := newPartitioned(t, reaching.relayServer(t))
+	_, body, _ := f.do(t, f.request(t, http.MethodPost, "/repeat/x", "b"))
+	assert.Equal(t, body, "first")
+	for _, srv := range reaching.forwarder.Registry.Servers() {
+		reaching.forwarder.Registry.Remove(srv.Entry().ID)
+	}
+	start := time.Now()
+	req := f.request(t, http.MethodPost, "/repeat/x", "b")
+	req.Header.Set("X-Id", "r2")
+	status, body, h := f.do(t, req)
+	assert.Equal(t, status, http.StatusServiceUnavailable, body)
+	assert.Assert(t, strings.Contains(body, `"not_run":true`), body)
+	assert.Assert(t, h.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(start) < time.Second, "%s", time.Since(start))
+}
