forward: a further run must not leave a gap in ids that rose evenly

What callers saw: after 1 2 3 and a break, a server that went on with 5 or 7 had its events joined: 1 2 3 5 6, complete. A piece is missing.

Cause: ids were compared for being higher only.

The protocol says "increasing ids", not consecutive ones, so that no step may be required. If the ids of a stream rose by one and the same step twice or more, and never by another, a further run must not begin more than that step after the last event; else it is handled like a repeated event.

--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -27,8 +27,13 @@
 	faultNotHigher orderFault = "not_higher"
 	// faultNotComparable means that a further run begins with an event whose id can't be compared with the last one's.
 	faultNotComparable orderFault = "not_comparable"
+	// faultGap means that a further run begins more than one step after the last event, while ids rose evenly so far.
+	faultGap orderFault = "gap"
 )
 
+// minEvenSteps is the number of equal steps between ids from which on the ids of a stream count as rising evenly.
+const minEvenSteps = 2
+
 // eventOrder compares the events of a stream with those that the caller has, from whatever servers and instances they
 // come. A run is what one of them sends.
 type eventOrder struct {
@@ -39,6 +44,11 @@
 	isComparable bool
 	// joins is set from the beginning of a further run until its first event with a number.
 	joins bool
+	// step is the difference between the last two ids of one run, and steps the number of differences so far. isUneven is set
+	// if they were not equal.
+	step     uint64
+	steps    int
+	isUneven bool
 }
 
 // eventNumber returns the number that an event's id is; false if it is none of at most 64 bits.
@@ -63,6 +73,8 @@
 		return errEventOrder{lastID, id, faultNotHigher}
 	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
 		return errEventOrder{lastID, id, faultNotComparable}
+	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step:
+		return errEventOrder{lastID, id, faultGap}
 	}
 	return nil
 }
@@ -77,6 +89,12 @@
 	if !isNumber {
 		return
 	}
+	if o.hasNumber && !o.joins {
+		step := n - o.highest
+		o.isUneven = o.isUneven || o.steps > 0 && step != o.step
+		o.step = step
+		o.steps++
+	}
 	o.highest, o.hasNumber, o.joins = n, true, false
 }
 
