forward: a further run must bring the event inside which the last one broke off

What callers saw: a stream broke off inside event 4, the next server answered with a stream that ended at once, and 1 2 3 looked complete: "the stream ends as complete before its last piece".

Cause: the regular end of any run counted as the end of the stream, and the part of the event that had arrived was dropped unseen.

A part of an event (comments aside) proves that the stream has a further one. A further run that ends without any event is then handled like one that repeats events.

--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -19,7 +20,7 @@
 	return fmt.Sprintf("the stream doesn't go on from event %q with event %q: %s", e.lastID, e.nextID, e.fault)
 }
 
-// orderFault says why an event doesn't go on from another one.
+// orderFault says why an event, or the end of a stream, doesn't go on from an event.
 type orderFault string
 
 const (
@@ -29,6 +30,8 @@
 	faultNotComparable orderFault = "not_comparable"
 	// faultGap means that a further run begins more than one step after the last event, while ids rose evenly so far.
 	faultGap orderFault = "gap"
+	// faultMissing means that a further run ends without the event inside which the one before it broke off.
+	faultMissing orderFault = "missing"
 )
 
 // minEvenSteps is the number of equal steps between ids from which on the ids of a stream count as rising evenly.
@@ -44,6 +47,8 @@
 	isComparable bool
 	// joins is set from the beginning of a further run until its first event with a number.
 	joins bool
+	// isCut is set if a run broke off inside an event, until an event has come.
+	isCut bool
 	// step is the difference between the last two ids of one run, and steps the number of differences so far. isUneven is set
 	// if they were not equal.
 	step     uint64
@@ -85,7 +90,7 @@
 		return
 	}
 	n, isNumber := eventNumber(id)
-	o.isComparable = isNumber
+	o.isComparable, o.isCut = isNumber, false
 	if !isNumber {
 		return
 	}
@@ -98,6 +103,23 @@
 	o.highest, o.hasNumber, o.joins = n, true, false
 }
 
+// checkEnd returns an errEventOrder if the stream can't have ended after the event lastID.
+func (o *eventOrder) checkEnd(lastID string) error {
+	if o.joins && o.isCut {
+		return errEventOrder{lastID: lastID, fault: faultMissing}
+	}
+	return nil
+}
+
+// recordCut records the part of an event inside which a run broke off; empty if it broke off between two events.
+func (o *eventOrder) recordCut(part []byte) {
+	for line := range bytes.Lines(part) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			o.isCut = true
+		}
+	}
+}
+
 // isPiece reports whether an event is a part of what the stream says, rather than a comment.
 func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -227,9 +227,13 @@
 	for index := 0; ; index++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
+			if err = c.order.checkEnd(c.meta.LastEventID); err != nil {
+				return c.runRejected(err)
+			}
 			return c.endRelayedStream(resp)
 		}
 		if err != nil {
+			c.order.recordCut(events.event.data)
 			return c.streamInterrupted(err)
 		}
 		if err = c.checkEvent(event, id); err != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -56,9 +56,14 @@
 			c.recordEvent(event, id)
 		}
 		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
+			if err = c.order.checkEnd(c.meta.LastEventID); err != nil {
+				attempt.End(registry.OutcomeFailed)
+				return c.runRejected(err)
+			}
 			return c.endStream(attempt, resp)
 		}
 		if err != nil {
+			c.order.recordCut(events.event.data)
 			c.recordLostResponse(ctx, attempt, err)
 			return c.streamInterrupted(err)
 		}
