forward: test that a rejected run resets a response that only its connection ends

It fails on: the joined events 1 2 1 2 3 end properly, for a caller of HTTP/1.0 and for servers whose streams have no chunks.

--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -363,3 +365,22 @@
 		}
 	}
 }
+
+// A response that only the end of its connection ends is reset after a rejected run.
+func TestRejectedRunResetsUnframedResponse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		version string
+		servers []http.HandlerFunc
+	}{
+		"HTTP/1.0":          {"HTTP/1.0", []http.HandlerFunc{eventStream(1, 2, false), eventStream(1, 3, true)}},
+		"unframed":          {"HTTP/1.1", []http.HandlerFunc{streamsCutInsideEvent["end of the connection"], eventStream(1, 3, true)}},
+		"unframed, go back": {"HTTP/1.1", []http.HandlerFunc{rawResponse(unframedStreamHead+firstTwoEvents+firstTwoEvents, false)}},
+	} {
+		f := newFixture(t, tc.servers...)
+		resp, body, err := f.rawExchange(t, "/stream/", tc.version)
+		assert.Check(t, isUnframed(resp), name)
+		assert.Check(t, body == firstTwoEvents, "%s: %q", name, body)
+		var opErr *net.OpError
+		assert.Check(t, errors.As(err, &opErr), "%s: %v", name, err)
+	}
+}
