--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -19,7 +20,7 @@
 	return fmt.Sprintf("the stream doesn't go on from event %q with event %q: %s", e.lastID, e.nextID, e.fault)
 }
 
-// orderFault says why an event doesn't go on from another one.
+// orderFault says why an event, or the end of a stream, doesn't go on from an event.
 type orderFault string
 
 const (
@@ -27,8 +28,15 @@
 	faultNotHigher orderFault = "not_higher"
 	// faultNotComparable means that a further run begins with an event whose id can't be compared with the last one's.
 	faultNotComparable orderFault = "not_comparable"
+	// faultGap means that a further run begins more than one step after the last event, while ids rose evenly so far.
+	faultGap orderFault = "gap"
+	// faultMissing means that a further run ends without the event inside which the one before it broke off.
+	faultMissing orderFault = "missing"
 )
 
+// minEvenSteps is the number of equal steps between ids from which on the ids of a stream count as rising evenly.
+const minEvenSteps = 2
+
 // eventOrder compares the events of a stream with those that the caller has, from whatever servers and instances they
 // come. A run is what one of them sends.
 type eventOrder struct {
@@ -39,6 +47,13 @@
 	isComparable bool
 	// joins is set from the beginning of a further run until its first event with a number.
 	joins bool
+	// isCut is set if a run broke off inside an event, until an event has come.
+	isCut bool
+	// step is the difference between the last two ids of one run, and steps the number of differences so far. isUneven is set
+	// if they were not equal.
+	step     uint64
+	steps    int
+	isUneven bool
 }
 
 // eventNumber returns the number that an event's id is; false if it is none of at most 64 bits.
@@ -63,6 +78,8 @@
 		return errEventOrder{lastID, id, faultNotHigher}
 	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
 		return errEventOrder{lastID, id, faultNotComparable}
+	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step:
+		return errEventOrder{lastID, id, faultGap}
 	}
 	return nil
 }
@@ -73,13 +90,36 @@
 		return
 	}
 	n, isNumber := eventNumber(id)
-	o.isComparable = isNumber
+	o.isComparable, o.isCut = isNumber, false
 	if !isNumber {
 		return
 	}
+	if o.hasNumber && !o.joins {
+		step := n - o.highest
+		o.isUneven = o.isUneven || o.steps > 0 && step != o.step
+		o.step = step
+		o.steps++
+	}
 	o.highest, o.hasNumber, o.joins = n, true, false
 }
 
+// checkEnd returns an errEventOrder if the stream can't have ended after the event lastID.
+func (o *eventOrder) checkEnd(lastID string) error {
+	if o.joins && o.isCut {
+		return errEventOrder{lastID: lastID, fault: faultMissing}
+	}
+	return nil
+}
+
+// recordCut records the part of an event inside which a run broke off; empty if it broke off between two events.
+func (o *eventOrder) recordCut(part []byte) {
+	for line := range bytes.Lines(part) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			o.isCut = true
+		}
+	}
+}
+
 // isPiece reports whether an event is a part of what the stream says, rather than a comment.
 func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
 
