forward: tests of large responses and of streams that may not go on, behind the product's server for callers

A response larger than the buffer that breaks off, and a stream of a route without resumption that breaks off, never look whole, on six paths and for callers of HTTP/1.0 and 1.1. The sixth path is new: the server that holds responses for slow callers, which the fixtures of this package don't use; both matrices run behind it too.

--- a/request/forward/broken_stream_test.go
+++ b/request/forward/broken_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,9 +15,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/toucanroute/toucanroute/connection/entry"
 	"github.com/toucanroute/toucanroute/connection/upstream"
+	"github.com/toucanroute/toucanroute/process/memory"
 	"github.com/toucanroute/toucanroute/process/streamorigin"
 	"github.com/toucanroute/toucanroute/request/attempt"
 )
@@ -64,6 +68,11 @@
 var scriptedPaths = map[string]func(*testing.T, *rawScript) *fixture{
 	"direct":  func(t *testing.T, s *rawScript) *fixture { return newFixture(t, s.ServeHTTP, s.ServeHTTP) },
 	"relayed": func(t *testing.T, s *rawScript) *fixture { return newPartitioned(t, scriptedPeer(t, s, 2)) },
+	"direct, held for slow callers": func(t *testing.T, s *rawScript) *fixture {
+		f := newFixture(t, s.ServeHTTP, s.ServeHTTP)
+		f.holdResponses(t)
+		return f
+	},
 	"two peers": func(t *testing.T, s *rawScript) *fixture {
 		return newPartitioned(t, scriptedPeer(t, s, 1), scriptedPeer(t, s, 1))
 	},
@@ -99,6 +108,22 @@
 	return peer.relayServer(t)
 }
 
+// holdResponses puts the server of the product, which holds responses for callers that read slowly, in front of the forwarder.
+func (f *fixture) holdResponses(t *testing.T) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &entry.Server{Handler: f.forwarder, Log: zap.NewNop(), Budget: memory.NewBudget(smallestMemory)}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-served)
+	})
+	f.proxy.URL = "http://" + ln.Addr().String()
+}
+
 // withRetries lets all requests be tried again.
 func (f *fixture) withRetries() *fixture {
 	budget := &attempt.WindowBudget{Length: 10 * time.Second, Ratio: 1, FixedAllowance: func() float64 { return 1e6 }}
@@ -309,6 +334,31 @@
 	}
 }
 
+// A stream that may not be resumed breaks off where its server's does, and no other server gets its request.
+func TestBrokenStreamThatCannotGoOnIsNotWhole(t *testing.T) {
+	for pathName, path := range scriptedPaths {
+		t.Run(pathName, func(t *testing.T) {
+			t.Parallel()
+			script := &rawScript{}
+			f := path(t, script).withRetries()
+			whole := eventTexts(1, lastEvent)
+			for _, first := range brokenStreams() {
+				for _, caller := range rawCallers {
+					script.set(first.rawAnswer, rawAnswer{text: framed(streamHead, "chunks", whole, whole)})
+					f.markUnreachable()
+					v := f.view(t, "/fixed/", caller)
+					if strings.Contains(first.name, " an event") {
+						assert.Check(t, !v.noAnswer && v.body == eventTexts(1, 2) && !v.complete && v.surplus == "", "%s, %q: %s", first.name, caller, v)
+					} else {
+						assert.Check(t, !v.noAnswer && v.resp.StatusCode == http.StatusBadGateway, "%s, %q: %s", first.name, caller, v)
+					}
+					assert.Check(t, script.arrivals.Load() == 1, "%s, %q", first.name, caller)
+				}
+			}
+		})
+	}
+}
+
 // A stream that breaks off goes on at the next server, in whatever framing.
 func TestBrokenStreamGoesOnInAnyFraming(t *testing.T) {
 	whole := eventTexts(1, lastEvent)
--- a/request/forward/cut_response_test.go
+++ b/request/forward/cut_response_test.go
@@ -61,7 +61,7 @@
 // A server, or another instance, that stops anywhere in its response never makes a part of it look whole, whether it closes
 // its connection or resets it.
 func TestResponseCutAtAnyByteIsNotWhole(t *testing.T) {
-	for _, pathName := range []string{"direct", "relayed", "peers themselves"} {
+	for _, pathName := range []string{"direct", "direct, held for slow callers", "relayed", "peers themselves"} {
 		for i, response := range cutResponses {
 			t.Run(pathName+"/"+response.name, func(t *testing.T) {
 				t.Parallel()
@@ -113,3 +113,29 @@
 		})
 	}
 }
+
+// A response that is too large to be buffered is sent on before its end has come. Its callers see where it broke off.
+func TestLargeResponseThatBreaksOffIsNotWhole(t *testing.T) {
+	whole := strings.Repeat("0123456789abcdef", 3*maxBufferedBytes/16)
+	for pathName, path := range scriptedPaths {
+		t.Run(pathName, func(t *testing.T) {
+			t.Parallel()
+			script := &rawScript{}
+			f := path(t, script).withRetries()
+			for _, framing := range []string{"length", "chunks", "connection"} {
+				for _, caller := range rawCallers {
+					script.set(rawAnswer{text: framed(signedHead, framing, whole[:2*maxBufferedBytes], whole), reset: framing == "connection"})
+					f.markUnreachable()
+					v := f.view(t, "/once/", caller)
+					assert.Check(t, v.noAnswer || !v.complete && strings.HasPrefix(whole, v.body) || !isSuccess(v.resp), "%s, %q: %d bytes, complete %v",
+						framing, caller, len(v.body), v.complete)
+					script.set(rawAnswer{text: framed(signedHead, framing, whole, whole)})
+					f.markUnreachable()
+					v = f.view(t, "/once/", caller)
+					assert.Check(t, !v.noAnswer && v.complete && v.body == whole && v.surplus == "", "%s, %q: %d bytes, complete %v",
+						framing, caller, len(v.body), v.complete)
+				}
+			}
+		})
+	}
+}
