upstream: a response with a space in a header name isn't used

What callers saw: a server sends "Content-Length : 6", stops after four bytes of the body and closes; the caller got a 200 with the four bytes and a proper end. With "Transfer-Encoding : chunked" it got the framing of the chunks as the body.

Cause: net/http accepts a space before the colon of a response's header (go.dev/issue/34540) but keeps it as part of the name, so that the response counts as one without a length that ends with its connection. Any end of the connection then completes it. RFC 9112, section 5.1, has a proxy remove such a space before it forwards the response; the length is lost by then, so that the response is malformed and its attempt failed, like that of other malformed heads. This holds for servers, other instances, engines and plain services, which share the transport.

Failed before, on each of six paths: TestResponseWithSpaceBeforeColonIsNotUsed: "Content-Length : 6\r\n\r\nabcd": status 200, length -1, encoding [], complete true, body "abcd"

--- a/connection/upstream/conn.go
+++ b/connection/upstream/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -187,14 +188,26 @@
 	return context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 }
 
+// errHeaderName reports that a response has a header name with a space. net/http accepts such names, but takes none of them for
+// the one that states the length of the body, so that a part of the body could count as the whole.
+var errHeaderName = errors.New("the response has a header name with a space")
+
 // readResponse reads the headers of the final response and skips informational (1xx) responses.
 func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
 	c.input.inHead, c.input.left = true, maxHeadBytes
 	defer func() { c.input.inHead = false }()
 	for {
 		res, err := http.ReadResponse(c.r, req)
-		if err != nil || res.StatusCode >= http.StatusOK {
-			return res, err
+		if err != nil {
+			return nil, err
+		}
+		for name := range res.Header {
+			if strings.Contains(name, " ") {
+				return nil, errHeaderName
+			}
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
 		}
 	}
 }
--- a/request/forward/cut_response_test.go
+++ b/request/forward/cut_response_test.go
@@ -139,3 +139,22 @@
 		})
 	}
 }
+
+// A head in which a space stands before a colon doesn't tell how long its body is, so that a part of it could look whole.
+func TestResponseWithSpaceBeforeColonIsNotUsed(t *testing.T) {
+	for pathName, path := range scriptedPaths {
+		t.Run(pathName, func(t *testing.T) {
+			t.Parallel()
+			script := &rawScript{}
+			f := path(t, script).withRetries()
+			for _, text := range []string{"Content-Length : 6\r\n\r\nabcd", "Content-Length : 6\r\n\r\nabcdef", "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n"} {
+				for _, caller := range rawCallers {
+					script.set(rawAnswer{text: signedHead + text})
+					f.markUnreachable()
+					v := f.view(t, "/once/", caller)
+					assert.Check(t, !v.noAnswer && v.resp.StatusCode == http.StatusBadGateway, "%q: %s", text, v)
+				}
+			}
+		})
+	}
+}
