--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -2,8 +2,8 @@
 // the request there and copies the response to the caller. Method, path, body and status pass through unchanged.
 //
 // A request that must not run twice is not sent again after a server may have started to run it. An error response says
-// that the request has not run only if no backend server can have started to run it. A server's response whose
-// status says so, while the server doesn't state it, is replaced by an error response that doesn't.
+// that the request has not run only if no backend server can have started to run it. A server's response whose status
+// says so is replaced by an error response that doesn't, unless the server states that it has not run the request.
 package forward
 
 import (
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -164,7 +164,8 @@
 	refusal := request.ErrResponse{
 		Status: resp.StatusCode, Code: code, Message: "the request was refused by the instance that reaches the backend servers",
 		// Of an instance's own errors with a 5xx status, only 503 says that the request hasn't run.
-		NotRun: resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable, RetryAfter: time.Duration(seconds * float64(time.Second)),
+		NotRun:     resp.StatusCode < http.StatusInternalServerError || resp.StatusCode == http.StatusServiceUnavailable,
+		RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 	switch {
 	case !refusal.NotRun:
