gateway: an instance isn't ready before it accepts connections

Cause: readiness looked at the configuration and the lists, and another goroutine opens the callers' listener once a configuration is there. Between the two a load balancer sends callers to a closed port.

Readiness now waits for the listener.

--- a/connection/entry/server.go
+++ b/connection/entry/server.go
@@ -61,6 +61,9 @@
 	listener net.Listener
 }
 
+// Accepts reports whether Serve has begun, and with it the listener is open.
+func (s *Server) Accepts() bool { return s.http.Load() != nil }
+
 // Running returns the number of running requests.
 func (s *Server) Running() int64 { return s.running.Load() }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -363,10 +363,12 @@
 	return &entry.Readiness{Listen: g.Settings.Listen.Readiness, Ready: g.ready}
 }
 
-// ready reports whether the instance can serve requests: it has a configuration and a server list, knows the evacuations,
-// has tried to read the quarantines, and isn't shutting down.
+// ready reports whether the instance can serve requests: it accepts connections, has a configuration and a server list,
+// knows the evacuations, has tried to read the quarantines, and isn't shutting down.
 func (g *Gateway) ready() bool {
-	return g.table.Load() != nil && g.registry.HasList() && g.knowsEvacuations() && g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
+	callerServer := g.callerServer.Load()
+	return callerServer != nil && callerServer.Accepts() && g.table.Load() != nil && g.registry.HasList() && g.knowsEvacuations() &&
+		g.quarantineKeeper.Ready() && !g.shuttingDown.Load()
 }
 
 // idleTimeoutSlack is the share by which an idle connection is kept open beyond the configured idle timeout, so that a
