caller: the end of the server answers the calls that it cancels

What callers saw (the form with homes and grants): calls that still ran 60 s after the signal were cut with no answer. The one that was written, and seldom got through, was a 503 with Retry-After also for a call that a backend server may have run.

Cause: Run cancelled the running requests and closed their connections at once. The dispatcher answered each cancelled request with status 503, whatever had been sent.

Run now waits up to half a second until the cancelled requests are answered, and refuses new ones meanwhile.

--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -125,7 +125,19 @@
 // Address returns the listener's address. Call it only after the channel of Started is closed.
 func (s *Server) Address() string { return s.address }
 
-// Run serves until ctx ends and then cancels the running requests. Call Drain first to let them finish.
+// answerTime bounds the time in which the requests that the end of Run cancels get their answers.
+const answerTime = 500 * time.Millisecond
+
+// awaitAnswers waits until the cancelled requests were answered.
+func (s *Server) awaitAnswers() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if err := s.Drain(ctx); err != nil {
+		s.Log.Warn("requests_not_answered", zap.Error(err), zap.Int64("running", s.Running()))
+	}
+}
+
+// Run serves until ctx ends, and then cancels the running requests and answers them. Call Drain first to let them finish.
 func (s *Server) Run(ctx context.Context) error {
 	s.setDefaults()
 	s.calls = make(map[*call]struct{})
@@ -148,6 +160,7 @@
 	}
 	close(s.startedChan())
 	s.watchConnections(ctx)
+	s.awaitAnswers()
 	stopCtx, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
 	_ = s.httpServer.Shutdown(stopCtx)
@@ -218,6 +231,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.draining.Store(true)
 			s.cancelAll()
 			return
 		case <-ticker.C:
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -173,7 +173,20 @@
 	case errors.Is(cause, ErrCallerGone{}):
 		return callerGoneError(cause), true
 	}
-	return request.ErrResponse{Status: http.StatusServiceUnavailable, Code: request.CodeLeaving, Message: "the instance is shutting down", RetryAfter: defaultRetryAfter}, true
+	return r.leavingError(), true
+}
+
+// leavingError returns the error response of a request that the end of the instance cancels. What a backend server may
+// have run gets no status that promises that it hasn't.
+func (r *run) leavingError() request.ErrResponse {
+	response := request.ErrResponse{Status: http.StatusServiceUnavailable, Code: request.CodeLeaving, Message: "the instance is shutting down", RetryAfter: defaultRetryAfter}
+	if r.maybeSent {
+		response.Status = http.StatusBadGateway
+		if !r.authorization.Idempotent {
+			response.Code, response.RetryAfter = request.CodeOutcomeUnknown, 0
+		}
+	}
+	return response
 }
 
 func callerGoneError(cause error) request.ErrResponse {
