--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -254,6 +254,7 @@
 	"retry_refused":        "The retry budget was used up.",
 	"store_lost":           "The instance couldn't reach the platform's store.",
 	"instance_leaving":     "The instance was shutting down.",
+	"request_ended":        "The instance stopped and ended the request.",
 }
 
 // codeTexts are the explanations of the codes of an instance's own error responses.
@@ -262,6 +263,7 @@
 	"no_server":       "No backend server took the request.",
 	"deadline":        "The time limit of the request expired.",
 	"outcome_unknown": "The request was sent and its answer was lost: it may have run.",
+	"leaving":         "The instance was stopping and took no more requests.",
 	"not_found":       "No route of the configuration in force matches the request.",
 	"key_invalid":     "The configuration in force doesn't contain the key.",
 }
--- a/request/timeline/timeline_test.go
+++ b/request/timeline/timeline_test.go
@@ -67,6 +67,27 @@
 	})
 }
 
+// A request that was ended by the stop of its instance, and one that came too late.
+func TestExplainStop(t *testing.T) {
+	log := "time=2026-12-04T03:00:07.000Z level=info event=attempt_failed request_id=r1 server=s1 sent=true error=\"the instance is stopping\"\n" +
+		"time=2026-12-04T03:00:07.001Z level=info event=request_refused request_id=r1 status=502 code=outcome_unknown not_run=false\n" +
+		"time=2026-12-04T03:00:07.002Z level=info event=request_ended request_id=r1 cause=\"instance stopping\" status=502\n" +
+		"time=2026-12-04T03:00:07.003Z level=info event=request request_id=r1 outcome=own_answer status=502 total=6.1 sends=1 server=s1\n" +
+		"time=2026-12-04T03:00:03.000Z level=info event=request_refused request_id=r2 status=503 code=leaving not_run=true\n" +
+		"time=2026-12-04T03:00:03.001Z level=info event=request request_id=r2 outcome=own_answer status=503 total=0.001\n"
+	for id, want := range map[string][]string{
+		"r1": {
+			"Answered 502 by the instance itself after 6.1 s and 1 attempt.", "The answer of server s1 was lost: the instance is stopping.",
+			"The request was sent and its answer was lost: it may have run.", "The instance stopped and ended the request.",
+		},
+		"r2": {"Answered 503 by the instance itself after 0.001 s and 0 attempts.", "The instance was stopping and took no more requests."},
+	} {
+		timeline, err := Find(id, []Log{{"a", strings.NewReader(log)}})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, timeline.Explain(), want)
+	}
+}
+
 func TestFindUnknownRequest(t *testing.T) {
 	_, err := Find("r9", []Log{{"a", strings.NewReader("")}})
 	var unknown ErrNotFound
