forward: text that isn't an event is no part of one that broke off

What callers saw: a stream broke off between two events, the next server sent text that is no event, and the one after it said that the stream ends with the caller's last event. The caller's stream was broken off although it was whole.

Cause: since a further run must bring the event inside which the last one broke off, and what eventReader had read of the rejected text counted as a part of such an event. The reader now drops the text. A part of an event that was seen before still counts.

Failed before, TestRejectedTextIsNoPartOfEvent: "directly, break 1: {1 2 3 false}", and the same at a peer's server. Passes now; go test -race ./request/forward passes.

--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -327,6 +327,25 @@
 	assert.Check(t, got == received{"1 2 3 4", true}, "the event came: %v", got)
 }
 
+// Text that is no event isn't a part of an event that the next server would have to bring.
+func TestRejectedTextIsNoPartOfEvent(t *testing.T) {
+	text := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "out of memory\n\n")
+	}
+	for how, want := range map[end]received{betweenEvents: {"1 2 3", true}, insideEvent: {"1 2 3", false}} {
+		broken, empty := idStream(how, "1", "2", "3"), idStream(regular)
+		for name, f := range map[string]*fixture{
+			"directly":        newOrderFixture(t, broken, text, empty),
+			"a peer's server": newPartitioned(t, newOrderFixture(t, broken, text, empty).relayServer(t)),
+		} {
+			_, got := f.stream(t, "")
+			assert.Check(t, got == want, "%s, break %d: %v", name, how, got)
+		}
+	}
+}
+
 // A server that repeats events is cancelled at its first one.
 func TestRepeatingServerIsCancelled(t *testing.T) {
 	cancelled := make(chan struct{})
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -195,6 +195,8 @@
 		lineStart = len(e.event.data)
 		if len(fullLine) == 0 {
 			if e.rejectText && !isEvent(e.event.data) {
+				// The text is no part of an event that broke off.
+				e.event.reset()
 				return nil, "", errNoEvent
 			}
 			return e.event.data, id, nil
