dispatch: an engine's 408 or 421 isn't a refusal of a bad request

What callers saw: in the product's own form, an engine answers a request that it has got with 408 or 421. The caller got that status with the code bad_request, also where the request isn't idempotent and may have run; callers take both statuses for "not run". A 421 wasn't tried at another engine either.

Cause: the same as for requests to backend servers: a status was taken for a statement. attemptError had its own list of the statuses that blame the request, which excepted only 429. It now uses isClientError, as mayRetry does, which also excepts 421. A request that isn't idempotent gets 502 outcome_unknown, another one goes to another engine within its attempts.

Failed before, TestRejectionByEngineIsUnknownOutcome: "bad_request (response.Code string) != outcome_unknown (code string)". Passes now; go test -race ./request/dispatch ./connection/caller passes.

--- a/request/dispatch/promise_test.go
+++ b/request/dispatch/promise_test.go
@@ -60,3 +60,18 @@
 		assert.Equal(t, f.summaries[0].Result, ResultFailed)
 	}
 }
+
+// An engine's 408 or 421 isn't the caller's fault, nor does it say that the request hasn't run.
+func TestRejectionByEngineIsUnknownOutcome(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		f := newFixture(sendTokens(0, request.ErrAttempt{Sent: true, Status: status}))
+		f.authorization.Idempotent = false
+		_, err := f.complete(t.Context(), t, false)
+		checkUnknownOutcome(t, err)
+
+		f = newFixture(sendTokens(0, request.ErrAttempt{Sent: true, Status: status}), sendTokens(2, nil))
+		f.authorization.Idempotent = true
+		_, err = f.complete(t.Context(), t, false)
+		assert.NilError(t, err, "%d", status)
+	}
+}
--- a/request/dispatch/request.go
+++ b/request/dispatch/request.go
@@ -211,7 +211,7 @@
 
 // attemptError returns the error response after the last attempt failed.
 func (r *run) attemptError(err request.ErrAttempt) request.ErrResponse {
-	if err.Status >= http.StatusBadRequest && err.Status < http.StatusInternalServerError && err.Status != http.StatusTooManyRequests {
+	if isClientError(err.Status) {
 		return request.ErrResponse{Status: err.Status, Code: request.CodeBadRequest, Message: "the engine refused the request: " + err.Message}
 	}
 	response := request.ErrResponse{
@@ -314,5 +314,5 @@
 // respond with the same status.
 func isClientError(status int) bool {
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
-		status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
+		status != http.StatusTooManyRequests && status != http.StatusRequestTimeout && status != http.StatusMisdirectedRequest
 }
