forward: a caller's wrong Last-Event-Id blames no server

What operators would see: a caller that takes streams up after an event that it can't have makes each server that answers count as failing, so that requests of others avoid sound servers.

Cause: a run that doesn't go on from the caller's last event counted as the server's failure, also before the first byte, where only the caller says which event that is.

--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"go.uber.org/zap"
+
+	"github.com/toucanroute/toucanroute/process/registry"
 )
 
 // errEventOrder is the error of an attempt whose server doesn't go on with the stream from the caller's last event.
@@ -142,6 +144,15 @@
 	}
 }
 
+// rejectedRunOutcome returns the outcome of an attempt whose run doesn't go on from the caller's last event. Before the first
+// byte, only the caller says which one that is, and may be wrong.
+func (c *call) rejectedRunOutcome() registry.Outcome {
+	if c.firstByteAt.IsZero() {
+		return registry.OutcomeAnswered
+	}
+	return registry.OutcomeFailed
+}
+
 // runRejected handles a run that doesn't go on from the caller's last event, like one that broke off: no later event of it
 // may be forwarded either.
 func (c *call) runRejected(err error) error {
--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -403,3 +403,13 @@
 		assert.Check(t, errors.As(err, &opErr), "%s: %v", name, err)
 	}
 }
+
+// A caller that takes a stream up after an event that it can't have doesn't make the servers count as failing.
+func TestWrongLastEventIDBlamesNoServer(t *testing.T) {
+	f := newOrderFixture(t, idStream(regular, idRange(1, 3)...), idStream(regular, idRange(1, 3)...))
+	status, got := f.stream(t, "99")
+	assert.Assert(t, status == http.StatusBadGateway && got.ids == "", "%d %v", status, got)
+	for _, srv := range f.forwarder.Registry.Servers() {
+		assert.Check(t, srv.State(time.Now()).FailureRate == 0, "%s: %v", srv.Entry().ID, srv.State(time.Now()).FailureRate)
+	}
+}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -38,7 +38,7 @@
 		if err == nil {
 			stalls.pause()
 			if err = c.checkEvent(event, id); err != nil {
-				attempt.End(registry.OutcomeFailed)
+				attempt.End(c.rejectedRunOutcome())
 				return c.runRejected(err)
 			}
 			pause := time.Duration(0)
