gateway: a stop with a short grace ends no request before the last sixth of it

What callers see, by reading: with a grace below 6 s, streams and long responses are broken off a second, or a quarter of the grace, before its end. Only what still runs in the last sixth of the grace may be cut (rule LOST); before the ordered stop, they ran until half a second before the end. A grace of 8 s, as all deployments have, isn't concerned.

Cause: shutdownMargin and endingTime could take an eighth of a short grace each, a quarter together. Each may now take a twelfth. At 4 s requests end at 3.33 s (before 3 s) and the process at 3.67 s (3.5 s); 133 ms are left for the answers (300 ms).

--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -23,7 +23,8 @@
 	// storingTime the last part of it, which is left for the usage counts.
 	endingTime, storingTime = 500 * time.Millisecond, 200 * time.Millisecond
 	// shortGraceShare is the largest part of a short grace that shutdownMargin, endingTime and storingTime may each take.
-	shortGraceShare = 1.0 / 8
+	// The first two together leave a sixth of it, before which no request is ended.
+	shortGraceShare = 1.0 / 12
 )
 
 // stopTimes are the times of a planned stop, in order.
