forward: test that a stream goes on with events of any form

A further run with CRLF, spaces or zeros around its ids, the id after the data, a weight version as an event's first line, retry or event fields, comments or empty lines before its first event, or a last event without id is joined like any other: directly, at a peer's server, after a peer, and where a caller takes the stream up.

--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -413,3 +413,43 @@
 		assert.Check(t, srv.State(time.Now()).FailureRate == 0, "%s: %v", srv.Entry().ID, srv.State(time.Now()).FailureRate)
 	}
 }
+
+// A further run may frame its events otherwise, and begin with lines that are no piece of the stream. The weight version stands
+// on an event's first line where it changes.
+func TestFurtherRunInOtherFormIsJoined(t *testing.T) {
+	for name, text := range map[string]string{
+		"CRLF":               "id: 4\r\ndata: t4\r\n\r\nid: 5\r\ndata: t5\r\n\r\n",
+		"weight version":     "x-toucanroute-weight-versions: 7\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n",
+		"id last":            "data: t4\nid: 4\n\ndata: t5\nid: 5\n\n",
+		"no space":           "id:4\ndata: t4\n\nid:5\ndata: t5\n\n",
+		"spaces":             "id:  4 \ndata: t4\n\nid: 5\t\ndata: t5\n\n",
+		"leading zeros":      "id: 004\ndata: t4\n\nid: 005\ndata: t5\n\n",
+		"retry first":        "retry: 3000\n\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n",
+		"event first":        "event: hello\n\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n",
+		"comments":           ":\n\n: a\n: b\n\nid: 4\n: c\ndata: t4\n\n:\n\nid: 5\ndata: t5\n\n:\n\n",
+		"empty lines":        "\n\r\n\nid: 4\ndata: t4\n\n\n\nid: 5\ndata: t5\n\n",
+		"several data lines": "id: 4\nevent: token\ndata: t4\ndata:\n\nid: 5\ndata: t5\n\n",
+		"last without id":    "id: 4\ndata: t4\n\nid: 5\ndata: t5\n\ndata: [DONE]\n\n",
+		"end with an id":     "id: 4\ndata: t4\n\nid: 5\ndata: t5\n\nevent: end\nid: 6\n\n",
+	} {
+		further := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "1")
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, text)
+		}
+		for _, how := range []end{betweenEvents, insideEvent} {
+			broken := idStream(how, "1", "2", "3")
+			for path, f := range map[string]*fixture{
+				"directly":        newOrderFixture(t, broken, further),
+				"a peer's server": newPartitioned(t, newOrderFixture(t, broken, further).relayServer(t)),
+				"two peers":       newPartitioned(t, rawPeer(t, broken), newOrderFixture(t, further).relayServer(t)),
+			} {
+				_, got := f.stream(t, "")
+				assert.Check(t, got == received{"1 2 3 4 5", true}, "%s, %s, break %d: %v", name, path, how, got)
+			}
+		}
+		f := newOrderFixture(t, further)
+		_, got := f.stream(t, "3")
+		assert.Check(t, got == received{"4 5", true}, "%s, taken up: %v", name, got)
+	}
+}
