--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -76,7 +76,7 @@
 func (o *eventOrder) check(event []byte, id, lastID string) error {
 	n, isNumber := eventNumber(id)
 	switch {
-	case isNumber && o.hasNumber && n <= o.highest:
+	case isNumber && o.hasNumber && n <= o.highest, id != "" && id == lastID:
 		return errEventOrder{lastID, id, faultNotHigher}
 	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
 		return errEventOrder{lastID, id, faultNotComparable}
