--- a/process/gateway/stop.go
+++ b/process/gateway/stop.go
@@ -31,8 +31,8 @@
 type stopTimes struct {
 	// close is the time from which no request is taken, since the load balancer knows of the stop.
 	close time.Time
-	// endRequests is the time at which the requests that still run are ended, and answered the time at which their callers
-	// must have the answers.
+	// endRequests is the time at which the requests that still run are cancelled, and answered the time until which the
+	// responses to their callers are written.
 	endRequests, answered time.Time
 	// exit is the time at which the process must end by itself.
 	exit time.Time
--- a/request/forward/broken_stream_test.go
+++ b/request/forward/broken_stream_test.go
@@ -253,7 +253,7 @@
 	return head + "\r\n" + part
 }
 
-// namedAnswer is a rawAnswer with a name.
+// namedAnswer is an answer to a stream that broke off, with the name of its subtest.
 type namedAnswer struct {
 	name string
 	rawAnswer
--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -26,7 +26,7 @@
 type orderFault string
 
 const (
-	// faultNotHigher means that the event's id isn't higher than that of an earlier event.
+	// faultNotHigher means that the event's id isn't higher than the id of each earlier event.
 	faultNotHigher orderFault = "not_higher"
 	// faultNotComparable means that a further run begins with an event whose id can't be compared with the last one's.
 	faultNotComparable orderFault = "not_comparable"
@@ -40,7 +40,7 @@
 const minEvenSteps = 2
 
 // eventOrder compares the events of a stream with those that the caller has, from whatever servers and instances they
-// come. A run is what one of them sends.
+// come. A run is the part of a stream that one server sends in response to one request.
 type eventOrder struct {
 	// highest is the highest number among the ids so far; valid if hasNumber.
 	highest   uint64
@@ -51,8 +51,8 @@
 	joins bool
 	// isCut is set if a run broke off inside an event, until an event has come.
 	isCut bool
-	// step is the difference between the last two ids of one run, and steps the number of differences so far. isUneven is set
-	// if they were not equal.
+	// step is the difference between the last two ids of one run, and steps the number of such differences so far.
+	// isUneven is set once two of these differences were not equal.
 	step     uint64
 	steps    int
 	isUneven bool
--- a/request/forward/promise.go
+++ b/request/forward/promise.go
@@ -11,7 +11,8 @@
 // notRunStatuses are the statuses by which a caller takes its request for not run.
 var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
-// errNotStated is the error of an attempt whose server rejected the request without stating that it hasn't run.
+// errNotStated is the error of an attempt whose server answered with one of notRunStatuses, but without the header that
+// states that the request hasn't run.
 type errNotStated struct {
 	// status is the status of the server's response.
 	status int
