--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -57,6 +57,7 @@
 			continue
 		}
 		if c.beganRelayed {
+			c.givenUp = noInstance
 			return c.finalError(lastErr)
 		}
 		if refusal, ok := errors.AsType[request.ErrResponse](lastErr); ok {
@@ -76,6 +77,7 @@
 		}
 		if !sent {
 			if unsentAttempts++; unsentAttempts >= c.unsentLimit() {
+				c.givenUp = attemptsUsed
 				return c.finalError(err)
 			}
 			continue
@@ -89,6 +91,7 @@
 // noServerError returns the final error when no further server can be tried. The error is err, or that of the last
 // attempt if an earlier attempt may have run the request or the response has already started.
 func (c *call) noServerError(err, lastErr error) error {
+	c.givenUp = noServer
 	if !c.firstByteAt.IsZero() {
 		return c.finalError(lastErr)
 	}
@@ -102,15 +105,19 @@
 // one attempt from the pool's retry budget.
 func (c *call) mayTryAnother(err error) bool {
 	if !errors.Is(err, errRefused) && !c.route.MayRepeat() {
+		c.givenUp = notRepeatable
 		return false
 	}
 	if c.possibleRuns >= c.route.MaxAttempts {
+		c.givenUp = attemptsUsed
 		return false
 	}
 	if !errors.Is(err, errRefused) && c.crashesServers() {
+		c.givenUp = crashesServers
 		return false
 	}
 	if !c.f.RetryBudget(c.pool.Name).TryTake() {
+		c.givenUp = retryBudgetUsed
 		c.logRetry("retry_refused")
 		return false
 	}
--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -125,6 +126,12 @@
 // isPiece reports whether an event is a part of what the stream says, rather than a comment.
 func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
 
+// beginRun prepares for the events of a further run, or the first one.
+func (c *call) beginRun() {
+	c.order.beginRun(c.meta.LastEventID)
+	c.runEvents, c.lastEventAt = 0, time.Time{}
+}
+
 // checkEvent returns an error if an event that has arrived doesn't go on from those that the caller has.
 func (c *call) checkEvent(event []byte, id string) error {
 	if err := c.order.check(event, id, c.meta.LastEventID); err != nil {
@@ -139,6 +146,8 @@
 // recordEvent records an event that the caller has.
 func (c *call) recordEvent(event []byte, id string) {
 	c.order.record(event, id)
+	c.runEvents++
+	c.lastEventAt = time.Now()
 	if id != "" {
 		c.meta.LastEventID = id
 	}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -180,6 +180,12 @@
 	origin streamorigin.Origin
 	// order is that of the stream's events.
 	order eventOrder
+	// runEvents is the number of events of the current run that the caller has, and lastEventAt the time of the last one;
+	// zero if there was none.
+	runEvents   int
+	lastEventAt time.Time
+	// givenUp says why the request isn't tried again; empty before.
+	givenUp giveUpReason
 	// serverChoice and cacheSource describe the last choice of a server; see logRequest.
 	serverChoice serverChoice
 	cacheSource  string
@@ -229,6 +235,9 @@
 	if err != nil && c.isStopping() {
 		c.logEnded()
 	}
+	if c.outcome == OutcomeInterrupted {
+		c.logBrokenOff(err)
+	}
 	c.logRequest()
 	if c.outcome == OutcomeInterrupted || c.outcome == OutcomeCallerLeft && c.status == 0 {
 		// Closes the connection without a proper end, so that the caller can't take the partial response for a complete
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -233,7 +233,7 @@
 func (c *call) copyRelayedStream(resp *http.Response) error {
 	events := eventReader{r: bufio.NewReaderSize(resp.Body, streamBufferBytes), event: buffer{budget: c.f.Buffers, maxBytes: maxEventBytes}}
 	defer events.event.reset()
-	c.order.beginRun(c.meta.LastEventID)
+	c.beginRun()
 	events.rejectText = !c.firstByteAt.IsZero()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
@@ -271,6 +271,7 @@
 // endRelayedStream completes a relayed stream that its server ended regularly.
 func (c *call) endRelayedStream(resp *http.Response) error {
 	if c.framing == request.FramingConnection && !c.endsWithConnection && !c.firstByteAt.IsZero() {
+		c.givenUp = endNotProven
 		c.outcome = OutcomeInterrupted
 		return errEndNotProven
 	}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -31,7 +31,7 @@
 	events.rejectText = !c.firstByteAt.IsZero()
 	stalls := c.watchForStall()
 	defer stalls.timer.Stop()
-	c.order.beginRun(c.meta.LastEventID)
+	c.beginRun()
 	lastEventAt := time.Now()
 	for index := 0; ; index++ {
 		event, id, err := events.next()
@@ -124,6 +124,7 @@
 	c.recordAnswered(attempt.Server(), resp)
 	if c.framing == request.FramingConnection && !c.endsWithConnection {
 		c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Error(errEndNotProven))
+		c.givenUp = endNotProven
 		c.outcome = OutcomeInterrupted
 		return errEndNotProven
 	}
@@ -147,12 +148,14 @@
 		return errCallerLeft
 	}
 	if !c.route.Resumable || c.meta.LastEventID == "" || !c.order.isComparable {
+		c.givenUp = notResumable
 		c.outcome = OutcomeInterrupted
 		return err
 	}
 	c.f.Log.Info("stream_interrupted",
 		zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.String("last_event", c.meta.LastEventID),
-		zap.String("version", c.origin.Version), zap.Error(err))
+		zap.String("version", c.origin.Version), zap.Bool("inside_event", c.order.isCut), zap.Int("run_events", c.runEvents),
+		zap.Duration("silent", c.silence()), zap.Error(err))
 	return err
 }
 
--- a/request/timeline/timeline.go
+++ b/request/timeline/timeline.go
@@ -247,7 +247,7 @@
 	"server_draining":      "Server %s was draining.",
 	"server_out":           "Server %s was removed.",
 	"data_centre_silent":   "Nothing was received from data centre %s.",
-	"stream_interrupted":   "Server %s broke off the stream; another was asked to go on.",
+	"stream_interrupted":   "Server %s broke off the stream.",
 	"stream_resumed":       "Server %s goes on with the stream.",
 	"stream_run_rejected":  "Server %s sent events that don't go on from the caller's last one.",
 	"rejection_not_stated": "Server %s rejected the request without a statement that it hasn't run.",
@@ -279,6 +279,8 @@
 		return fmt.Sprintf("The answer of server %s was lost: %s.", l.Get(keyServer), l.Get("error"))
 	case l.Event == "answer_not_used":
 		return fmt.Sprintf("The answer of server %s (status %s) wasn't used: %s.", l.Get(keyServer), l.Get("status"), l.Get("reason"))
+	case l.Event == "response_broken_off" && l.Get("reason") != "":
+		return fmt.Sprintf("No further attempt was made: %s.", l.Get("reason"))
 	case l.Event == "request_not_admitted":
 		return fmt.Sprintf("The expected wait was %s s, above the limit of %s s.", l.Get("wait"), l.Get("limit"))
 	case l.Event == "request_refused":
