forward, registry: a timeout doesn't cut the streams of a server that goes on sending

Cause: one request whose connection to a server didn't open within 300 ms made the server unreachable, and all other requests there that may be repeated were cancelled, so that streams were interrupted and their attempts used up. The timeout was the instance's own: it handed out a configuration of some 1,150 routes to all others, which filled its link.

Change: a timeout makes a server unreachable only if it has sent nothing to this instance for 300 ms, the time of a dial. What it sends shows that server and path work. A refused connection counts as before.

TestTimeoutSuspectsNoServerThatSends.

--- a/process/registry/reachable.go
+++ b/process/registry/reachable.go
@@ -9,7 +9,7 @@
 	// failureWindow is the time within which two servers must become unreachable for all others to be checked, and the
 	// shortest time between two such checks.
 	failureWindow = time.Second
-	// heardTime is the time for which a server that sent something isn't checked.
+	// heardTime is the time for which a server that sent something isn't checked, nor found unreachable by a timeout.
 	heardTime = 300 * time.Millisecond
 )
 
--- a/process/registry/reachable_test.go
+++ b/process/registry/reachable_test.go
@@ -123,3 +123,43 @@
 		assert.Assert(t, !r.IsUnreachable("p"))
 	})
 }
+
+// A request whose connection doesn't open in time doesn't make a server unreachable that goes on sending to this instance: its
+// running requests stay there. One that has sent nothing for a while becomes unreachable.
+func TestTimeoutSuspectsNoServerThatSends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRegistry(newEntry("a"))
+		srv := r.Serving("p")[0]
+		unreachable := srv.Unreachable()
+		stream := srv.Begin(0)
+		stream.MarkPrefilled()
+		time.Sleep(heardTime - time.Millisecond)
+		srv.Begin(0).End(OutcomeTimedOut)
+		assert.Assert(t, !srv.IsSuspect() && !isClosed(unreachable))
+		time.Sleep(time.Second)
+		// What it sends to another instance shows nothing about the path from here.
+		srv.mu.Lock()
+		srv.markHeardElsewhere(time.Now())
+		srv.mu.Unlock()
+		srv.Begin(0).End(OutcomeTimedOut)
+		assert.Assert(t, srv.IsSuspect() && isClosed(unreachable))
+	})
+}
+
+// A refused connection shows that a server has ended, whatever it sent just before.
+func TestRefusedConnectionSuspectsServerThatSent(t *testing.T) {
+	srv := newTestRegistry(newEntry("a")).Serving("p")[0]
+	srv.Begin(0).MarkPrefilled()
+	srv.Begin(0).End(OutcomeUnreachable)
+	assert.Assert(t, srv.IsSuspect())
+}
+
+// isClosed reports whether the channel is closed.
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -170,6 +170,9 @@
 	OutcomeCallerGone
 	// OutcomeReplaced means that another server answered at the address.
 	OutcomeReplaced
+	// OutcomeTimedOut means that the server opened no connection, or acknowledged nothing on one, in time. The cause may also
+	// be this instance's own link or that one connection.
+	OutcomeTimedOut
 )
 
 // Attempt tracks one request at a server.
@@ -292,10 +295,12 @@
 		a.noteUnanswered()
 	case OutcomeUnreachable:
 		a.srv.addOutcome(1, now)
-		if !a.srv.suspect && a.srv.onUnreachable != nil {
-			go a.srv.onUnreachable(a.srv)
+		a.srv.foundUnreachable()
+	case OutcomeTimedOut:
+		a.srv.addOutcome(1, now)
+		if now.Sub(a.srv.heardHere) >= heardTime {
+			a.srv.foundUnreachable()
 		}
-		a.srv.markSuspect()
 	case OutcomeReplaced:
 		if !a.srv.addressTaken {
 			a.srv.addressTaken = true
@@ -305,6 +310,14 @@
 	}
 }
 
+// foundUnreachable marks the server as unreachable because of a request. The caller holds mu.
+func (srv *Server) foundUnreachable() {
+	if !srv.suspect && srv.onUnreachable != nil {
+		go srv.onUnreachable(srv)
+	}
+	srv.markSuspect()
+}
+
 // addOutcome updates the failure rate; failed is 1 for a failure, otherwise 0. The caller holds mu.
 func (srv *Server) addOutcome(failed float64, now time.Time) {
 	srv.failureRate = srv.failureRateAt(now)
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -424,14 +424,10 @@
 		c.possibleRuns++
 		c.reportStarted()
 	}
-	switch {
-	case context.Cause(c.ctx) != nil && !errors.Is(context.Cause(c.ctx), errTimeout):
+	if context.Cause(c.ctx) != nil && !errors.Is(context.Cause(c.ctx), errTimeout) {
 		attempt.End(registry.OutcomeCallerGone)
-	case isUnreachable(err) || errors.Is(context.Cause(ctx), errUnreachable):
-		attempt.End(registry.OutcomeUnreachable)
-	default:
-		attempt.End(registry.OutcomeFailed)
-		c.reportIfCrashed(attempt.Server(), err)
+	} else {
+		c.endFailed(ctx, attempt, err)
 	}
 	c.f.Log.Info("attempt_failed",
 		zap.String("request_id", c.meta.ID),
--- a/request/forward/response.go
+++ b/request/forward/response.go
@@ -279,23 +279,43 @@
 
 // recordLostResponse records a response that ended before it was complete.
 func (c *call) recordLostResponse(ctx context.Context, attempt *registry.Attempt, err error) {
-	switch {
-	case context.Cause(c.ctx) != nil:
+	if context.Cause(c.ctx) != nil {
 		attempt.End(registry.OutcomeCallerGone)
-	case errors.Is(context.Cause(ctx), errUnreachable), isUnreachable(err):
+	} else {
+		c.endFailed(ctx, attempt, err)
+	}
+	c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Bool("begun", !c.firstByteAt.IsZero()),
+		zap.Strings("parts", c.loggedParts()), zap.String("fingerprint", c.identity.Fingerprint), zap.Error(err))
+}
+
+// endFailed ends an attempt that its server has failed, or that failed on the way to it.
+func (c *call) endFailed(ctx context.Context, attempt *registry.Attempt, err error) {
+	switch {
+	case errors.Is(context.Cause(ctx), errUnreachable):
+		attempt.End(registry.OutcomeUnreachable)
+	case isTimeout(err):
+		attempt.End(registry.OutcomeTimedOut)
+	case isUnreachable(err):
 		attempt.End(registry.OutcomeUnreachable)
 	default:
 		attempt.End(registry.OutcomeFailed)
 		c.reportIfCrashed(attempt.Server(), err)
 	}
-	c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Bool("begun", !c.firstByteAt.IsZero()),
-		zap.Strings("parts", c.loggedParts()), zap.String("fingerprint", c.identity.Fingerprint), zap.Error(err))
+}
+
+// isTimeout reports whether an error shows that no connection was opened, or nothing was acknowledged, in time.
+func isTimeout(err error) bool {
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		return true
+	}
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial" && opErr.Timeout()
 }
 
 // isUnreachable reports whether an error shows that the server or the network path to it is down, rather than the
 // failure of one request.
 func isUnreachable(err error) bool {
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) {
 		return true
 	}
 	var opErr *net.OpError
