forward: a stream without a further attempt isn't cut because of other requests

Callers saw streams cut in the middle whose server went on with them (LOST).

Cause: when one request finds a server unreachable, all others there that may be repeated are cancelled so that they move. Whether they can move wasn't asked: a stream on its last permitted attempt, without retry budget, without another server or with events that can't be joined was cut, although its own connection had no fault.

Change: such a request waits for its own connection, whose keep-alive ends it if the server is gone. One that can move is still moved at once.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -38,6 +38,7 @@
 
 // run sends the request to one server after the other until one responds. A nil error means that the response was sent.
 func (c *call) run() error {
+	c.isJoinable.Store(true)
 	c.triedServers, c.triedAddresses, c.relays = map[string]bool{}, map[string]bool{}, map[string]bool{}
 	if !c.isRelayed {
 		// A relayed request counts at the instance that got it from the caller.
@@ -370,8 +371,8 @@
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	c.cancelAttempt = cancel
-	if c.route.MayRepeat() {
-		go cancelWhenUnreachable(ctx, cancel, server.Unreachable())
+	if mayMove := c.moveCheck(entry); mayMove != nil {
+		go cancelWhenUnreachable(ctx, cancel, server.Unreachable(), mayMove)
 	}
 	mayRetry := c.route.MayRepeat() && c.canRetryFailure()
 	silenceTimer := time.AfterFunc(c.silenceTimeout(), func() {
@@ -405,15 +406,6 @@
 	return min(max(time.Duration(silenceTargetFactor*float64(c.route.FirstEventTarget)), minSilenceTimeout), maxSilenceTimeout)
 }
 
-// cancelWhenUnreachable cancels an attempt when its server becomes unreachable.
-func cancelWhenUnreachable(ctx context.Context, cancel context.CancelCauseFunc, unreachable <-chan struct{}) {
-	select {
-	case <-unreachable:
-		cancel(errUnreachable)
-	case <-ctx.Done():
-	}
-}
-
 // recordFailure records an attempt that failed before response headers arrived, and reports whether a byte may have
 // been sent.
 func (c *call) recordFailure(ctx context.Context, attempt *registry.Attempt, err error) (sent bool) {
--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -151,6 +151,12 @@
 	if id != "" {
 		c.meta.LastEventID = id
 	}
+	c.isJoinable.Store(c.mayJoin())
+}
+
+// mayJoin reports whether a further run may be joined to the events that the caller has.
+func (c *call) mayJoin() bool {
+	return c.route.Resumable && c.meta.LastEventID != "" && c.order.isComparable
 }
 
 // rejectedRunOutcome returns the outcome of an attempt whose run doesn't go on from the caller's last event. Before the first
--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -109,7 +109,13 @@
 // stream requests a stream, or takes one up after the event lastID if that isn't empty.
 func (f *fixture) stream(t *testing.T, lastID string) (int, received) {
 	t.Helper()
-	req := f.request(t, http.MethodPost, "/stream/", "b")
+	return f.streamAt(t, "/stream/", lastID)
+}
+
+// streamAt does the same on the route of the path.
+func (f *fixture) streamAt(t *testing.T, path, lastID string) (int, received) {
+	t.Helper()
+	req := f.request(t, http.MethodPost, path, "b")
 	if lastID != "" {
 		req.Header.Set("X-Id", "later")
 		req.Header.Set("X-Resumes", "r1")
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -180,6 +181,9 @@
 	origin streamorigin.Origin
 	// order is that of the stream's events.
 	order eventOrder
+	// isJoinable is set while a further run could go on after the events that the caller has, or there are none. Unlike order,
+	// it may be read by any goroutine.
+	isJoinable atomic.Bool
 	// runEvents is the number of events of the current run that the caller has, and lastEventAt the time of the last one;
 	// zero if there was none.
 	runEvents   int
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -87,6 +87,7 @@
 		c.origin = streamorigin.Origin{Pool: c.pool.Name, Version: c.serverVersion}
 	}
 	if c.firstByteAt.IsZero() {
+		c.isJoinable.Store(false)
 		c.beginResponse(resp)
 		c.w.WriteHeader(resp.StatusCode)
 	}
@@ -147,7 +148,7 @@
 		c.outcome = OutcomeInterrupted
 		return errCallerLeft
 	}
-	if !c.route.Resumable || c.meta.LastEventID == "" || !c.order.isComparable {
+	if !c.mayJoin() {
 		c.givenUp = notResumable
 		c.outcome = OutcomeInterrupted
 		return err
