gossip: compress replies with objects for peers that understand it

A caller now offers the encoding gzip, and the server sends the list compressed, encoded once for each version of the objects. Older builds ignore the field, or don't send it, and get and send the list as before. The decompressed size is bounded by maxReplyBytes, as the reply itself is.

The tests with an older caller and an older server pass before and after.

--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -49,6 +49,8 @@
 // objectsParams are the parameters of methodObjects.
 type objectsParams struct {
 	Kind string `json:"kind"`
+	// Encoding is the encoding of the reply that the caller understands. Older builds neither send nor read it.
+	Encoding string `json:"encoding,omitempty"`
 }
 
 // Server serves the objects of the platform's store to instances that can't reach the store, and tells other instances
@@ -64,6 +66,8 @@
 	FindStream func(id string) (wire.NewsStream, bool)
 	// Requests gets the connections on which other instances send HTTP requests; nil means that they are closed.
 	Requests *Listener
+
+	replies replies
 }
 
 // Run serves until ctx ends.
@@ -136,7 +140,7 @@
 	if !current {
 		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
 	}
-	return list, nil
+	return s.replies.encode(params.Kind, params.Encoding, list)
 }
 
 func (s *Server) serveStream(data *json.RawMessage) (any, error) {
@@ -153,9 +157,11 @@
 
 // FetchObjects requests all objects of a kind from a peer.
 func FetchObjects(ctx context.Context, address, kind string) (wire.ObjectList, error) {
-	var list wire.ObjectList
-	err := call(ctx, address, methodObjects, objectsParams{Kind: kind}, &list)
-	return list, err
+	var data json.RawMessage
+	if err := call(ctx, address, methodObjects, objectsParams{Kind: kind, Encoding: encodingGzip}, &data); err != nil {
+		return wire.ObjectList{}, err
+	}
+	return decodeObjects(data)
 }
 
 // FetchStream asks a peer what began the stream with the id.
