gossip, gateway, feed: refuse objects while other replies are on their way

Further callers are refused with an error code of its own, for which older builds ask the next instance. What the JSON-RPC library writes about callers that have gone goes to the log at level debug. An instance that is refused asks again after 15 to 45 ms, for half a second; then it waits for the next datagram and doesn't read the store. One that reads the store doesn't wait for others.

--- a/connection/gossip/errors.go
+++ b/connection/gossip/errors.go
@@ -23,6 +23,22 @@
 	return fmt.Sprintf("the peer's reply has the unknown encoding %q", e.Encoding)
 }
 
+// ErrRefused reports that a peer answered and sent no objects for now.
+type ErrRefused struct {
+	Address string
+	Reason  string
+}
+
+func (e ErrRefused) Error() string {
+	return fmt.Sprintf("the peer %s refused: %s", e.Address, e.Reason)
+}
+
+// IsErrRefused reports whether err is or wraps an ErrRefused.
+func IsErrRefused(err error) bool {
+	var e ErrRefused
+	return errors.As(err, &e)
+}
+
 // IsErrReplyTooLarge reports whether err is or wraps an ErrReplyTooLarge.
 func IsErrReplyTooLarge(err error) bool {
 	var e ErrReplyTooLarge
--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,6 +25,9 @@
 	codeOutdated = 1
 	// codeUnknownStream is the error code of an instance that doesn't know what began a stream.
 	codeUnknownStream = 2
+	// codeBusy is the error code of an instance that sends as many replies with objects as it may. Older builds take it for
+	// any other error and ask another instance.
+	codeBusy = 3
 	// fetchTimeout bounds one call to a peer. It is much longer than a round trip and much shorter than the time in
 	// which a new configuration must take effect.
 	fetchTimeout = 500 * time.Millisecond
@@ -32,6 +37,16 @@
 	maxCallsBytes = 64 << 10
 )
 
+// rpcLog writes what the JSON-RPC library reports of a connection to the log: mostly that the caller has gone.
+type rpcLog struct {
+	log *zap.Logger
+}
+
+// Printf implements jsonrpc2.Logger.
+func (l rpcLog) Printf(format string, v ...any) {
+	l.log.Debug("peer_call_broken_off", zap.String("error", strings.TrimSpace(fmt.Sprintf(format, v...))))
+}
+
 // limitedConn is a connection of which a limited number of bytes can be read. Another process may have taken over the
 // address of a peer.
 type limitedConn struct {
@@ -67,11 +82,13 @@
 	// Requests gets the connections on which other instances send HTTP requests; nil means that they are closed.
 	Requests *Listener
 
-	replies replies
+	replies  replies
+	inFlight *inFlight
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
+	s.inFlight = newInFlight()
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
@@ -106,7 +123,9 @@
 }
 
 // serve handles the calls of one peer until the peer closes the connection or ctx ends.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
+func (s *Server) serve(ctx context.Context, conn *peekedConn) {
+	held := &hold{inFlight: s.inFlight, conn: conn.TCPConn}
+	defer held.release()
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (reply any, err error) {
 		// A panic fails this call only.
 		defer func() {
@@ -117,13 +136,13 @@
 		}()
 		switch req.Method {
 		case methodObjects:
-			return s.serveObjects(req.Params)
+			return s.serveObjects(held, req.Params)
 		case methodStream:
 			return s.serveStream(req.Params)
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	})
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxCallsBytes)), handler)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxCallsBytes)), handler, jsonrpc2.SetLogger(rpcLog{s.Log}))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -131,7 +150,7 @@
 	}
 }
 
-func (s *Server) serveObjects(data *json.RawMessage) (any, error) {
+func (s *Server) serveObjects(held *hold, data *json.RawMessage) (any, error) {
 	var params objectsParams
 	if data == nil || json.Unmarshal(*data, &params) != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
@@ -140,7 +159,16 @@
 	if !current {
 		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
 	}
-	return s.replies.encode(params.Kind, params.Encoding, list)
+	reply, err := s.replies.encode(params.Kind, params.Encoding, list)
+	switch {
+	case err != nil:
+		return nil, err
+	case callerIsGone(held.conn):
+		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "the caller has gone"}
+	case !held.add(len(reply)):
+		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "other replies are being sent"}
+	}
+	return reply, nil
 }
 
 func (s *Server) serveStream(data *json.RawMessage) (any, error) {
@@ -155,10 +183,15 @@
 	return stream, nil
 }
 
-// FetchObjects requests all objects of a kind from a peer.
+// FetchObjects requests all objects of a kind from a peer. It returns ErrRefused if the peer may send
+// them soon.
 func FetchObjects(ctx context.Context, address, kind string) (wire.ObjectList, error) {
 	var data json.RawMessage
 	if err := call(ctx, address, methodObjects, objectsParams{Kind: kind, Encoding: encodingGzip}, &data); err != nil {
+		var refusal *jsonrpc2.Error
+		if errors.As(err, &refusal) && refusal.Code == codeBusy {
+			err = ErrRefused{Address: address, Reason: refusal.Message}
+		}
 		return wire.ObjectList{}, err
 	}
 	return decodeObjects(data)
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -50,14 +50,15 @@
 	// one response.
 	BatchDelay time.Duration
 	// ReadsStore reports whether this instance reads the store itself; nil means always. An instance that doesn't gets the
-	// objects from one that does, through ListFromPeer.
+	// objects from one that does, through ListFromPeer, or from the store if no instance responds.
 	ReadsStore func() bool
 	// RecentOutage reports whether objects that are missing from a list may have expired during an outage of the store.
 	// If it is nil, a list from another instance never counts as one after an outage, and a list from the store does if
 	// this instance couldn't reach the store before.
 	RecentOutage func() bool
 	// ListFromPeer returns the objects as another instance knows them. It is used while this instance doesn't read the
-	// store or can't reach it; it may be nil.
+	// store or can't reach it; it may be nil. ErrRefused tells that others may send the objects soon, so that the
+	// instance waits for the next signal of NewerElsewhere.
 	ListFromPeer func(ctx context.Context) (wire.ObjectList, error)
 
 	mu sync.Mutex
@@ -151,13 +152,13 @@
 		list, err := f.Store.List(ctx, f.Kind, "")
 		if err != nil {
 			f.callFailed(err)
-			f.updateFromPeer(ctx)
+			_ = f.updateFromPeer(ctx)
 			sleep.For(ctx, delays.NextBackOff())
 			continue
 		}
 		delays.Reset()
 		f.replaceAll(list, f.listSucceeded(list.Version))
-		for f.watch(ctx) && f.updateFromPeer(ctx) {
+		for f.watch(ctx) && f.updateFromPeer(ctx) == nil {
 			// The objects were updated from another instance with a newer version; watch from there.
 		}
 	}
@@ -197,7 +198,8 @@
 		return true
 	case <-f.NewerElsewhere:
 	}
-	return f.updateFromPeer(ctx)
+	err := f.updateFromPeer(ctx)
+	return err == nil || IsErrRefused(err)
 }
 
 // replaceAll replaces all objects by the list.
@@ -223,16 +225,20 @@
 	f.OnList(list.Items, gap)
 }
 
-// updateFromPeer replaces the objects by those of another instance if they are newer, and reports whether an instance
-// responded.
-func (f *Feed) updateFromPeer(ctx context.Context) bool {
+// updateFromPeer replaces the objects by those of another instance if they are newer, and returns an error if no instance
+// sent any.
+func (f *Feed) updateFromPeer(ctx context.Context) error {
 	if f.ListFromPeer == nil {
-		return false
+		return errNoPeers{}
 	}
 	list, err := f.ListFromPeer(ctx)
+	if IsErrRefused(err) {
+		f.Log.Info("peers_refused", zap.String("kind", f.Kind), zap.Error(err))
+		return err
+	}
 	if err != nil {
 		f.Log.Debug("peer_has_no_objects", zap.String("kind", f.Kind), zap.Error(err))
-		return false
+		return err
 	}
 	f.mu.Lock()
 	notNewer := list.Version <= f.version
@@ -244,11 +250,11 @@
 		if f.OnPeerList != nil {
 			f.OnPeerList(list.Items)
 		}
-		return true
+		return nil
 	}
 	f.Log.Info("objects_from_peer", zap.String("kind", f.Kind), platform.VersionField("version", list.Version), zap.Int("objects", len(list.Items)))
 	f.replaceAll(list, f.RecentOutage != nil && f.RecentOutage())
-	return true
+	return nil
 }
 
 // watch applies changes until a call fails, ctx is done or this instance no longer reads the store. It also ends when
@@ -291,11 +297,6 @@
 	return false
 }
 
-// errNewerElsewhere is the cause of a watch that was cancelled by NewerElsewhere.
-type errNewerElsewhere struct{}
-
-func (errNewerElsewhere) Error() string { return "a newer version is known elsewhere" }
-
 // watchOnce does one watch call, which NewerElsewhere cancels.
 func (f *Feed) watchOnce(ctx context.Context, fromVersion int) (wire.ObjectEvents, error) {
 	timeout := f.WatchTimeout()
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -217,6 +217,43 @@
 	})
 }
 
+// Instances that refuse to send objects for now don't make all others read the store. The objects come with a later signal.
+func TestRefusedFeedDoesNotReadStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := &platformtest.Objects{}
+		createObject(t, objects, "one")
+		f, recorded := newFeed(objects)
+		var readsFromPeer, peerBusy atomic.Bool
+		f.ReadsStore = func() bool { return !readsFromPeer.Load() }
+		f.ListFromPeer = func(ctx context.Context) (wire.ObjectList, error) {
+			if peerBusy.Load() {
+				return wire.ObjectList{}, ErrRefused{Kind: kind, Tries: 5}
+			}
+			return objects.Store("b").List(ctx, kind, "")
+		}
+		newerElsewhere := make(chan struct{}, 1)
+		f.NewerElsewhere = newerElsewhere
+		stop := runFeed(t, f)
+		time.Sleep(100 * time.Millisecond)
+		readsFromPeer.Store(true)
+		peerBusy.Store(true)
+		time.Sleep(2 * time.Second)
+		createObject(t, objects, "two")
+		reads := objects.CallCount("list") + objects.CallCount("watch")
+		for range 5 {
+			newerElsewhere <- struct{}{}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, objects.CallCount("list")+objects.CallCount("watch"), reads)
+		assert.Assert(t, !recorded.hasObject("two"))
+		peerBusy.Store(false)
+		newerElsewhere <- struct{}{}
+		time.Sleep(10 * time.Millisecond)
+		assert.Assert(t, recorded.hasObject("two"))
+		stop()
+	})
+}
+
 // A store that rejects only this instance isn't in an outage, so the objects that are missing from its list afterwards
 // were really removed.
 func TestRejectedInstanceTrustsList(t *testing.T) {
--- a/process/gateway/fetch.go
+++ b/process/gateway/fetch.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
+
+	"github.com/toucanroute/toucanroute/connection/gossip"
+	"github.com/toucanroute/toucanroute/process/feed"
+	"github.com/toucanroute/toucanroute/process/sleep"
 )
 
 // fetchStagger is the time after which the next instance is asked too if one hasn't answered: many round trips, and a small
@@ -10,7 +15,8 @@
 const fetchStagger = 100 * time.Millisecond
 
 // fetchStaggered returns the first answer of some instances. It asks them in order, the next one once all earlier ones have
-// failed or haven't answered for fetchStagger. It returns the last error if all fail.
+// failed or haven't answered for fetchStagger. It returns the last error if all fail, or the last gossip.ErrRefused if there was
+// one.
 //
 // It handles instances that are gone while they still count as live: asked one after the other, each would cost the whole
 // timeout of a call.
@@ -44,7 +50,9 @@
 			if r.err == nil {
 				return r.answer, nil
 			}
-			err = r.err
+			if !gossip.IsErrRefused(err) || gossip.IsErrRefused(r.err) {
+				err = r.err
+			}
 		case <-timer.C:
 		}
 		switch {
@@ -56,3 +64,27 @@
 		}
 	}
 }
+
+const (
+	// refusedRetryDelay is the mean time after which instances that refused are asked again: that of one or two replies on
+	// a slow link. Each delay is random, so that the askers don't return together.
+	refusedRetryDelay = 30 * time.Millisecond
+	// maxRefusedTime bounds the time for which they are asked again. After that, the next datagram that tells of newer objects
+	// starts another fetch.
+	maxRefusedTime = 500 * time.Millisecond
+)
+
+// fetchUnlessRefused calls fetch until it isn't refused. It returns feed.ErrRefused after maxRefusedTime.
+func fetchUnlessRefused[T any](ctx context.Context, kind string, fetch func(context.Context) (T, error)) (T, error) {
+	started := time.Now()
+	for tries := 1; ; tries++ {
+		answer, err := fetch(ctx)
+		if !gossip.IsErrRefused(err) || ctx.Err() != nil {
+			return answer, err
+		}
+		if time.Since(started) >= maxRefusedTime {
+			return answer, feed.ErrRefused{Kind: kind, Tries: tries, Err: err}
+		}
+		sleep.For(ctx, refusedRetryDelay/2+rand.N(refusedRetryDelay))
+	}
+}
--- a/process/gateway/fetch_test.go
+++ b/process/gateway/fetch_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/connection/gossip"
+	"github.com/toucanroute/toucanroute/process/feed"
 )
 
 var errRefusedFetch = errors.New("refused")
@@ -84,3 +87,48 @@
 		assert.ErrorIs(t, err, errNoPeer)
 	})
 }
+
+// Instances that refuse are asked again soon, and not at the next datagram that tells of newer objects.
+func TestFetchIsTriedAgainAfterRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started, tries := time.Now(), 0
+		answer, err := fetchUnlessRefused(t.Context(), "config", func(ctx context.Context) (string, error) {
+			tries++
+			return fetchStaggered(ctx, []string{"a", "b"}, func(context.Context, string) (string, error) {
+				if tries < 4 {
+					return "", gossip.ErrRefused{Address: "a", Reason: "busy"}
+				}
+				return "list", nil
+			})
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, answer, "list")
+		assert.Assert(t, time.Since(started) <= 3*refusedRetryDelay*3/2, "%v", time.Since(started))
+	})
+}
+
+// A fetch that is refused each time ends with an error of its own. One instance that refuses is enough for that, since it is
+// there and has answered; an error of all others isn't a refusal.
+func TestRefusalsEndFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuse := func(ctx context.Context, address string) (string, error) {
+			if address == "busy" {
+				return "", gossip.ErrRefused{Address: address, Reason: "busy"}
+			}
+			return fetchAnswering(&askedInstances{})(ctx, address)
+		}
+		fetch := func(addresses ...string) (time.Duration, error) {
+			started := time.Now()
+			_, err := fetchUnlessRefused(t.Context(), "config", func(ctx context.Context) (string, error) { return fetchStaggered(ctx, addresses, refuse) })
+			return time.Since(started), err
+		}
+		took, err := fetch("busy", "bad", "bad")
+		assert.Assert(t, feed.IsErrRefused(err), "%v", err)
+		assert.Assert(t, took >= maxRefusedTime && took <= maxRefusedTime+2*refusedRetryDelay, "%v", took)
+		_, err = fetch("bad", "gone", "busy")
+		assert.Assert(t, feed.IsErrRefused(err), "%v", err)
+		took, err = fetch("bad", "bad")
+		assert.ErrorIs(t, err, errRefusedFetch)
+		assert.Equal(t, took, time.Duration(0))
+	})
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -234,15 +234,26 @@
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds; see fetchStaggered. It asks those of
-// the own data centre, to save traffic between them, unless the list of servers has been late for a while, since their
-// watches have then missed a change.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds; see fetchStaggered and
+// fetchUnlessRefused. An instance that reads the store itself doesn't wait for others that refuse.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
+	fetch := func(ctx context.Context) (wire.ObjectList, error) {
+		return fetchStaggered(ctx, g.peersToAsk(kind), func(ctx context.Context, address string) (wire.ObjectList, error) {
+			return gossip.FetchObjects(ctx, address, kind)
+		})
+	}
+	if g.mesh.IsReader() {
+		return fetch(ctx)
+	}
+	return fetchUnlessRefused(ctx, kind, fetch)
+}
+
+// peersToAsk returns the instances to ask for the objects of a kind: those of the own data centre first, to save traffic
+// between them, unless the list of servers has been late for a while, since their watches have then missed a change.
+func (g *Gateway) peersToAsk(kind string) []string {
 	peers := g.mesh.ReaderAddresses()
 	if kind == g.Platform.ServerKind && g.serverListLate.Load() {
 		peers = g.mesh.ServerReaders(g.serverFeed.KnownVersion())
 	}
-	return fetchStaggered(ctx, peers[:min(len(peers), maxPeersAsked)], func(ctx context.Context, address string) (wire.ObjectList, error) {
-		return gossip.FetchObjects(ctx, address, kind)
-	})
+	return peers[:min(len(peers), maxPeersAsked)]
 }
