gossip: tests of refusals don't depend on the time of a call

TestBusyPeerRefuses filled the server in half of the time after which open connections are reset. The tests that hold connections open now use a server that resets none, so that they check the same at any pace. The reset itself keeps its test.

--- a/connection/gossip/hold.go
+++ b/connection/gossip/hold.go
@@ -21,9 +21,13 @@
 // a write ends long before, in the buffers of the kernel.
 type inFlight struct {
 	bytes *semaphore.Weighted
+	// maxTime is the time after which a connection that is still open is reset.
+	maxTime time.Duration
 }
 
-func newInFlight() *inFlight { return &inFlight{semaphore.NewWeighted(maxBytesInFlight)} }
+func newInFlight(maxTime time.Duration) *inFlight {
+	return &inFlight{bytes: semaphore.NewWeighted(maxBytesInFlight), maxTime: maxTime}
+}
 
 // hold is the part of inFlight that the replies on one connection take.
 type hold struct {
@@ -36,7 +40,7 @@
 }
 
 // add adds a reply of n bytes and returns false if there is no room for it. It resets the connection if the caller
-// hasn't closed it within maxSendTime.
+// hasn't closed it within maxTime.
 func (h *hold) add(n int) bool {
 	bytes := min(int64(n), maxBytesInFlight)
 	if !h.inFlight.bytes.TryAcquire(bytes) {
@@ -46,7 +50,7 @@
 	defer h.mu.Unlock()
 	h.bytes += bytes
 	if h.reset == nil {
-		h.reset = time.AfterFunc(maxSendTime, func() {
+		h.reset = time.AfterFunc(h.inFlight.maxTime, func() {
 			// Drops what the kernel hasn't sent yet.
 			_ = h.conn.SetLinger(0)
 			_ = h.conn.Close()
--- a/connection/gossip/hold_test.go
+++ b/connection/gossip/hold_test.go
@@ -34,11 +34,18 @@
 	return conn, rpc.Call(t.Context(), methodObjects, objectsParams{Kind: "config", Encoding: encodingGzip}, &data)
 }
 
+// patientServer returns the address of a server with a large configuration that resets no connections.
+func patientServer(t *testing.T) string {
+	t.Helper()
+	list := configObjects(7)
+	return startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }, inFlight: newInFlight(time.Hour)})
+}
+
 // fetchUntilServed asks until the peer doesn't refuse.
 func fetchUntilServed(t *testing.T, address string) error {
 	t.Helper()
 	for start := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		_, err := FetchObjects(t.Context(), address, "config")
+		_, err := FetchObjects(t.Context(), address, "config", 0)
 		if !IsErrRefused(err) || time.Since(start) > 10*time.Second {
 			return err
 		}
@@ -47,11 +54,10 @@
 
 // While as many replies as a slow link bears are on their way, further callers are refused. The first one to end makes room.
 func TestBusyPeerRefuses(t *testing.T) {
-	list := configObjects(7)
-	address := startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }})
+	address := patientServer(t)
 	var open []*net.TCPConn
 	var err error
-	for started := time.Now(); err == nil && len(open) < 20 && time.Since(started) < maxSendTime/2; {
+	for err == nil && len(open) < 20 {
 		var conn *net.TCPConn
 		conn, err = openCall(t, address)
 		open = append(open, conn)
@@ -66,8 +72,7 @@
 
 // A reply that is larger than all that may be on their way is sent, alone.
 func TestLargeReplyIsSentAlone(t *testing.T) {
-	list := configObjects(7)
-	address := startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }})
+	address := patientServer(t)
 	conn := dial(t, address)
 	_, err := io.WriteString(conn, `{"jsonrpc":"2.0","id":0,"method":"objects","params":{"kind":"config"}}`)
 	assert.NilError(t, err)
@@ -76,7 +81,7 @@
 	}
 	assert.NilError(t, json.NewDecoder(conn).Decode(&reply))
 	assert.Equal(t, reply.Result.Version, 7)
-	_, err = FetchObjects(t.Context(), address, "config")
+	_, err = FetchObjects(t.Context(), address, "config", 0)
 	assert.Assert(t, IsErrRefused(err), "%v", err)
 	assert.NilError(t, conn.Close())
 	assert.NilError(t, fetchUntilServed(t, address))
@@ -119,8 +124,7 @@
 
 // An older build takes the refusal for an error of the peer.
 func TestOlderBuildIsRefused(t *testing.T) {
-	list := configObjects(7)
-	address := startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }})
+	address := patientServer(t)
 	held := dial(t, address)
 	_, err := io.WriteString(held, `{"jsonrpc":"2.0","id":0,"method":"objects","params":{"kind":"config"}}`)
 	assert.NilError(t, err)
