gateway, mesh, gossip: spread the copies of a configuration

Those that got no answer in 500 ms read the store.

Change: a configuration comes from any instance that has a newer one in force, drawn at random among those that have told so, those of the own data centre first. Every third one that is asked is a reader, which may have it and not have told so, and since older builds send none unless they read the store. The caller names the version that it has and gets a refusal instead of objects if there is nothing newer; older builds ignore that. Lists of servers still come only from instances that read the store, in a random order. A configuration that isn't higher than the one in force is ignored as before.

--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -28,6 +28,8 @@
 	// codeBusy is the error code of an instance that sends as many replies with objects as it may. Older builds take it for
 	// any other error and ask another instance.
 	codeBusy = 3
+	// codeNotNewer is the error code of an instance whose objects aren't newer than the caller's.
+	codeNotNewer = 4
 	// fetchTimeout bounds one call to a peer. It is much longer than a round trip and much shorter than the time in
 	// which a new configuration must take effect.
 	fetchTimeout = 500 * time.Millisecond
@@ -66,6 +68,8 @@
 	Kind string `json:"kind"`
 	// Encoding is the encoding of the reply that the caller understands. Older builds neither send nor read it.
 	Encoding string `json:"encoding,omitempty"`
+	// NewerThan is the version that the caller has; 0 if it has none or wants the objects in any case.
+	NewerThan int `json:"newer_than,omitempty"`
 }
 
 // Server serves the objects of the platform's store to instances that can't reach the store, and tells other instances
@@ -77,18 +81,23 @@
 	Log    *zap.Logger
 	// ListObjects returns the objects of a kind, and false if they may be out of date.
 	ListObjects func(kind string) (wire.ObjectList, bool)
+	// IsNewer reports whether the objects of a kind are newer than a caller's version; nil means always.
+	IsNewer func(kind string, version int) bool
 	// FindStream returns what began the stream with the id, and false if that isn't known.
 	FindStream func(id string) (wire.NewsStream, bool)
 	// Requests gets the connections on which other instances send HTTP requests; nil means that they are closed.
 	Requests *Listener
 
-	replies  replies
+	replies replies
+	// inFlight is set by Run unless a test has set it.
 	inFlight *inFlight
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	s.inFlight = newInFlight()
+	if s.inFlight == nil {
+		s.inFlight = newInFlight(maxSendTime)
+	}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
@@ -155,6 +164,9 @@
 	if data == nil || json.Unmarshal(*data, &params) != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
 	}
+	if params.NewerThan > 0 && s.IsNewer != nil && !s.IsNewer(params.Kind, params.NewerThan) {
+		return nil, &jsonrpc2.Error{Code: codeNotNewer, Message: "there is nothing newer here"}
+	}
 	list, current := s.ListObjects(params.Kind)
 	if !current {
 		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
@@ -183,13 +195,13 @@
 	return stream, nil
 }
 
-// FetchObjects requests all objects of a kind from a peer. It returns ErrRefused if the peer may send
-// them soon.
-func FetchObjects(ctx context.Context, address, kind string) (wire.ObjectList, error) {
+// FetchObjects requests all objects of a kind from a peer, if they are newer than a version of which the peer can tell, or in
+// any case if that is 0. It returns ErrRefused if the peer has nothing newer or may send the objects soon.
+func FetchObjects(ctx context.Context, address, kind string, newerThan int) (wire.ObjectList, error) {
 	var data json.RawMessage
-	if err := call(ctx, address, methodObjects, objectsParams{Kind: kind, Encoding: encodingGzip}, &data); err != nil {
+	if err := call(ctx, address, methodObjects, objectsParams{Kind: kind, Encoding: encodingGzip, NewerThan: newerThan}, &data); err != nil {
 		var refusal *jsonrpc2.Error
-		if errors.As(err, &refusal) && refusal.Code == codeBusy {
+		if errors.As(err, &refusal) && (refusal.Code == codeBusy || refusal.Code == codeNotNewer) {
 			err = ErrRefused{Address: address, Reason: refusal.Message}
 		}
 		return wire.ObjectList{}, err
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -23,7 +23,7 @@
 	g.gossipSocket = &gossip.Socket{Listen: g.Settings.Listen.Peers, Log: g.Log, OnDatagram: func(data []byte) { g.mesh.Receive(data) }}
 	g.relayListener = gossip.NewListener(g.Settings.Listen.Peers)
 	g.peerObjectServer = &gossip.Server{
-		Listen: g.Settings.Listen.Peers, Log: g.Log, ListObjects: g.freshObjects, FindStream: g.localStream, Requests: g.relayListener,
+		Listen: g.Settings.Listen.Peers, Log: g.Log, ListObjects: g.freshObjects, IsNewer: g.hasNewer, FindStream: g.localStream, Requests: g.relayListener,
 	}
 	g.mesh = &mesh.Mesh{
 		Instance: g.Settings.Instance, Run: g.run, DataCentre: g.Settings.DataCentre, Address: g.Settings.Listen.Peers,
@@ -215,8 +215,9 @@
 	return wire.ObjectList{}, false
 }
 
-// configObjects returns the configuration as an object of the store, and whether it is up to date. A store that came back
-// from an older copy may have lost the configuration in force, which this instance keeps and passes on to others.
+// configObjects returns the configuration as an object of the store, and whether other instances may use it: one that is in
+// force here, since its version orders it, or an up to date copy of the store. A store that came back from an older copy may
+// have lost the configuration in force, which this instance keeps and passes on to others.
 func (g *Gateway) configObjects() (wire.ObjectList, bool) {
 	list, fresh := g.configFeed.Objects()
 	inForce := g.configObject.Load()
@@ -225,7 +226,7 @@
 	}
 	list.Items = slices.DeleteFunc(list.Items, func(o wire.Object) bool { return o.Name == inForce.Name })
 	list.Items = append(list.Items, *inForce)
-	return list, fresh
+	return list, true
 }
 
 // maxPeersAsked is the maximum number of instances that fetchFromPeer asks.
@@ -239,7 +240,7 @@
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
 	fetch := func(ctx context.Context) (wire.ObjectList, error) {
 		return fetchStaggered(ctx, g.peersToAsk(kind), func(ctx context.Context, address string) (wire.ObjectList, error) {
-			return gossip.FetchObjects(ctx, address, kind)
+			return gossip.FetchObjects(ctx, address, kind, g.inForce(kind))
 		})
 	}
 	if g.mesh.IsReader() {
@@ -248,12 +249,34 @@
 	return fetchUnlessRefused(ctx, kind, fetch)
 }
 
+// inForce returns the version of the configuration in force if that is the kind, else 0: lists of other kinds are also of use
+// if they aren't newer, since they show that nothing changed.
+func (g *Gateway) inForce(kind string) int {
+	if kind == g.Platform.ConfigKind {
+		return g.configVersion()
+	}
+	return 0
+}
+
+// hasNewer reports whether this instance has newer objects of a kind than another instance with a version as inForce returns
+// it.
+func (g *Gateway) hasNewer(kind string, version int) bool {
+	return kind != g.Platform.ConfigKind || g.configVersion() > version
+}
+
 // peersToAsk returns the instances to ask for the objects of a kind: those of the own data centre first, to save traffic
-// between them, unless the list of servers has been late for a while, since their watches have then missed a change.
+// between them, unless the list of servers has been late for a while, since their watches have then missed a change. A
+// configuration comes from any instance that has a newer one. Lists of servers come only from instances that read the store,
+// since no version shows that another instance's list isn't out of date.
 func (g *Gateway) peersToAsk(kind string) []string {
-	peers := g.mesh.ReaderAddresses()
-	if kind == g.Platform.ServerKind && g.serverListLate.Load() {
+	var peers []string
+	switch {
+	case kind == g.Platform.ConfigKind:
+		peers = g.mesh.ConfigSources(g.configVersion())
+	case kind == g.Platform.ServerKind && g.serverListLate.Load():
 		peers = g.mesh.ServerReaders(g.serverFeed.KnownVersion())
+	default:
+		peers = g.mesh.ReaderAddresses()
 	}
 	return peers[:min(len(peers), maxPeersAsked)]
 }
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -144,6 +144,8 @@
 	isReader bool
 	// servers is the version of the list of backend servers that the instance reported last.
 	servers int
+	// config is the version of the configuration that the instance reported last.
+	config int
 	// holdsLease is set while the instance holds the duties lease.
 	holdsLease bool
 	// storeUnreachableAt is the time of the last datagram in which the instance reported that it can't reach the store.
@@ -411,7 +413,7 @@
 	}
 	p.run, p.dataCentre, p.address, p.leaving = datagram.Run, datagram.DataCentre, address, datagram.Leaving
 	p.received = time.Now()
-	p.servers, p.unreachable = datagram.Servers, datagram.Unreachable
+	p.config, p.servers, p.unreachable = datagram.Version, datagram.Servers, datagram.Unreachable
 	p.storeUnreachable, p.isReader, p.holdsLease = datagram.StoreOut, datagram.Reads, datagram.Lease > 0
 	if datagram.StoreOut {
 		p.storeUnreachableAt = p.received
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -103,13 +103,12 @@
 }
 
 // readersAhead returns the addresses of the live instances that read the store: first those that are ahead, and of these
-// those in this data centre. Those of other data centres are in a random order, so that no reader is asked by all.
+// those in this data centre. Otherwise they are in a random order, so that no reader is asked first by all.
 func (m *Mesh) readersAhead(isAhead func(*peer) bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var local, remote []*peer
-	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
-		p := m.peers[name]
+	for _, p := range m.peers {
 		switch {
 		case !m.readsStore(p):
 		case p.dataCentre == m.DataCentre:
@@ -118,7 +117,8 @@
 			remote = append(remote, p)
 		}
 	}
-	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	shuffle(local)
+	shuffle(remote)
 	readers := slices.Concat(local, remote)
 	behind := func(p *peer) int {
 		if isAhead(p) {
@@ -127,8 +127,54 @@
 		return 1
 	}
 	slices.SortStableFunc(readers, func(a, b *peer) int { return cmp.Compare(behind(a), behind(b)) })
-	addresses := make([]string, len(readers))
-	for i, p := range readers {
+	return addressesOf(readers)
+}
+
+// sourcesPerReader is the number of other instances that are asked for a configuration before a reader.
+const sourcesPerReader = 2
+
+// ConfigSources returns the addresses of the live instances that may have a newer configuration than the own version, those
+// in this data centre first: those that have reported one, in a random order, and among them the readers, which may have one
+// and not have reported it yet. A reader follows after two others, since instances of an older build don't send a
+// configuration unless they read the store.
+func (m *Mesh) ConfigSources(own int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	type sources struct{ readers, others []*peer }
+	var local, remote sources
+	for _, p := range m.peers {
+		s := &remote
+		if p.dataCentre == m.DataCentre {
+			s = &local
+		}
+		switch {
+		case m.readsStore(p):
+			s.readers = append(s.readers, p)
+		case p.config > own && !p.leaving && time.Since(p.received) <= m.silenceTimeout():
+			s.others = append(s.others, p)
+		}
+	}
+	var list []*peer
+	for _, s := range []sources{local, remote} {
+		shuffle(s.readers)
+		shuffle(s.others)
+		for len(s.readers) > 0 || len(s.others) > 0 {
+			n := min(len(s.others), sourcesPerReader)
+			list, s.others = append(list, s.others[:n]...), s.others[n:]
+			n = min(len(s.readers), 1)
+			list, s.readers = append(list, s.readers[:n]...), s.readers[n:]
+		}
+	}
+	return addressesOf(list)
+}
+
+func shuffle(peers []*peer) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+func addressesOf(peers []*peer) []string {
+	addresses := make([]string, len(peers))
+	for i, p := range peers {
 		addresses[i] = p.address.String()
 	}
 	return addresses
--- a/process/mesh/readers_test.go
+++ b/process/mesh/readers_test.go
@@ -54,6 +54,82 @@
 	}
 }
 
+// Instances of one data centre ask its readers in different orders, and those of others after them.
+func TestLocalReadersShareTheWork(t *testing.T) {
+	m := readersOf(t)
+	asked := map[string]int{}
+	for range 1000 {
+		addresses := m.ReaderAddresses()
+		asked[addresses[0]]++
+		local := addresses[:2]
+		slices.Sort(local)
+		assert.DeepEqual(t, local, []string{"10.0.0.2:1", "10.0.0.3:1"})
+	}
+	assert.Assert(t, asked["10.0.0.2:1"] > 400 && asked["10.0.0.3:1"] > 400, "%v", asked)
+}
+
+// sourcesOf returns the mesh of an instance in a data centre with two readers and six others, beside another data centre
+// with two readers and two others.
+func sourcesOf() *Mesh {
+	all := instancesOf(13)
+	for _, instance := range all[9:] {
+		instance.DataCentre = "other"
+	}
+	m := meshOf("i0", all)
+	for _, name := range []string{"i1", "i2", "i9", "i10"} {
+		m.peers[name].isReader = true
+	}
+	return m
+}
+
+// positionsOf returns the positions of the addresses.
+func positionsOf(addresses []string) map[string]int {
+	positions := map[string]int{}
+	for i, address := range addresses {
+		positions[address] = i
+	}
+	return positions
+}
+
+// A configuration is asked of any instance that has told a newer one, at random, so that each copy serves further ones. A reader
+// follows after two others at most, and another data centre after all of the own.
+func TestInstancesWithNewerConfigurationShareTheWork(t *testing.T) {
+	m := sourcesOf()
+	for _, name := range []string{"i3", "i4", "i5", "i11"} {
+		m.peers[name].config = 8
+	}
+	m.peers["i6"].config, m.peers["i7"].config, m.peers["i7"].leaving = 7, 8, true
+	asked := map[string]int{}
+	for range 1000 {
+		addresses := m.ConfigSources(7)
+		asked[addresses[0]]++
+		positions := positionsOf(addresses)
+		assert.Equal(t, len(positions), 8, "%v", addresses)
+		reader := min(positions["10.0.0.2:1"], positions["10.0.0.3:1"])
+		assert.Equal(t, reader, 2)
+		for _, address := range addresses[:5] {
+			assert.Assert(t, address <= "10.0.0.6:1" && address >= "10.0.0.2:1", "%v", addresses)
+		}
+	}
+	for _, address := range []string{"10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"} {
+		assert.Assert(t, asked[address] > 250, "%v", asked)
+	}
+}
+
+// Before an instance of the data centre has told a newer configuration, its readers are asked, then those of another one
+// that have it.
+func TestReadersAreAskedForFirstCopies(t *testing.T) {
+	m := sourcesOf()
+	m.peers["i11"].config, m.peers["i3"].config = 8, 8
+	m.peers["i3"].received = time.Now().Add(-time.Hour)
+	addresses := m.ConfigSources(7)
+	local := slices.Clone(addresses[:2])
+	slices.Sort(local)
+	assert.DeepEqual(t, local, []string{"10.0.0.2:1", "10.0.0.3:1"})
+	assert.Equal(t, addresses[2], "10.0.0.12:1")
+	assert.Equal(t, len(addresses), 5)
+}
+
 // Of 85 instances that know each other, the readers take different places from 0 for each key: one of them is first.
 func TestOneReaderIsFirst(t *testing.T) {
 	for n := range 40 {
