gateway: ask nobody for a configuration that is in force by now

Datagrams that were received while a configuration was fetched left a signal behind, so that each instance asked once more, in vain, for half a second. The signal is now withdrawn when a configuration comes into force.

--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -67,6 +67,7 @@
 	g.checkHomes(&cfg)
 	g.configObject.Store(&o)
 	g.table.Store(table)
+	withdraw(g.newerConfig)
 	g.streamHistory.SetRoutes(cfg.Routes)
 	g.Log.Info("config_accepted", zap.Int("version", cfg.Version), platform.VersionField("revision", o.Version), zap.Int("routes", len(cfg.Routes)))
 	if current == nil {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -184,6 +184,15 @@
 	}
 }
 
+// withdraw removes the token that notify has put into the channel, if there is one. Datagrams that were received while the
+// objects were fetched have put one there again. Datagrams that tell of still newer objects follow.
+func withdraw(ch chan struct{}) {
+	select {
+	case <-ch:
+	default:
+	}
+}
+
 const (
 	// minWatchTimeout and maxWatchTimeout bound the time for which one watch waits for a change. An instance that
 	// receives no status from others relies on its own watches alone. The minimum is therefore half of the usual time
--- a/process/gateway/spread_test.go
+++ b/process/gateway/spread_test.go
@@ -35,6 +35,8 @@
 	limiter *rate.Limiter
 	// replied is the number of bytes that the instance has sent.
 	replied atomic.Int64
+	// calls is the number of connections to the instance.
+	calls atomic.Int64
 }
 
 // listen passes connections on to the address of the instance and returns the address at which it accepts them.
@@ -49,6 +51,7 @@
 			if err != nil {
 				return
 			}
+			l.calls.Add(1)
 			go l.pass(ctx, in, to)
 		}
 	}()
@@ -199,6 +202,15 @@
 	}
 }
 
+// calls returns the number of calls to all instances.
+func (f *linkedFleet) calls() int64 {
+	var n int64
+	for _, l := range f.links {
+		n += l.calls.Load()
+	}
+	return n
+}
+
 func (f *linkedFleet) listCounts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -232,8 +244,10 @@
 		object, err = operator.Update(t.Context(), "config", "routes", object.Version, routesOf(version))
 		assert.NilError(t, err)
 		took := f.waitForConfig(t, version, time.Minute)
+		callsBefore := f.calls()
 		// Replies to instances that have given up are still on their way.
 		time.Sleep(time.Second)
+		callsAfter := f.calls() - callsBefore
 		var busiest, all int64
 		for i, l := range f.links {
 			sent := l.replied.Load() - before[i]
@@ -246,10 +260,11 @@
 				reads++
 			}
 		}
-		t.Logf("version %d in force after %v; busiest instance sent %d bytes, all together %d; %d instances read the store", version, took, busiest, all, reads)
+		t.Logf("version %d in force after %v; busiest instance sent %d bytes, all together %d; %d instances read the store; %d calls afterwards", version, took, busiest, all, reads, callsAfter)
 		assert.Check(t, busiest <= maxLinkBytes, "the busiest instance sent %d bytes, at most %d", busiest, maxLinkBytes)
 		assert.Check(t, took <= inForceTime, "in force after %v", took)
 		assert.Check(t, reads == 0, "%d instances that get the configuration from others read the store", reads)
+		assert.Check(t, callsAfter <= 2*instances, "%d calls once the configuration is in force everywhere", callsAfter)
 	}
 }
 
