gateway: test the spread of a server list; end a fetch that isn't wanted

A list of backend servers loaded the readers' links as a configuration did. The test has 300 servers, 28 instances on links of 10 Mbit/s, three changes, and the bounds: half a second of the link, 625,000 bytes, 2 s, no read of the store by the 26 others.

A datagram that is handled while a configuration comes into force can still leave a signal behind. A refused fetch is therefore not repeated once no instance tells a newer one (TestFetchEndsIfObjectsAreNotWanted).

An instance of the tests now runs one feed.

--- a/process/gateway/fetch.go
+++ b/process/gateway/fetch.go
@@ -74,15 +74,16 @@
 	maxRefusedTime = 500 * time.Millisecond
 )
 
-// fetchUnlessRefused calls fetch until it isn't refused. It returns feed.ErrRefused after maxRefusedTime.
-func fetchUnlessRefused[T any](ctx context.Context, kind string, fetch func(context.Context) (T, error)) (T, error) {
+// fetchUnlessRefused calls fetch until it isn't refused. It returns feed.ErrRefused after maxRefusedTime, or if the objects
+// aren't wanted any more.
+func fetchUnlessRefused[T any](ctx context.Context, kind string, isWanted func() bool, fetch func(context.Context) (T, error)) (T, error) {
 	started := time.Now()
 	for tries := 1; ; tries++ {
 		answer, err := fetch(ctx)
 		if !gossip.IsErrRefused(err) || ctx.Err() != nil {
 			return answer, err
 		}
-		if time.Since(started) >= maxRefusedTime {
+		if time.Since(started) >= maxRefusedTime || !isWanted() {
 			return answer, feed.ErrRefused{Kind: kind, Tries: tries, Err: err}
 		}
 		sleep.For(ctx, refusedRetryDelay/2+rand.N(refusedRetryDelay))
--- a/process/gateway/fetch_test.go
+++ b/process/gateway/fetch_test.go
@@ -88,11 +88,26 @@
 	})
 }
 
+func always() bool { return true }
+
+// Objects that have come by another way meanwhile aren't asked for again.
+func TestFetchEndsIfObjectsAreNotWanted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		_, err := fetchUnlessRefused(t.Context(), "config", func() bool { return tries < 3 }, func(context.Context) (string, error) {
+			tries++
+			return "", gossip.ErrRefused{Address: "a", Reason: "nothing newer"}
+		})
+		assert.Assert(t, feed.IsErrRefused(err), "%v", err)
+		assert.Equal(t, tries, 3)
+	})
+}
+
 // Instances that refuse are asked again soon, and not at the next datagram that tells of newer objects.
 func TestFetchIsTriedAgainAfterRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started, tries := time.Now(), 0
-		answer, err := fetchUnlessRefused(t.Context(), "config", func(ctx context.Context) (string, error) {
+		answer, err := fetchUnlessRefused(t.Context(), "config", always, func(ctx context.Context) (string, error) {
 			tries++
 			return fetchStaggered(ctx, []string{"a", "b"}, func(context.Context, string) (string, error) {
 				if tries < 4 {
@@ -119,7 +134,7 @@
 		}
 		fetch := func(addresses ...string) (time.Duration, error) {
 			started := time.Now()
-			_, err := fetchUnlessRefused(t.Context(), "config", func(ctx context.Context) (string, error) { return fetchStaggered(ctx, addresses, refuse) })
+			_, err := fetchUnlessRefused(t.Context(), "config", always, func(ctx context.Context) (string, error) { return fetchStaggered(ctx, addresses, refuse) })
 			return time.Since(started), err
 		}
 		took, err := fetch("busy", "bad", "bad")
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -255,7 +255,8 @@
 	if g.mesh.IsReader() {
 		return fetch(ctx)
 	}
-	return fetchUnlessRefused(ctx, kind, fetch)
+	isWanted := func() bool { return kind != g.Platform.ConfigKind || g.newestConfig.Load() > int64(g.configVersion()) }
+	return fetchUnlessRefused(ctx, kind, isWanted, fetch)
 }
 
 // inForce returns the version of the configuration in force if that is the kind, else 0: lists of other kinds are also of use
--- a/process/gateway/spread_test.go
+++ b/process/gateway/spread_test.go
@@ -17,7 +17,10 @@
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
+	"github.com/toucanroute/toucanroute/process/feed"
+	"github.com/toucanroute/toucanroute/process/mesh"
 	"github.com/toucanroute/toucanroute/process/platform/platformtest"
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 	"github.com/toucanroute/toucanroute/version/settings"
 	"github.com/toucanroute/toucanroute/wire"
@@ -87,23 +90,25 @@
 
 // linkedFleet is a data centre of instances with slow links.
 type linkedFleet struct {
+	feedOf    func(*Gateway) *feed.Feed
 	store     *platformtest.Objects
 	instances []*Gateway
 	links     []*slowLink
 	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*Gateway
-	// lists counts the reads of the configuration from the store by each instance.
-	lists map[string]int
+	// lists counts the reads of the store by kind and instance.
+	lists map[string]map[string]int
 }
 
-func startLinkedFleet(t *testing.T, n int) *linkedFleet {
+// startLinkedFleet starts n instances, each with one of its feeds.
+func startLinkedFleet(t *testing.T, n int, feedOf func(*Gateway) *feed.Feed) *linkedFleet {
 	t.Helper()
-	f := &linkedFleet{byAddress: map[netip.AddrPort]*Gateway{}, lists: map[string]int{}}
+	f := &linkedFleet{feedOf: feedOf, byAddress: map[netip.AddrPort]*Gateway{}, lists: map[string]map[string]int{"config": {}, "servers": {}}}
 	f.store = &platformtest.Objects{ChooseFault: func(c platformtest.Call) platformtest.Fault {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if c.Method == "list" && c.Kind == "config" {
-			f.lists[c.Instance]++
+		if counts := f.lists[c.Kind]; c.Method == "list" && counts != nil {
+			counts[c.Instance]++
 		}
 		return platformtest.Fault{Before: 4 * time.Millisecond}
 	}}
@@ -119,11 +124,15 @@
 	for _, g := range f.instances {
 		running.Go(func() { assert.Check(t, g.peerObjectServer.Run(ctx)) })
 		running.Go(func() { g.mesh.Execute(ctx) })
-		running.Go(func() { g.configFeed.Run(ctx) })
+		running.Go(func() { feedOf(g).Run(ctx) })
 	}
 	return f
 }
 
+func configFeedOf(g *Gateway) *feed.Feed { return g.configFeed }
+
+func serverFeedOf(g *Gateway) *feed.Feed { return g.serverFeed }
+
 func (f *linkedFleet) add(t *testing.T, ctx context.Context, name string) { //nolint:revive // t comes first in tests.
 	t.Helper()
 	// Connections between the instances don't begin at these addresses, so that none takes the port.
@@ -136,6 +145,10 @@
 				err = json.Unmarshal(o.Value, &struct{ Version *int }{&cfg.Version})
 				return cfg, err
 			},
+			ParseServerEntry: func(o wire.Object) (e registry.Entry, err error) {
+				err = json.Unmarshal(o.Value, &e)
+				return e, err
+			},
 		},
 		Settings: &settings.Settings{Instance: name, DataCentre: "one", Forwarding: &wire.SettingsForwarding{
 			DataCentres: []string{"one"}, EvacuationMs: float64(evacuationTime.Milliseconds()), MemoryMb: 8192, LeaseMs: 3000, UsageWindowS: 5, UsageDelayS: 10,
@@ -189,12 +202,12 @@
 	}
 }
 
-// settle waits until the instances know each other and all but the first two by name have stopped reading the store.
+// settle waits until the instances know each other and only the first ones by name still read the store.
 func (f *linkedFleet) settle(t *testing.T) {
 	t.Helper()
 	for started := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		isAlone := slices.ContainsFunc(f.instances, func(g *Gateway) bool { return g.mesh.LivePeerCount() < len(f.instances)-1 })
-		readsStore := slices.ContainsFunc(f.instances[2:], func(g *Gateway) bool { return g.configFeed.IsFresh() })
+		readsStore := slices.ContainsFunc(f.instances[mesh.ReadersPerDataCentre:], func(g *Gateway) bool { return f.feedOf(g).IsFresh() })
 		if !isAlone && !readsStore {
 			return
 		}
@@ -211,14 +224,32 @@
 	return n
 }
 
-func (f *linkedFleet) listCounts() map[string]int {
+// readsByOthers returns how often instances that needn't read the store have listed the objects of a kind.
+func (f *linkedFleet) readsByOthers(kind string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	counts := map[string]int{}
-	for name, n := range f.lists {
-		counts[name] = n
+	n := 0
+	for _, g := range f.instances[mesh.ReadersPerDataCentre:] {
+		n += f.lists[kind][g.Settings.Instance]
+	}
+	return n
+}
+
+// replied returns the bytes that each instance has sent to others.
+func (f *linkedFleet) replied() []int64 {
+	bytes := make([]int64, len(f.links))
+	for i, l := range f.links {
+		bytes[i] = l.replied.Load()
+	}
+	return bytes
+}
+
+// mostReplied returns the bytes that the busiest instance and all together have sent since before.
+func (f *linkedFleet) mostReplied(before []int64) (busiest, all int64) {
+	for i, n := range f.replied() {
+		busiest, all = max(busiest, n-before[i]), all+n-before[i]
 	}
-	return counts
+	return busiest, all
 }
 
 // A change of a configuration with 1,150 routes, which 26 instances of a data centre get from others, keeps the link of no
@@ -230,17 +261,14 @@
 		maxLinkBytes = linkBytesPerSecond / 2
 		inForceTime  = 3 * time.Second
 	)
-	f := startLinkedFleet(t, instances)
+	f := startLinkedFleet(t, instances, configFeedOf)
 	operator := f.store.Store("operator")
 	object, err := operator.Create(t.Context(), "config", "routes", map[string]int{"version": 1})
 	assert.NilError(t, err)
 	f.waitForConfig(t, 1, time.Minute)
 	f.settle(t)
 	for version := 2; version <= 4; version++ {
-		before, listsBefore := make([]int64, instances), f.listCounts()
-		for i, l := range f.links {
-			before[i] = l.replied.Load()
-		}
+		before, readsBefore := f.replied(), f.readsByOthers("config")
 		object, err = operator.Update(t.Context(), "config", "routes", object.Version, routesOf(version))
 		assert.NilError(t, err)
 		took := f.waitForConfig(t, version, time.Minute)
@@ -248,30 +276,66 @@
 		// Replies to instances that have given up are still on their way.
 		time.Sleep(time.Second)
 		callsAfter := f.calls() - callsBefore
-		var busiest, all int64
-		for i, l := range f.links {
-			sent := l.replied.Load() - before[i]
-			busiest, all = max(busiest, sent), all+sent
-		}
-		reads := 0
-		for i, g := range f.instances {
-			name := g.Settings.Instance
-			if i >= 2 && f.listCounts()[name] > listsBefore[name] {
-				reads++
-			}
-		}
-		t.Logf("version %d in force after %v; busiest instance sent %d bytes, all together %d; %d instances read the store; %d calls afterwards", version, took, busiest, all, reads, callsAfter)
+		busiest, all := f.mostReplied(before)
+		reads := f.readsByOthers("config") - readsBefore
+		t.Logf("version %d in force after %v; busiest instance sent %d bytes, all together %d; others read the store %d times; %d calls afterwards", version, took, busiest, all, reads, callsAfter)
 		assert.Check(t, busiest <= maxLinkBytes, "the busiest instance sent %d bytes, at most %d", busiest, maxLinkBytes)
 		assert.Check(t, took <= inForceTime, "in force after %v", took)
-		assert.Check(t, reads == 0, "%d instances that get the configuration from others read the store", reads)
+		assert.Check(t, reads == 0, "instances that get the configuration from others read the store %d times", reads)
 		assert.Check(t, callsAfter <= 2*instances, "%d calls once the configuration is in force everywhere", callsAfter)
 	}
 }
 
+// A change of a list of 300 backend servers, which only the two instances that read the store send, reaches 26 others within
+// the time in which a leaving server must stop receiving requests, and keeps no link busy for more than half of a
+// second. The others leave the store alone.
+func TestServerListDoesNotChokeReader(t *testing.T) {
+	const (
+		instances    = 28
+		servers      = 300
+		maxLinkBytes = linkBytesPerSecond / 2
+		leaveTime    = 2 * time.Second
+	)
+	f := startLinkedFleet(t, instances, serverFeedOf)
+	operator := f.store.Store("operator")
+	entry := func(i, revision int) registry.Entry {
+		return registry.Entry{
+			ID: fmt.Sprintf("i-%010x", i*7919*104729), Address: fmt.Sprintf("10.%d.%d.7:8080", i%3, i), Pool: fmt.Sprint("pool-", i%23),
+			DataCentre: "one", Version: fmt.Sprint("v", i%4), Slots: 8 + i%5, StartedMs: int64(1_700_000_000_000 + i*i*7919), WeightsVersion: revision,
+		}
+	}
+	var last wire.Object
+	for i := range servers {
+		var err error
+		last, err = operator.Create(t.Context(), "servers", entry(i, 0).ID, entry(i, 0))
+		assert.NilError(t, err)
+	}
+	f.settle(t)
+	for revision := 1; revision <= 3; revision++ {
+		before, readsBefore := f.replied(), f.readsByOthers("servers")
+		var err error
+		last, err = operator.Update(t.Context(), "servers", last.Name, last.Version, entry(servers-1, revision))
+		assert.NilError(t, err)
+		started := time.Now()
+		for slices.ContainsFunc(f.instances, func(g *Gateway) bool { return g.serverFeed.KnownVersion() < last.Version }) {
+			assert.Assert(t, time.Since(started) < time.Minute, "change %d isn't known everywhere", revision)
+			time.Sleep(5 * time.Millisecond)
+		}
+		took := time.Since(started)
+		time.Sleep(time.Second)
+		busiest, all := f.mostReplied(before)
+		reads := f.readsByOthers("servers") - readsBefore
+		t.Logf("change %d known after %v; busiest instance sent %d bytes, all together %d; others read the store %d times", revision, took, busiest, all, reads)
+		assert.Check(t, busiest <= maxLinkBytes, "the busiest instance sent %d bytes, at most %d", busiest, maxLinkBytes)
+		assert.Check(t, took <= leaveTime, "known after %v", took)
+		assert.Check(t, reads == 0, "instances that get the list from others read the store %d times", reads)
+	}
+}
+
 // An instance that doesn't read the store passes on the configuration that is in force there, and no list of servers. A store
 // with an older configuration at a higher revision sets none back.
 func TestInstanceWithoutStoreServesItsConfiguration(t *testing.T) {
-	f := startLinkedFleet(t, 4)
+	f := startLinkedFleet(t, 4, configFeedOf)
 	operator := f.store.Store("operator")
 	object, err := operator.Create(t.Context(), "config", "routes", map[string]int{"version": 1})
 	assert.NilError(t, err)
