--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -23,6 +25,11 @@
 	codeOutdated = 1
 	// codeUnknownStream is the error code of an instance that doesn't know what began a stream.
 	codeUnknownStream = 2
+	// codeBusy is the error code of an instance that sends as many replies with objects as it may. Older builds take it for
+	// any other error and ask another instance.
+	codeBusy = 3
+	// codeNotNewer is the error code of an instance whose objects aren't newer than the caller's.
+	codeNotNewer = 4
 	// fetchTimeout bounds one call to a peer. It is much longer than a round trip and much shorter than the time in
 	// which a new configuration must take effect.
 	fetchTimeout = 500 * time.Millisecond
@@ -32,6 +39,16 @@
 	maxCallsBytes = 64 << 10
 )
 
+// rpcLog writes what the JSON-RPC library reports of a connection to the log: mostly that the caller has gone.
+type rpcLog struct {
+	log *zap.Logger
+}
+
+// Printf implements jsonrpc2.Logger.
+func (l rpcLog) Printf(format string, v ...any) {
+	l.log.Debug("peer_call_broken_off", zap.String("error", strings.TrimSpace(fmt.Sprintf(format, v...))))
+}
+
 // limitedConn is a connection of which a limited number of bytes can be read. Another process may have taken over the
 // address of a peer.
 type limitedConn struct {
@@ -49,6 +66,10 @@
 // objectsParams are the parameters of methodObjects.
 type objectsParams struct {
 	Kind string `json:"kind"`
+	// Encoding is the encoding of the reply that the caller understands. Older builds neither send nor read it.
+	Encoding string `json:"encoding,omitempty"`
+	// NewerThan is the version that the caller has; 0 if it has none or wants the objects in any case.
+	NewerThan int `json:"newer_than,omitempty"`
 }
 
 // Server serves the objects of the platform's store to instances that can't reach the store, and tells other instances
@@ -60,14 +81,23 @@
 	Log    *zap.Logger
 	// ListObjects returns the objects of a kind, and false if they may be out of date.
 	ListObjects func(kind string) (wire.ObjectList, bool)
+	// IsNewer reports whether the objects of a kind are newer than a caller's version; nil means always.
+	IsNewer func(kind string, version int) bool
 	// FindStream returns what began the stream with the id, and false if that isn't known.
 	FindStream func(id string) (wire.NewsStream, bool)
 	// Requests gets the connections on which other instances send HTTP requests; nil means that they are closed.
 	Requests *Listener
+
+	replies replies
+	// inFlight is set by Run unless a test has set it.
+	inFlight *inFlight
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
+	if s.inFlight == nil {
+		s.inFlight = newInFlight(maxSendTime)
+	}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
@@ -102,7 +132,9 @@
 }
 
 // serve handles the calls of one peer until the peer closes the connection or ctx ends.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
+func (s *Server) serve(ctx context.Context, conn *peekedConn) {
+	held := &hold{inFlight: s.inFlight, conn: conn.TCPConn}
+	defer held.release()
 	handler := jsonrpc2.HandlerWithError(func(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (reply any, err error) {
 		// A panic fails this call only.
 		defer func() {
@@ -113,13 +145,13 @@
 		}()
 		switch req.Method {
 		case methodObjects:
-			return s.serveObjects(req.Params)
+			return s.serveObjects(held, req.Params)
 		case methodStream:
 			return s.serveStream(req.Params)
 		}
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no such method"}
 	})
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxCallsBytes)), handler)
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limitConn(conn, maxCallsBytes)), handler, jsonrpc2.SetLogger(rpcLog{s.Log}))
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
@@ -127,16 +159,28 @@
 	}
 }
 
-func (s *Server) serveObjects(data *json.RawMessage) (any, error) {
+func (s *Server) serveObjects(held *hold, data *json.RawMessage) (any, error) {
 	var params objectsParams
 	if data == nil || json.Unmarshal(*data, &params) != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
 	}
+	if params.NewerThan > 0 && s.IsNewer != nil && !s.IsNewer(params.Kind, params.NewerThan) {
+		return nil, &jsonrpc2.Error{Code: codeNotNewer, Message: "there is nothing newer here"}
+	}
 	list, current := s.ListObjects(params.Kind)
 	if !current {
 		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
 	}
-	return list, nil
+	reply, err := s.replies.encode(params.Kind, params.Encoding, list)
+	switch {
+	case err != nil:
+		return nil, err
+	case callerIsGone(held.conn):
+		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "the caller has gone"}
+	case !held.add(len(reply)):
+		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "other replies are being sent"}
+	}
+	return reply, nil
 }
 
 func (s *Server) serveStream(data *json.RawMessage) (any, error) {
@@ -151,11 +195,18 @@
 	return stream, nil
 }
 
-// FetchObjects requests all objects of a kind from a peer.
-func FetchObjects(ctx context.Context, address, kind string) (wire.ObjectList, error) {
-	var list wire.ObjectList
-	err := call(ctx, address, methodObjects, objectsParams{Kind: kind}, &list)
-	return list, err
+// FetchObjects requests all objects of a kind from a peer, if they are newer than a version of which the peer can tell, or in
+// any case if that is 0. It returns ErrRefused if the peer has nothing newer or may send the objects soon.
+func FetchObjects(ctx context.Context, address, kind string, newerThan int) (wire.ObjectList, error) {
+	var data json.RawMessage
+	if err := call(ctx, address, methodObjects, objectsParams{Kind: kind, Encoding: encodingGzip, NewerThan: newerThan}, &data); err != nil {
+		var refusal *jsonrpc2.Error
+		if errors.As(err, &refusal) && (refusal.Code == codeBusy || refusal.Code == codeNotNewer) {
+			err = ErrRefused{Address: address, Reason: refusal.Message}
+		}
+		return wire.ObjectList{}, err
+	}
+	return decodeObjects(data)
 }
 
 // FetchStream asks a peer what began the stream with the id.
