forward: an unproven end has another server asked for the rest

Callers saw a stream cut after its last event, although attempts, servers and retry budget were left: the first server's response was in chunks and broke off, the next one framed its own by its connection and ended it properly after a whole event.

Cause: endStream and endRelayedStream gave the request up at once, since the end of a connection doesn't prove the end of a stream that began in chunks. Another server can prove it, or go on.

Such a run now counts as one that broke off between two events. A further server is asked to go on after the last event; one that has nothing to add and ends its answer with its framing completes the response. Without a further server, or if none proves the end, the caller gets no last chunk, as before: a killed process ends its connections in the same way. The reason end_not_proven is gone from response_broken_off: it says why no further attempt was made, and has the error.

--- a/request/forward/broken_off.go
+++ b/request/forward/broken_off.go
@@ -24,8 +24,6 @@
 	// instance is left to which it can be relayed.
 	noServer   giveUpReason = "no_server"
 	noInstance giveUpReason = "no_instance"
-	// endNotProven means that the stream ended with its connection, while the caller expects a last chunk or a length.
-	endNotProven giveUpReason = "end_not_proven"
 )
 
 // silence returns the time since the last event of the current run; 0 if it has brought none.
--- a/request/forward/framing_test.go
+++ b/request/forward/framing_test.go
@@ -170,6 +170,37 @@
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// unframedStream returns a handler that sends the events from first to last, and ends them with its connection.
+func unframedStream(first, last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		rawResponse(unframedStreamHead+eventTexts(first, last), false)(w, r)
+	}
+}
+
+// A further run whose end isn't proven cut the caller at once, although another server could have proven it.
+func TestUnprovenEndIsProvenByAnotherServer(t *testing.T) {
+	broken, empty := eventStream(1, 2, false), idStream(regular)
+	whole, part := received{"1 2 3", true}, received{"1 2 3", false}
+	relays := newOrderFixture(t, broken)
+	relays.relayAfterFirst(t, rawPeer(t, unframedStream(3, 3)), newOrderFixture(t, empty).relayServer(t))
+	for name, tc := range map[string]struct {
+		f    *fixture
+		want received
+	}{
+		"nothing to add":         {newOrderFixture(t, broken, unframedStream(3, 3), empty), whole},
+		"more to add":            {newOrderFixture(t, broken, unframedStream(3, 3), goOn(5)), received{"1 2 3 4 5", true}},
+		"unproven twice":         {newOrderFixture(t, broken, unframedStream(3, 3), unframedStream(4, 4), empty), received{"1 2 3 4", true}},
+		"a peer's servers":       {newPartitioned(t, newOrderFixture(t, broken, unframedStream(3, 3), empty).relayServer(t)), whole},
+		"a second peer":          {relays, whole},
+		"no attempt is left":     {newFixture(t, broken, unframedStream(3, 3), empty), part},
+		"no server is left":      {newOrderFixture(t, broken, unframedStream(3, 3)), part},
+		"another server repeats": {newOrderFixture(t, broken, unframedStream(3, 3), unframedStream(3, 3)), part},
+	} {
+		_, got := tc.f.stream(t, "")
+		assert.Check(t, got == tc.want, "%s: %v", name, got)
+	}
+}
+
 // A response that began without framing is completed by whichever server ends it properly.
 func TestUnframedResponseIsResumed(t *testing.T) {
 	f := newFixture(t, streamsCutInsideEvent["end of the connection"], eventStream(3, 3, true))
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -268,12 +268,10 @@
 	}
 }
 
-// endRelayedStream completes a relayed stream that its server ended regularly.
+// endRelayedStream completes a relayed stream that its server ended regularly, like endStream.
 func (c *call) endRelayedStream(resp *http.Response) error {
 	if c.framing == request.FramingConnection && !c.endsWithConnection && !c.firstByteAt.IsZero() {
-		c.givenUp = endNotProven
-		c.outcome = OutcomeInterrupted
-		return errEndNotProven
+		return c.streamInterrupted(errEndNotProven)
 	}
 	if c.firstByteAt.IsZero() {
 		c.beginResponse(resp)
--- a/request/forward/relay_test.go
+++ b/request/forward/relay_test.go
@@ -59,6 +59,20 @@
 	return f
 }
 
+// relayAfterFirst has the fixture relay to the instances at the addresses in turn once its servers got a request.
+func (f *fixture) relayAfterFirst(t *testing.T, peers ...string) {
+	t.Helper()
+	relaying := newPartitioned(t, peers...).forwarder
+	f.forwarder.SendRelayed = relaying.SendRelayed
+	f.forwarder.FindRelay = func(pool string, skip map[string]bool) (string, bool) {
+		if f.received.Load() == 0 {
+			return "", false
+		}
+		return relaying.FindRelay(pool, skip)
+	}
+	f.markUnreachable()
+}
+
 // events returns a handler that sends events from the one after Last-Event-Id up to the last; it breaks off after those up
 // to breakAfter if that is above 0.
 func events(last, breakAfter int) http.HandlerFunc {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -118,15 +118,14 @@
 // or a length.
 var errEndNotProven = errors.New("the stream ended with its connection, so that its end isn't certain")
 
-// endStream completes a stream that its server ended regularly.
+// endStream completes a stream that its server ended regularly. If only its connection ended a stream whose caller expects
+// more than that, another server must prove the end: it has nothing to add then.
 func (c *call) endStream(attempt *registry.Attempt, resp *http.Response) error {
 	attempt.End(registry.OutcomeAnswered)
 	c.recordAnswered(attempt.Server(), resp)
 	if c.framing == request.FramingConnection && !c.endsWithConnection {
 		c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Error(errEndNotProven))
-		c.givenUp = endNotProven
-		c.outcome = OutcomeInterrupted
-		return errEndNotProven
+		return c.streamInterrupted(errEndNotProven)
 	}
 	if c.firstByteAt.IsZero() {
 		c.reportStarted()
