forward: a further run without an event that ends properly is no crash

Callers saw a stream cut although attempts were left: a server that is asked to go on and has nothing to add, or goes away before its first event, may answer a head and end its connection.

Cause: such a run counted as lost with its connection, and with the run before it as the second crash under the request, after which no other server is asked (crashes_servers).

Evidence: TestUnprovenEmptyRunIsNoCrash printed before, 14 lines such as chunked, nothing to add: {1 2 false} chunked, more to add: {1 2 false} unframed, nothing to add: {1 2 false} unframed, inside event, more to add: {1 2 false}

The end of such a run isn't proven, as that of one with events, so that another server is asked; the response isn't completed by it, in no framing. Whether the server has crashed under the request is checked by a connection, as for other answers that end with theirs. A run that ends by a reset, and one that begins a response, count as before.

--- a/request/forward/framing_test.go
+++ b/request/forward/framing_test.go
@@ -201,6 +201,40 @@
 	}
 }
 
+// A further run without an event that ended with its connection counted as a crash, so that no third server was asked.
+func TestUnprovenEmptyRunIsNoCrash(t *testing.T) {
+	unproven, empty, good := unframedStream(1, 0), idStream(regular), goOn(4)
+	whole, part, longer := received{"1 2", true}, received{"1 2", false}, received{"1 2 3 4", true}
+	for beginName, begin := range map[string]struct {
+		broken http.HandlerFunc
+		isCut  bool
+	}{
+		"chunked":                {idStream(betweenEvents, "1", "2"), false},
+		"unframed":               {rawResponse(unframedStreamHead+firstTwoEvents, true), false},
+		"chunked, inside event":  {idStream(insideEvent, "1", "2"), true},
+		"unframed, inside event": {streamsCutInsideEvent["end of the connection"], true},
+	} {
+		ended := whole
+		if begin.isCut {
+			ended = part
+		}
+		for name, tc := range map[string]struct {
+			f    *fixture
+			want received
+		}{
+			"nothing to add":     {newOrderFixture(t, begin.broken, unproven, empty), ended},
+			"more to add":        {newOrderFixture(t, begin.broken, unproven, good), longer},
+			"unproven twice":     {newOrderFixture(t, begin.broken, unproven, unproven, good), longer},
+			"a peer's servers":   {newPartitioned(t, newOrderFixture(t, begin.broken, unproven, good).relayServer(t)), longer},
+			"no attempt is left": {newFixture(t, begin.broken, unproven, good), part},
+			"no server is left":  {newOrderFixture(t, begin.broken, unproven), part},
+		} {
+			_, got := tc.f.stream(t, "")
+			assert.Check(t, got == tc.want, "%s, %s: %v", beginName, name, got)
+		}
+	}
+}
+
 // A response that began without framing is completed by whichever server ends it properly.
 func TestUnframedResponseIsResumed(t *testing.T) {
 	f := newFixture(t, streamsCutInsideEvent["end of the connection"], eventStream(3, 3, true))
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -235,9 +235,9 @@
 	defer events.event.reset()
 	c.beginRun()
 	events.rejectText = !c.firstByteAt.IsZero()
-	for index := 0; ; index++ {
+	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
+		if errors.Is(err, io.EOF) && c.mayEndRun() {
 			if err = c.order.checkEnd(c.meta.LastEventID); err != nil {
 				return c.runRejected(err)
 			}
@@ -268,9 +268,9 @@
 	}
 }
 
-// endRelayedStream completes a relayed stream that its server ended regularly, like endStream.
+// endRelayedStream completes a relayed stream after a whole run, like endStream.
 func (c *call) endRelayedStream(resp *http.Response) error {
-	if c.framing == request.FramingConnection && !c.endsWithConnection && !c.firstByteAt.IsZero() {
+	if !c.isEndProven() {
 		return c.streamInterrupted(errEndNotProven)
 	}
 	if c.firstByteAt.IsZero() {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -56,7 +56,8 @@
 			lastEventAt = time.Now()
 			c.recordEvent(event, id)
 		}
-		if errors.Is(err, io.EOF) && (index > 0 || c.framing != request.FramingConnection) {
+		if errors.Is(err, io.EOF) && c.mayEndRun() {
+			c.recordAnswered(attempt.Server(), resp)
 			if err = c.order.checkEnd(c.meta.LastEventID); err != nil {
 				attempt.End(registry.OutcomeFailed)
 				return c.runRejected(err)
@@ -115,15 +116,26 @@
 }
 
 // errEndNotProven is the error of a stream that ended with its server's connection, while the caller expects a last chunk
-// or a length.
+// or a length, or without an event.
 var errEndNotProven = errors.New("the stream ended with its connection, so that its end isn't certain")
 
-// endStream completes a stream that its server ended regularly. If only its connection ended a stream whose caller expects
-// more than that, another server must prove the end: it has nothing to add then.
+// mayEndRun reports whether a run that ended after a whole event, or without one, is a whole one. Servers may crash before
+// their first event, but one that goes on with a stream may have nothing to add.
+func (c *call) mayEndRun() bool {
+	return c.runEvents > 0 || c.framing != request.FramingConnection || !c.firstByteAt.IsZero()
+}
+
+// isEndProven reports whether the end of a whole run is that of the stream. The end of its server's connection is one to
+// callers who expect no more than that, and only after an event.
+func (c *call) isEndProven() bool {
+	return c.framing != request.FramingConnection || c.endsWithConnection && c.runEvents > 0
+}
+
+// endStream completes a stream after a whole run. If its end isn't proven, another server may prove it: it has nothing to add
+// then.
 func (c *call) endStream(attempt *registry.Attempt, resp *http.Response) error {
 	attempt.End(registry.OutcomeAnswered)
-	c.recordAnswered(attempt.Server(), resp)
-	if c.framing == request.FramingConnection && !c.endsWithConnection {
+	if !c.isEndProven() {
 		c.f.Log.Info("answer_lost", zap.String("request_id", c.meta.ID), zap.String("server", c.serverID), zap.Error(errEndNotProven))
 		return c.streamInterrupted(errEndNotProven)
 	}
