forward: a retry time that broke off is no part of an event

Callers saw a stream cut that had ended: a run broke off inside a line with a retry time, and the next server had nothing to add.

Cause: recordCut took each line but empty ones and comments for a part of an event, which the next server would have to bring.

Evidence: TestPartWithoutEventIsNotMissed printed before, in each of three paths, "retry: 3000", directly: {1 2 3 false} "retry: 3000\n: a\n", directly: {1 2 3 false} "retry", directly: {1 2 3 false} "retry\r\n", directly: {1 2 3 false} "ret", directly: {1 2 3 false}

Lines with that field, and their beginnings, don't count any more; a line of an event beside them does. TestCutEventIsBroughtByAnotherServer passed before: while attempts are left, each further server is asked for an event of which a part, or all but its last empty line, was seen.

--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -117,12 +118,21 @@
 // recordCut records the part of an event inside which a run broke off; empty if it broke off between two events.
 func (o *eventOrder) recordCut(part []byte) {
 	for line := range bytes.Lines(part) {
-		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if isPartOfPiece(bytes.TrimRight(line, "\r\n")) {
 			o.isCut = true
 		}
 	}
 }
 
+// retryField begins the line with which a server tells how soon callers may reconnect.
+const retryField = "retry:"
+
+// isPartOfPiece reports whether a line, or its beginning, may belong to a piece of the stream, unlike comments and retry times.
+func isPartOfPiece(line []byte) bool {
+	text := string(line)
+	return text != "" && text[0] != ':' && !strings.HasPrefix(text, retryField) && !strings.HasPrefix(retryField, text)
+}
+
 // isPiece reports whether an event is a part of what the stream says, rather than a comment.
 func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
 
