forward: an event of which a part was seen is no gap

Callers lost a stream whose next server was sound: ids had risen evenly by chance (2, 4, 6), the next event was 9, and each server that went on with it was refused for a gap.

Cause: ids need only increase, and one event may hold several tokens. The gap check knew nothing but the steps so far, although the run before had shown the id of its next event when it broke off inside it.

Evidence: TestCutEventIsNoGap printed before, in each of three paths, cut after its id, directly: {2 4 6 false} without its empty line, directly: {2 4 6 false} id last, directly: {2 4 6 false}

A further run may begin with exactly that event; any other one is compared as before, and the id counts only once its line is whole.

TestFurtherRunInPartsIsJoined passed before: where the network divides events, comments and the line with the weight version makes no difference.

--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -51,8 +51,10 @@
 	isComparable bool
 	// joins is set from the beginning of a further run until its first event with a number.
 	joins bool
-	// isCut is set if a run broke off inside an event, until an event has come.
-	isCut bool
+	// isCut is set if a run broke off inside an event, until an event has come. cutNumber is then the number of that event; 0
+	// if it isn't known.
+	isCut     bool
+	cutNumber uint64
 	// step is the difference between the last two ids of one run, and steps the number of such differences so far.
 	// isUneven is set once two of these differences were not equal.
 	step     uint64
@@ -63,7 +65,10 @@
 // eventNumber returns the number that an event's id is; false if it is none of at most 64 bits.
 func eventNumber(id string) (uint64, bool) {
 	n, err := strconv.ParseUint(id, 10, 64)
-	return n, err == nil
+	if err != nil {
+		return 0, false
+	}
+	return n, true
 }
 
 // beginRun prepares for the events of a run that goes on after the event lastID; empty if it is the first run.
@@ -82,7 +87,7 @@
 		return errEventOrder{lastID, id, faultNotHigher}
 	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
 		return errEventOrder{lastID, id, faultNotComparable}
-	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step:
+	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step && n != o.cutNumber:
 		return errEventOrder{lastID, id, faultGap}
 	}
 	return nil
@@ -94,7 +99,7 @@
 		return
 	}
 	n, isNumber := eventNumber(id)
-	o.isComparable, o.isCut = isNumber, false
+	o.isComparable, o.isCut, o.cutNumber = isNumber, false, 0
 	if !isNumber {
 		return
 	}
@@ -121,6 +126,9 @@
 		if isPartOfPiece(bytes.TrimRight(line, "\r\n")) {
 			o.isCut = true
 		}
+		if id, ok := bytes.CutPrefix(line, idFieldPrefix); ok && bytes.HasSuffix(id, []byte("\n")) {
+			o.cutNumber, _ = eventNumber(string(bytes.TrimSpace(id)))
+		}
 	}
 }
 
