--- a/request/forward/event_order.go
+++ b/request/forward/event_order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,8 +51,10 @@
 	isComparable bool
 	// joins is set from the beginning of a further run until its first event with a number.
 	joins bool
-	// isCut is set if a run broke off inside an event, until an event has come.
-	isCut bool
+	// isCut is set if a run broke off inside an event, until an event has come. cutNumber is then the number of that event; 0
+	// if it isn't known.
+	isCut     bool
+	cutNumber uint64
 	// step is the difference between the last two ids of one run, and steps the number of such differences so far.
 	// isUneven is set once two of these differences were not equal.
 	step     uint64
@@ -62,7 +65,10 @@
 // eventNumber returns the number that an event's id is; false if it is none of at most 64 bits.
 func eventNumber(id string) (uint64, bool) {
 	n, err := strconv.ParseUint(id, 10, 64)
-	return n, err == nil
+	if err != nil {
+		return 0, false
+	}
+	return n, true
 }
 
 // beginRun prepares for the events of a run that goes on after the event lastID; empty if it is the first run.
@@ -81,7 +87,7 @@
 		return errEventOrder{lastID, id, faultNotHigher}
 	case o.joins && isPiece(event, id) && (!isNumber || !o.hasNumber):
 		return errEventOrder{lastID, id, faultNotComparable}
-	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step:
+	case o.joins && isNumber && !o.isUneven && o.steps >= minEvenSteps && n-o.highest > o.step && n != o.cutNumber:
 		return errEventOrder{lastID, id, faultGap}
 	}
 	return nil
@@ -93,7 +99,7 @@
 		return
 	}
 	n, isNumber := eventNumber(id)
-	o.isComparable, o.isCut = isNumber, false
+	o.isComparable, o.isCut, o.cutNumber = isNumber, false, 0
 	if !isNumber {
 		return
 	}
@@ -117,12 +123,24 @@
 // recordCut records the part of an event inside which a run broke off; empty if it broke off between two events.
 func (o *eventOrder) recordCut(part []byte) {
 	for line := range bytes.Lines(part) {
-		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if isPartOfPiece(bytes.TrimRight(line, "\r\n")) {
 			o.isCut = true
 		}
+		if id, ok := bytes.CutPrefix(line, idFieldPrefix); ok && bytes.HasSuffix(id, []byte("\n")) {
+			o.cutNumber, _ = eventNumber(string(bytes.TrimSpace(id)))
+		}
 	}
 }
 
+// retryField begins the line with which a server tells how soon callers may reconnect.
+const retryField = "retry:"
+
+// isPartOfPiece reports whether a line, or its beginning, may belong to a piece of the stream, unlike comments and retry times.
+func isPartOfPiece(line []byte) bool {
+	text := string(line)
+	return text != "" && text[0] != ':' && !strings.HasPrefix(text, retryField) && !strings.HasPrefix(retryField, text)
+}
+
 // isPiece reports whether an event is a part of what the stream says, rather than a comment.
 func isPiece(event []byte, id string) bool { return id != "" || hasDataField(event) }
 
--- a/request/forward/event_order_test.go
+++ b/request/forward/event_order_test.go
@@ -459,3 +459,29 @@
 		assert.Check(t, got == received{"4 5", true}, "%s, taken up: %v", name, got)
 	}
 }
+
+// Where the network divides what a further server sends makes no difference.
+func TestFurtherRunInPartsIsJoined(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"all at once":          {"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n"},
+		"two events and a bit": {"id: 4\ndata: t4\n\nid: 5\ndata: t5\n\n: he", "re\n\n"},
+		"inside a line end":    {"id: 4\r", "\ndata: t4\r\n\r", "\nid: 5\r\ndata: t5\r\n\r", "\n"},
+		"inside the version":   {"x-toucanroute-weight-", "versions: 7\nid: 4\ndata: t4\n", "\nid: 5\ndata: t5\n\n"},
+		"inside an id":         {"id: ", "4\ndata: t4\n\nid: 5", "\ndata: t5\n\n"},
+		"after a comment":      {": a\n", "\nretry: 3000\n", "\nid: 4\ndata: t4\n\nid: 5\ndata: t5\n\n"},
+	} {
+		further := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "1")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for _, part := range parts {
+				_, _ = io.WriteString(w, part)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(time.Millisecond)
+			}
+		}
+		for _, how := range []end{betweenEvents, insideEvent} {
+			_, got := newOrderFixture(t, idStream(how, "1", "2", "3"), further).stream(t, "")
+			assert.Check(t, got == received{"1 2 3 4 5", true}, "%s, break %d: %v", name, how, got)
+		}
+	}
+}
