forward: four failed connects don't cut a stream that has begun

Cause: four connects that fail end a request. That bounds the time until a caller is refused, but a stream that has begun can't be refused any more: its caller has lost it.

Change: such a stream goes on to further servers, 50 ms apart after the fourth connect, for the 2 s for which callers wait for an event. Nothing was sent, so that neither attempts nor the retry budget are touched.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/sleep"
 	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/request/placement"
 	"github.com/toucanroute/toucanroute/version/hostroute"
@@ -30,6 +31,24 @@
 	return maxUnsentAttempts
 }
 
+const (
+	// maxResumeTime is the time for which a stream that broke off is sent to further servers although connects fail: callers
+	// give a stream up after a gap that long.
+	maxResumeTime = 2 * time.Second
+	// connectPause is the pause before each of these attempts.
+	connectPause = 50 * time.Millisecond
+)
+
+// awaitNextConnect pauses before a further server is connected to for a stream that has begun. It returns false if that is no
+// longer of use.
+func (c *call) awaitNextConnect() bool {
+	if c.firstByteAt.IsZero() || time.Since(c.brokenOffAt) >= maxResumeTime {
+		return false
+	}
+	sleep.For(c.ctx, connectPause)
+	return true
+}
+
 // errRefused is the error of an attempt whose server said that it did not run the request.
 var errRefused = errors.New("the backend server refused the request")
 
@@ -77,7 +96,7 @@
 			return c.finalError(err)
 		}
 		if !sent {
-			if unsentAttempts++; unsentAttempts >= c.unsentLimit() {
+			if unsentAttempts++; unsentAttempts >= c.unsentLimit() && !c.awaitNextConnect() {
 				c.givenUp = attemptsUsed
 				return c.finalError(err)
 			}
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -188,6 +188,8 @@
 	// zero if there was none.
 	runEvents   int
 	lastEventAt time.Time
+	// brokenOffAt is the time at which the last run broke off after the response had begun; zero if none did.
+	brokenOffAt time.Time
 	// givenUp says why the request isn't tried again; empty before.
 	givenUp giveUpReason
 	// serverChoice and cacheSource describe the last choice of a server; see logRequest.
--- a/request/forward/last_attempt_test.go
+++ b/request/forward/last_attempt_test.go
@@ -1,13 +1,18 @@
 package forward
 
 import (
+	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/request"
 	"github.com/toucanroute/toucanroute/request/attempt"
 )
 
@@ -91,3 +96,46 @@
 	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
 	assert.Check(t, time.Since(began) < silence/2)
 }
+
+// failConnects has the connects for all further attempts fail, the first n after the one that arrives.
+func (f *fixture) failConnects(n int) *atomic.Int32 {
+	send, failed := f.forwarder.Send, &atomic.Int32{}
+	refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	f.forwarder.Send = func(req *http.Request, id string, fresh bool) (*http.Response, error) {
+		if f.received.Load() > 0 && int(failed.Load()) < n {
+			failed.Add(1)
+			return nil, request.ErrAttempt{Err: refused}
+		}
+		return send(req, id, fresh)
+	}
+	return failed
+}
+
+// A stream that broke off isn't cut because some connects fail, while its caller still waits and servers are left.
+func TestFailedConnectsCutNoStream(t *testing.T) {
+	servers := []http.HandlerFunc{idStream(betweenEvents, "1", "2", "3")}
+	for range 2 * maxUnsentAttempts {
+		servers = append(servers, goOn(6))
+	}
+	f := newFixture(t, servers...)
+	failed := f.failConnects(2*maxUnsentAttempts - 1)
+	_, got := f.stream(t, "")
+	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
+	assert.Check(t, int(failed.Load()) == 2*maxUnsentAttempts-1)
+}
+
+// A stream whose servers can't be connected to ends once its caller waits no more, without a connect to each server.
+func TestFailedConnectsOfStreamAreBounded(t *testing.T) {
+	servers := []http.HandlerFunc{idStream(betweenEvents, "1", "2", "3")}
+	const most = maxUnsentAttempts + int(maxResumeTime/connectPause)
+	for range most + 10 {
+		servers = append(servers, goOn(6))
+	}
+	f := newFixture(t, servers...)
+	failed := f.failConnects(len(servers))
+	began := time.Now()
+	_, got := f.stream(t, "")
+	assert.Check(t, got == received{"1 2 3", false}, "%v", got)
+	assert.Check(t, int(failed.Load()) > maxUnsentAttempts && int(failed.Load()) <= most, "%d connects", failed.Load())
+	assert.Check(t, time.Since(began) < 2*maxResumeTime)
+}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -155,6 +155,7 @@
 		c.reportStarted()
 		return err
 	}
+	c.brokenOffAt = time.Now()
 	if cause := context.Cause(c.ctx); cause != nil {
 		c.outcome = OutcomeInterrupted
 		return errCallerLeft
