forward: a silent server keeps a request that can't go on elsewhere

Callers saw a stream cut, or got 502, 400 ms after the last permitted attempt was sent to a server that was only silent for a while (LOST).

Cause: whether another attempt may follow was asked before the attempt counted as one, so that the last one was always given up.

Change: it is asked when the server is found silent, as when it is found unreachable.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -390,12 +390,10 @@
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	c.cancelAttempt = cancel
-	if mayMove := c.moveCheck(entry); mayMove != nil {
-		go cancelWhenUnreachable(ctx, cancel, server.Unreachable(), mayMove)
-	}
-	mayRetry := c.route.MayRepeat() && c.canRetryFailure()
+	mayMove := c.moveCheck(entry)
+	go cancelWhenUnreachable(ctx, cancel, server.Unreachable(), mayMove)
 	silenceTimer := time.AfterFunc(c.silenceTimeout(), func() {
-		if serverAttempt.CheckUnresponsive() && mayRetry {
+		if serverAttempt.CheckUnresponsive() && mayMove() {
 			cancel(errUnresponsive)
 		}
 	})
--- a/request/forward/last_attempt_test.go
+++ b/request/forward/last_attempt_test.go
@@ -139,3 +139,26 @@
 	assert.Check(t, int(failed.Load()) > maxUnsentAttempts && int(failed.Load()) <= most, "%d connects", failed.Load())
 	assert.Check(t, time.Since(began) < 2*maxResumeTime)
 }
+
+// A server that is silent for a while keeps a request where no further attempt can follow.
+func TestSilentServerKeepsRequestWithoutFurtherAttempt(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * minSilenceTimeout)
+		goOn(6)(w, r)
+	}
+	broken := idStream(betweenEvents, "1", "2", "3")
+	for name, tc := range map[string]struct {
+		attempts int
+		servers  []http.HandlerFunc
+	}{
+		"the last attempt":   {2, []http.HandlerFunc{broken, silent, goOn(6)}},
+		"the only attempt":   {1, []http.HandlerFunc{silent, goOn(6)}},
+		"no other server":    {5, []http.HandlerFunc{silent}},
+		"an attempt is left": {3, []http.HandlerFunc{broken, silent, goOn(6)}},
+	} {
+		f := newFixture(t, tc.servers...)
+		f.setMaxAttempts(t, tc.attempts)
+		status, got := f.stream(t, "")
+		assert.Check(t, status == http.StatusOK && got == received{"1 2 3 4 5 6", true}, "%s: %d %v", name, status, got)
+	}
+}
--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -20,11 +20,11 @@
 }
 
 // moveCheck returns a function that reports whether the request may go on at another server if its attempt at the given one
-// is cancelled; nil if it never may. The function may be called from another goroutine. A request that can't move waits for its own
-// connection, since the server may only be silent for a while.
+// is cancelled. The function may be called from another goroutine. A request that can't move waits for its own connection,
+// since the server may only be silent for a while.
 func (c *call) moveCheck(entry registry.Entry) func() bool {
 	if !c.route.MayRepeat() || c.possibleRuns+1 >= c.route.MaxAttempts {
-		return nil
+		return func() bool { return false }
 	}
 	selection, pool := c.selection(), c.pool.Name
 	selection.Skip = maps.Clone(selection.Skip)
