gateway: late answers of others don't send all instances to the store

Cause: three instances that don't answer within 500 ms, since they are only slow, had the asker read the whole configuration from the store; all that waited for the same ones do so at once.

Change: another round of instances is asked before the store, for configurations only: others have it by then. A list of servers must be known sooner.

Result: TestLateFetchAsksOthersBeforeStore (new; it doesn't compile without the change).

--- a/process/gateway/fetch.go
+++ b/process/gateway/fetch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"github.com/toucanroute/toucanroute/connection/gossip"
@@ -89,3 +91,13 @@
 		sleep.For(ctx, refusedRetryDelay/2+rand.N(refusedRetryDelay))
 	}
 }
+
+// fetchAgainIfLate calls fetch once more if the first call ran into its time limit: instances that are only slow hand the
+// objects to others meanwhile, and those that wait for the same one mustn't all read the store.
+func fetchAgainIfLate[T any](ctx context.Context, fetch func(context.Context) (T, error)) (T, error) {
+	answer, err := fetch(ctx)
+	if ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return answer, err
+	}
+	return fetch(ctx)
+}
--- a/process/gateway/fetch_test.go
+++ b/process/gateway/fetch_test.go
@@ -147,3 +147,31 @@
 		assert.Equal(t, took, time.Duration(0))
 	})
 }
+
+// Instances that ran into the time limit of a call, for a configuration that others have by then, don't send the asker to the
+// store. One that can't be asked at all does.
+func TestLateFetchAsksOthersBeforeStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, tc := range map[string]struct {
+			rounds [][]string
+			want   string
+			asked  int
+		}{
+			"others have it by then": {[][]string{{"gone", "gone"}, {"c"}}, "list of c", 3},
+			"in time":                {[][]string{{"gone", "b"}}, "list of b", 2},
+			"late again":             {[][]string{{"gone"}, {"gone"}}, "", 2},
+			"refused connections":    {[][]string{{"bad", "bad"}}, "", 2},
+			"nobody":                 {[][]string{nil}, "", 0},
+		} {
+			var asked askedInstances
+			round := 0
+			list, err := fetchAgainIfLate(t.Context(), func(ctx context.Context) (string, error) {
+				addresses := tc.rounds[round]
+				round++
+				return fetchStaggered(ctx, addresses, fetchAnswering(&asked))
+			})
+			assert.Check(t, (err == nil) == (tc.want != "") && list == tc.want, "%s: %q %v", name, list, err)
+			assert.Check(t, len(asked.list()) == tc.asked && round == len(tc.rounds), "%s: %v", name, asked.list())
+		}
+	})
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -244,8 +244,9 @@
 // errNoPeer reports that no other instance can be asked for objects.
 var errNoPeer = errors.New("no other instance that reads the store is known")
 
-// fetchFromPeer returns the objects of a kind from the first other instance that responds; see fetchStaggered and
-// fetchUnlessRefused. An instance that reads the store itself doesn't wait for others that refuse.
+// fetchFromPeer returns the objects of a kind from the first other instance that responds; see fetchStaggered,
+// fetchUnlessRefused and fetchAgainIfLate. An instance that reads the store itself doesn't wait for others that refuse. A
+// list of servers isn't asked for twice, since a leaving server must be known sooner.
 func (g *Gateway) fetchFromPeer(ctx context.Context, kind string) (wire.ObjectList, error) {
 	fetch := func(ctx context.Context) (wire.ObjectList, error) {
 		return fetchStaggered(ctx, g.peersToAsk(kind), func(ctx context.Context, address string) (wire.ObjectList, error) {
@@ -255,8 +256,13 @@
 	if g.mesh.IsReader() {
 		return fetch(ctx)
 	}
-	isWanted := func() bool { return kind != g.Platform.ConfigKind || g.newestConfig.Load() > int64(g.configVersion()) }
-	return fetchUnlessRefused(ctx, kind, isWanted, fetch)
+	if kind != g.Platform.ConfigKind {
+		return fetchUnlessRefused(ctx, kind, func() bool { return true }, fetch)
+	}
+	isWanted := func() bool { return g.newestConfig.Load() > int64(g.configVersion()) }
+	return fetchAgainIfLate(ctx, func(ctx context.Context) (wire.ObjectList, error) {
+		return fetchUnlessRefused(ctx, kind, isWanted, fetch)
+	})
 }
 
 // inForce returns the version of the configuration in force if that is the kind, else 0: lists of other kinds are also of use
