--- a/process/mesh/readers_test.go
+++ b/process/mesh/readers_test.go
@@ -39,33 +39,37 @@
 
 // No reader is asked by all instances: those that are ahead share the work.
 func TestReadersShareTheWork(t *testing.T) {
-	m := readersOf(t)
-	for _, name := range []string{"i3", "i4", "i5", "i6"} {
-		m.peers[name].servers = 8
-	}
-	m.peers["i5"].servers = 9
-	asked := map[string]int{}
-	for range 1000 {
-		asked[m.ServerReaders(7)[0]]++
-	}
-	assert.Equal(t, len(asked), 4)
-	for address, n := range asked {
-		assert.Assert(t, n < 500, "%s was asked %d times", address, n)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		m := readersOf(t)
+		for _, name := range []string{"i3", "i4", "i5", "i6"} {
+			m.peers[name].servers = 8
+		}
+		m.peers["i5"].servers = 9
+		asked := map[string]int{}
+		for range 1000 {
+			asked[m.ServerReaders(7)[0]]++
+		}
+		assert.Equal(t, len(asked), 4)
+		for address, n := range asked {
+			assert.Assert(t, n < 500, "%s was asked %d times", address, n)
+		}
+	})
 }
 
 // Instances of one data centre ask its readers in different orders, and those of others after them.
 func TestLocalReadersShareTheWork(t *testing.T) {
-	m := readersOf(t)
-	asked := map[string]int{}
-	for range 1000 {
-		addresses := m.ReaderAddresses()
-		asked[addresses[0]]++
-		local := addresses[:2]
-		slices.Sort(local)
-		assert.DeepEqual(t, local, []string{"10.0.0.2:1", "10.0.0.3:1"})
-	}
-	assert.Assert(t, asked["10.0.0.2:1"] > 400 && asked["10.0.0.3:1"] > 400, "%v", asked)
+	synctest.Test(t, func(t *testing.T) {
+		m := readersOf(t)
+		asked := map[string]int{}
+		for range 1000 {
+			addresses := m.ReaderAddresses()
+			asked[addresses[0]]++
+			local := addresses[:2]
+			slices.Sort(local)
+			assert.DeepEqual(t, local, []string{"10.0.0.2:1", "10.0.0.3:1"})
+		}
+		assert.Assert(t, asked["10.0.0.2:1"] > 400 && asked["10.0.0.3:1"] > 400, "%v", asked)
+	})
 }
 
 // sourcesOf returns the mesh of an instance in a data centre with two readers and six others, beside another data centre
@@ -94,26 +98,28 @@
 // A configuration is asked of any instance that has told a newer one, at random, so that each copy serves further ones. A reader
 // follows after two others at most, and another data centre after all of the own.
 func TestInstancesWithNewerConfigurationShareTheWork(t *testing.T) {
-	m := sourcesOf()
-	for _, name := range []string{"i3", "i4", "i5", "i11"} {
-		m.peers[name].config = 8
-	}
-	m.peers["i6"].config, m.peers["i7"].config, m.peers["i7"].leaving = 7, 8, true
-	asked := map[string]int{}
-	for range 1000 {
-		addresses := m.ConfigSources(7)
-		asked[addresses[0]]++
-		positions := positionsOf(addresses)
-		assert.Equal(t, len(positions), 8, "%v", addresses)
-		reader := min(positions["10.0.0.2:1"], positions["10.0.0.3:1"])
-		assert.Equal(t, reader, 2)
-		for _, address := range addresses[:5] {
-			assert.Assert(t, address <= "10.0.0.6:1" && address >= "10.0.0.2:1", "%v", addresses)
+	synctest.Test(t, func(t *testing.T) {
+		m := sourcesOf()
+		for _, name := range []string{"i3", "i4", "i5", "i11"} {
+			m.peers[name].config = 8
 		}
-	}
-	for _, address := range []string{"10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"} {
-		assert.Assert(t, asked[address] > 250, "%v", asked)
-	}
+		m.peers["i6"].config, m.peers["i7"].config, m.peers["i7"].leaving = 7, 8, true
+		asked := map[string]int{}
+		for range 1000 {
+			addresses := m.ConfigSources(7)
+			asked[addresses[0]]++
+			positions := positionsOf(addresses)
+			assert.Equal(t, len(positions), 8, "%v", addresses)
+			reader := min(positions["10.0.0.2:1"], positions["10.0.0.3:1"])
+			assert.Equal(t, reader, 2)
+			for _, address := range addresses[:5] {
+				assert.Assert(t, address <= "10.0.0.6:1" && address >= "10.0.0.2:1", "%v", addresses)
+			}
+		}
+		for _, address := range []string{"10.0.0.4:1", "10.0.0.5:1", "10.0.0.6:1"} {
+			assert.Assert(t, asked[address] > 250, "%v", asked)
+		}
+	})
 }
 
 // Before an instance of the data centre has told a newer configuration, its readers are asked, then those of another one
