forward: a silent server doesn't end the last attempt

Callers saw a stream cut, or got 502 outcome_unknown, although the server that had their last permitted attempt was sound and only silent for a while.

Cause: an attempt whose server has sent nothing for 0.4 to 1 s is cancelled, so that it moves. Before that, canRetryFailure compared the attempts so far with those permitted, and the current one isn't counted yet: with one of two attempts used, or none of one, it was cancelled although no further one could follow.

Such an attempt now goes on until its connection or its time ends. One that can be repeated is still cancelled.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -393,7 +393,7 @@
 	if mayMove := c.moveCheck(entry); mayMove != nil {
 		go cancelWhenUnreachable(ctx, cancel, server.Unreachable(), mayMove)
 	}
-	mayRetry := c.route.MayRepeat() && c.canRetryFailure()
+	mayRetry := c.route.MayRepeat() && c.possibleRuns+1 < c.route.MaxAttempts && c.canRetryFailure()
 	silenceTimer := time.AfterFunc(c.silenceTimeout(), func() {
 		if serverAttempt.CheckUnresponsive() && mayRetry {
 			cancel(errUnresponsive)
