forward: a stream isn't moved to a server that is unreachable too

Callers saw a stream cut whose server went on with it, beside a timeout of another request.

Cause: if no other server is reachable, Registry.Usable returns the unreachable ones, so that the check before a move always found one where several servers had just become unreachable, as when this instance's own link is full.

A stream is now moved only if another server counts as reachable, or another instance can be asked.

--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 
 	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/version/hostroute"
@@ -37,6 +38,10 @@
 		if !c.isJoinable.Load() || c.f.RetryBudget(pool).Remaining() < 1 {
 			return false
 		}
-		return mayRelay && c.f.Registry.IsUnreachable(pool) || len(c.f.Registry.Usable(pool, selection)) > 0
+		if mayRelay && c.f.Registry.IsUnreachable(pool) {
+			return true
+		}
+		// If no other server is reachable, Usable returns the unreachable ones.
+		return slices.ContainsFunc(c.f.Registry.Usable(pool, selection), func(srv *registry.Server) bool { return !srv.IsSuspect() })
 	}
 }
--- a/request/forward/move_test.go
+++ b/request/forward/move_test.go
@@ -8,6 +8,20 @@
 	"gotest.tools/v3/assert"
 )
 
+// A stream isn't moved from a server that has just become unreachable to one that already is.
+func TestStreamIsNotMovedToUnreachableServer(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, pausingStream(func() {
+		time.Sleep(20 * time.Millisecond)
+		f.suspect("s1")
+		f.suspect("s0")
+		time.Sleep(50 * time.Millisecond)
+	}), idStream(betweenEvents))
+	f.setMaxAttempts(t, 5)
+	_, got := f.stream(t, "")
+	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
+}
+
 // A sound server may be silent for a while. The last attempt that is permitted isn't given up for it.
 func TestSilentServerKeepsLastAttempt(t *testing.T) {
 	silent := func(next http.HandlerFunc) http.HandlerFunc {
