forward: streams beyond the retry budget keep their server

Callers saw several streams of one server cut at once, with reason=retry_budget, when it became unreachable because of another request.

Cause: all requests there look at the retry budget at the same time and see the same attempt left. All are cancelled, and only as many as the budget has go on.

Evidence: TestUnreachableServerKeepsStreamsBeyondBudget printed before, with one attempt left stream 3: "id: 1\ndata: t1\n\n|unexpected EOF" stream 7: "id: 1\ndata: t1\n\n|unexpected EOF"

The attempt is now taken from the budget before the cancellation, and used by the one that follows. If none follows, the budget has lost it, so that no more is sent than before.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -136,7 +136,7 @@
 		c.givenUp = crashesServers
 		return false
 	}
-	if !c.f.RetryBudget(c.pool.Name).TryTake() {
+	if !c.isRetryReserved.Swap(false) && !c.f.RetryBudget(c.pool.Name).TryTake() {
 		c.givenUp = retryBudgetUsed
 		c.logRetry("retry_refused")
 		return false
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -184,6 +184,8 @@
 	// isJoinable is set while a further run could go on after the events that the caller has, or there are none. Unlike order,
 	// it may be read by any goroutine.
 	isJoinable atomic.Bool
+	// isRetryReserved is set while an attempt is taken from the retry budget that hasn't been made; see reserveRetry.
+	isRetryReserved atomic.Bool
 	// runEvents is the number of events of the current run that the caller has, and lastEventAt the time of the last one;
 	// zero if there was none.
 	runEvents   int
--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -35,13 +35,24 @@
 	}
 	mayRelay := c.f.FindRelay != nil && !c.isRelayed && len(c.relays) < maxRelays
 	return func() bool {
-		if !c.isJoinable.Load() || c.f.RetryBudget(pool).Remaining() < 1 {
+		if !c.isJoinable.Load() {
 			return false
 		}
 		if mayRelay && c.f.Registry.IsUnreachable(pool) {
-			return true
+			return c.reserveRetry(pool)
 		}
 		// If no other server is reachable, Usable returns the unreachable ones.
-		return slices.ContainsFunc(c.f.Registry.Usable(pool, selection), func(srv *registry.Server) bool { return !srv.IsSuspect() })
+		isReachable := func(srv *registry.Server) bool { return !srv.IsSuspect() }
+		return slices.ContainsFunc(c.f.Registry.Usable(pool, selection), isReachable) && c.reserveRetry(pool)
 	}
 }
+
+// reserveRetry takes one attempt from the pool's retry budget before the current attempt is cancelled: all requests at an
+// unreachable server are checked at the same time. It returns false if none is left.
+func (c *call) reserveRetry(pool string) bool {
+	if !c.f.RetryBudget(pool).TryTake() {
+		return false
+	}
+	c.isRetryReserved.Store(true)
+	return true
+}
--- a/request/forward/move_test.go
+++ b/request/forward/move_test.go
@@ -1,13 +1,66 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/request/attempt"
 )
 
+// Streams at a server that becomes unreachable share the retry budget. Those beyond it keep their server.
+func TestUnreachableServerKeepsStreamsBeyondBudget(t *testing.T) {
+	const streams, budgeted = 8, 1
+	var f *fixture
+	var begun sync.WaitGroup
+	begun.Add(streams)
+	suspected := make(chan struct{})
+	var atFirst atomic.Int32
+	serve := func(count *atomic.Int32) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") != "" {
+				goOn(6)(w, r)
+				return
+			}
+			count.Add(1)
+			pausingStream(func() {
+				begun.Done()
+				<-suspected
+				time.Sleep(100 * time.Millisecond)
+			})(w, r)
+		}
+	}
+	f = newFixture(t, serve(&atFirst), serve(new(atomic.Int32)))
+	f.setMaxAttempts(t, 5)
+	budget := &attempt.WindowBudget{Length: 10 * time.Second, FixedAllowance: func() float64 { return budgeted }}
+	f.forwarder.RetryBudget = func(string) *attempt.WindowBudget { return budget }
+	var wg sync.WaitGroup
+	results := make([]string, streams)
+	for i := range streams {
+		wg.Go(func() {
+			req := f.request(t, http.MethodPost, "/stream/", "b")
+			req.Header.Set("X-Id", fmt.Sprint("r", i))
+			_, results[i], _ = f.do(t, req)
+		})
+	}
+	begun.Wait()
+	time.Sleep(50 * time.Millisecond)
+	assert.Check(t, atFirst.Load() > budgeted+1, "%d streams at the first server", atFirst.Load())
+	f.suspect("s0")
+	close(suspected)
+	wg.Wait()
+	for i, body := range results {
+		assert.Check(t, strings.Count(body, "data: t") == 6 && !strings.Contains(body, "|"), "stream %d: %q", i, body)
+	}
+	assert.Check(t, budget.Usage().Taken == budgeted)
+}
+
 // A stream isn't moved from a server that has just become unreachable to one that already is.
 func TestStreamIsNotMovedToUnreachableServer(t *testing.T) {
 	var f *fixture
