forward: a stream of a small pool tries the same servers again if connects fail

Callers would see a stream cut although its caller still waits, in a pool of a few servers: each one to which a connect failed was taken for tried, so that none was left after two or three connects, before maxResumeTime counted.

If no server is left, those to which no byte was sent are connected to again, 50 ms apart, for the same two seconds. Nothing was sent there, so that neither attempts nor the retry budget are touched.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -49,6 +49,14 @@
 	return true
 }
 
+// retryUnconnected lets the servers be tried again to which no byte of the request was sent.
+func (c *call) retryUnconnected() {
+	for _, id := range c.unconnected {
+		delete(c.triedServers, id)
+	}
+	c.unconnected = nil
+}
+
 // errRefused is the error of an attempt whose server said that it did not run the request.
 var errRefused = errors.New("the backend server refused the request")
 
@@ -83,8 +91,15 @@
 		if refusal, ok := errors.AsType[request.ErrResponse](lastErr); ok {
 			return refusal
 		}
+		outcome := c.outcome
 		target, err := c.place()
 		if err != nil {
+			if len(c.unconnected) > 0 && c.awaitNextConnect() {
+				// The error of a response that has begun counts as its end.
+				c.outcome = outcome
+				c.retryUnconnected()
+				continue
+			}
 			return c.noServerError(err, lastErr)
 		}
 		sent, err := c.attempt(target)
@@ -96,6 +111,7 @@
 			return c.finalError(err)
 		}
 		if !sent {
+			c.unconnected = append(c.unconnected, c.serverID)
 			if unsentAttempts++; unsentAttempts >= c.unsentLimit() && !c.awaitNextConnect() {
 				c.givenUp = attemptsUsed
 				return c.finalError(err)
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -158,6 +158,8 @@
 	splitsServers bool
 	// triedServers holds the ids of the servers that were tried.
 	triedServers map[string]bool
+	// unconnected holds the ids of those of triedServers to which no byte of the request was sent.
+	unconnected []string
 	// triedAddresses holds the addresses to which the request was sent.
 	triedAddresses map[string]bool
 	// countedPool is the pool of which the request's work was counted last.
--- a/request/forward/move_test.go
+++ b/request/forward/move_test.go
@@ -92,3 +92,11 @@
 	status, body, _ := f.do(t, f.request(t, http.MethodPost, "/repeat/", "b"))
 	assert.Check(t, status == http.StatusOK && body == "ok", "%d %q", status, body)
 }
+
+// A stream of a small pool goes on at a server whose connection didn't open at first.
+func TestFailedConnectsCutNoStreamOfSmallPool(t *testing.T) {
+	f := newFixture(t, idStream(betweenEvents, "1", "2", "3"), goOn(6), goOn(6))
+	f.failConnects(2)
+	_, got := f.stream(t, "")
+	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
+}
