platform: a call stopped by its guard counts as not sent

The holder of a lease takes such a report or order for one that may have taken effect, although no byte of it was written.

Cause: net/http's transport closes the connection after the failed write. Its reader fails then too, and RoundTrip returns whichever error it picks first; the reader's doesn't wrap the guard's.

Change: the decision on the writes of a call is kept for the call, and RoundTrip of its transport returns the guard's error if nothing was written.

--- a/process/platform/client_test.go
+++ b/process/platform/client_test.go
@@ -101,6 +101,18 @@
 	assert.Equal(t, arrived, 1)
 }
 
+// A call that its guard stops counts as not sent, whichever error of the closed connection the transport reports first.
+func TestCallStoppedByGuardHasKnownOutcome(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	u := &Usage{Client{BaseURL: server.URL}}
+	leaseErr := errors.New("lease lapsed")
+	for range 2000 {
+		err := u.Report(t.Context(), wire.UsageReport{}, func() error { return leaseErr })
+		assert.Assert(t, IsErrUnavailable(err) && errors.Is(err, leaseErr), "%v", err)
+	}
+}
+
 // A response without end fails the call. Whether a write took effect isn't known then.
 func TestResponseWithoutEndFailsTheCall(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/process/platform/ordering.go
+++ b/process/platform/ordering.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync"
 	"syscall"
 	"time"
 
@@ -76,18 +77,39 @@
 
 // GuardedTransport returns a transport for one call. It keeps no idle connections, calls the guard before each write to
 // the socket and has the kernel discard unacknowledged bytes after the timeout.
-func GuardedTransport(timeout time.Duration, guard func() error) *http.Transport {
+func GuardedTransport(timeout time.Duration, guard func() error) *CallTransport {
 	dialer := &net.Dialer{Timeout: timeout, Control: func(_, _ string, c syscall.RawConn) error {
 		return SetTCPUserTimeout(c, timeout)
 	}}
+	t := &CallTransport{writes: &guardedWrites{guard: guard}}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, guard: guard}, nil
+		return &guardedConn{Conn: conn, writes: t.writes}, nil
 	}
-	return &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	t.Transport = &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	return t
+}
+
+// CallTransport is the transport of one guarded call.
+type CallTransport struct {
+	*http.Transport
+	writes *guardedWrites
+}
+
+// RoundTrip sends the request. Its error is an ErrNotSent if the guard stopped the call before its first write.
+func (t *CallTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	res, err := t.Transport.RoundTrip(r)
+	if err == nil {
+		return res, nil
+	}
+	// The transport closes the connection after a failed write and may report the failed read instead.
+	if stopped := t.writes.stopped(); stopped != nil {
+		return nil, stopped
+	}
+	return nil, err
 }
 
 // SetTCPUserTimeout has the kernel close a connection whose peer acknowledges nothing for the duration of the timeout.
@@ -99,27 +121,56 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// guardedConn is a connection that calls the guard before each write and doesn't write if the guard fails.
-type guardedConn struct {
-	net.Conn
+// guardedWrites decides on the writes of one call.
+type guardedWrites struct {
 	guard func() error
+	mu    sync.Mutex
 	// sent is true once a write has been passed on to the socket.
 	sent bool
+	// notSent is the guard's error if it failed before the first write.
+	notSent error
 }
 
-// Write calls the guard, if there is one, and writes only if the guard succeeds. If the guard fails before the first
-// write, the error is an ErrNotSent.
-func (c *guardedConn) Write(b []byte) (int, error) {
-	if c.guard == nil {
-		return c.Conn.Write(b)
+// allow calls the guard, if there is one, and returns its error. If the guard fails before the first write, the error is
+// an ErrNotSent.
+func (w *guardedWrites) allow() error {
+	var err error
+	if w.guard != nil {
+		err = w.guard()
 	}
-	err := c.guard()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if err == nil {
-		c.sent = true
-		return c.Conn.Write(b)
+		w.sent = true
+		return nil
+	}
+	if w.sent {
+		return err
 	}
-	if c.sent {
+	w.notSent = ErrNotSent{Cause: err}
+	return w.notSent
+}
+
+// stopped returns an ErrNotSent if the guard stopped the call before its first write, or nil.
+func (w *guardedWrites) stopped() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sent {
+		return nil
+	}
+	return w.notSent
+}
+
+// guardedConn is a connection that writes only what the guard of its call allows.
+type guardedConn struct {
+	net.Conn
+	writes *guardedWrites
+}
+
+// Write writes b if the guard succeeds.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	if err := c.writes.allow(); err != nil {
 		return 0, err
 	}
-	return 0, ErrNotSent{Cause: err}
+	return c.Conn.Write(b)
 }
