forward: keep a stream of an unreachable pool that no instance takes

Callers saw a stream end in the middle while its server went on.

Cause: when all servers of a pool count as unreachable, a request whose server is among them is cancelled so that it is relayed. Whether an instance is there that reaches the pool wasn't asked. Where none is (all others report the pool as unreachable too, are silent or lie outside the request's homes), only unreachable servers are left to the stream. This instance's own full link makes a pool unreachable, and that of the data centre makes it so for all instances that it would ask.

FindRelay is asked before the attempt is cancelled, with the instances that were tried when it began. Without one, the request waits for its own connection, as it does where no other server is reachable.

--- FAIL: TestUnreachablePoolKeepsStreamWithoutRelay (0.07s) got is not received{"1 2 3 4 5 6", true}: {1 false}

After: passes, with -race -count=3 together with the tests of unreachable servers.

--- a/request/forward/homes.go
+++ b/request/forward/homes.go
@@ -67,12 +67,12 @@
 }
 
 // skippedInstances returns the addresses of the instances to which the request isn't relayed: those that were tried and
-// those outside its homes.
-func (c *call) skippedInstances() map[string]bool {
+// those outside its homes. The function may be called from another goroutine.
+func (c *call) skippedInstances(tried map[string]bool) map[string]bool {
 	if c.homes == nil || c.f.InstancesOutside == nil {
-		return c.relays
+		return tried
 	}
-	skip := maps.Clone(c.relays)
+	skip := maps.Clone(tried)
 	for _, address := range c.f.InstancesOutside(c.homes) {
 		skip[address] = true
 	}
--- a/request/forward/move.go
+++ b/request/forward/move.go
@@ -33,13 +33,14 @@
 		// Once the stream has begun, only this version may go on with it.
 		selection.Version = entry.Version
 	}
-	mayRelay := c.f.FindRelay != nil && !c.isRelayed && len(c.relays) < maxRelays
+	mayRelay, relays := c.f.FindRelay != nil && !c.isRelayed && len(c.relays) < maxRelays, maps.Clone(c.relays)
 	return func() bool {
 		if !c.isJoinable.Load() {
 			return false
 		}
 		if mayRelay && c.f.Registry.IsUnreachable(pool) {
-			return c.reserveRetry(pool)
+			_, ok := c.f.FindRelay(pool, c.skippedInstances(relays))
+			return ok && c.reserveRetry(pool)
 		}
 		// If no other server is reachable, Usable returns the unreachable ones.
 		isReachable := func(srv *registry.Server) bool { return !srv.IsSuspect() }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -50,10 +50,10 @@
 		return "", false
 	}
 	if c.f.Registry.IsUnreachable(c.pool.Name) {
-		return c.f.FindRelay(c.pool.Name, c.skippedInstances())
+		return c.f.FindRelay(c.pool.Name, c.skippedInstances(c.relays))
 	}
 	if owners := c.f.Registry.SlotOwners(c.pool.Name); len(owners) > 0 {
-		return c.f.FindRelayAt(owners, c.skippedInstances())
+		return c.f.FindRelayAt(owners, c.skippedInstances(c.relays))
 	}
 	return "", false
 }
