forward: another instance or server goes on after a refused relay

Callers saw a stream end in the middle although an instance or a server was left that would have gone on with it.

Cause: a stream that has begun is relayed when this instance reaches no server of the pool, or none it may use. If the other instance answers with an error of its own, the stream was ended, whatever the error: it stops, has no server, doesn't know yet what began the stream, or is overloaded. It is that instance's trouble. No reason was logged either.

A refusal that says that nothing ran is now followed by the next instance, then by this one's servers, which connects bound to 2 s as before. An answer that the request may have run counts as an attempt, and another one follows if attempts and retry budget permit it. Requests without a response end as before: what may have run gets no promise that it hasn't.

--- FAIL: TestRefusedRelayCutsNoStream (0.04s) without server, another instance is left: {1 2 3 false} without server, a server is left: {1 2 3 false} unknown origin, another instance is left: {1 2 3 false} unknown origin, a server is left: {1 2 3 false} lost there, another instance is left: {1 2 3 false} lost there, a server is left: {1 2 3 false} stopping, another instance is left: {1 2 3 false} stopping, a server is left: {1 2 3 false}

After: passes, five times with the race detector.

--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -49,7 +49,7 @@
 			c.givenUp = noInstance
 			return c.finalError(lastErr)
 		}
-		if refusal, ok := errors.AsType[request.ErrResponse](lastErr); ok {
+		if refusal, ok := errors.AsType[request.ErrResponse](lastErr); ok && c.firstByteAt.IsZero() {
 			return refusal
 		}
 		outcome := c.outcome
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -155,7 +155,8 @@
 	return false, err
 }
 
-// relayRefused handles the other instance's own error response. Another instance is tried if this one found no server.
+// relayRefused handles the other instance's own error response. Another instance is tried if this one found no server, and
+// whatever the reason if the response has begun.
 func (c *call) relayRefused(resp *http.Response, code string) (isFinal bool, _ error) {
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	if err != nil {
@@ -175,6 +176,8 @@
 		refusal.Status, refusal.Code, refusal.RetryAfter = http.StatusServiceUnavailable, request.CodeNoServer, retryAfterNoServer
 	}
 	switch {
+	case !c.firstByteAt.IsZero() && c.mayGoOnAfter(resp, refusal):
+		return false, refusal
 	case !c.firstByteAt.IsZero():
 		return true, c.finalError(refusal)
 	case c.possibleRuns > 0 && refusal.NotRun:
@@ -186,6 +189,14 @@
 	return true, refusal
 }
 
+// mayGoOnAfter reports whether a stream that has begun may go on elsewhere after the other instance's own error response.
+func (c *call) mayGoOnAfter(resp *http.Response, refusal request.ErrResponse) bool {
+	if refusal.NotRun {
+		return c.mayRelayAgain(resp)
+	}
+	return c.mayTryAnother(refusal)
+}
+
 // mayRelayAgain reports whether a request that the other instance refused may go to a further one. If it has arrived at a
 // backend server, or the other instance doesn't tell, this takes one attempt from the pool's retry budget.
 func (c *call) mayRelayAgain(resp *http.Response) bool {
--- a/request/forward/relay_stream_test.go
+++ b/request/forward/relay_stream_test.go
@@ -1,6 +1,9 @@
 package forward
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,3 +24,40 @@
 	_, got := f.stream(t, "")
 	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
 }
+
+// A begun stream that one instance doesn't go on with goes on at another one, or at the servers of this instance.
+func TestRefusedRelayCutsNoStream(t *testing.T) {
+	broken := idStream(betweenEvents, "1", "2", "3")
+	stopping := func(t *testing.T) string {
+		s := httptest.NewServer(http.HandlerFunc(newFixture(t, goOn(6)).forwarder.RefuseRelayed))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	for name, first := range map[string]func(t *testing.T) string{
+		"stopping":       stopping,
+		"without server": func(t *testing.T) string { return newOrderFixture(t).relayServer(t) },
+		"unknown origin": func(t *testing.T) string {
+			other := newFixture(t, goOn(6), goOn(6))
+			other.setVersions("v1", "v2")
+			return other.relayServer(t)
+		},
+		"lost there": func(t *testing.T) string {
+			return newOrderFixture(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }).relayServer(t)
+		},
+	} {
+		f := newOrderFixture(t, broken)
+		f.relayAfterFirst(t, first(t), newOrderFixture(t, goOn(6)).relayServer(t))
+		_, got := f.stream(t, "")
+		assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%s, another instance is left: %v", name, got)
+
+		f = newOrderFixture(t, broken, goOn(6))
+		f.relayAfterFirst(t, first(t))
+		_, got = f.stream(t, "")
+		assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%s, a server is left: %v", name, got)
+
+		f = newOrderFixture(t, broken)
+		f.relayAfterFirst(t, first(t))
+		_, got = f.stream(t, "")
+		assert.Check(t, got == received{"1 2 3", false}, "%s, none is left: %v", name, got)
+	}
+}
