forward: a relayed stream goes on at this instance's own servers

Callers saw a stream end in the middle when the instance that relayed it stopped or was lost, although this instance's own servers were reachable.

Cause: a moment of trouble of this instance's own makes a pool count as unreachable, and streams that begin then are relayed for their whole life. Once one breaks off, it is relayed again only if the pool is still unreachable; otherwise it was ended, since what began it is known at the other instance. It may be known here too: a stream that began here and went on elsewhere ended in the same way, and instances tell each other what began a resumable stream.

The stream now goes on at own servers of the pool and version that began it, if those are known here or another instance tells them. If not, it ends as before. A stream that goes on isn't checked for overload as a new request: it would be cut, not refused.

--- a/request/forward/admit_test.go
+++ b/request/forward/admit_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/toucanroute/toucanroute/process/registry"
 	"github.com/toucanroute/toucanroute/request/placement"
 	"github.com/toucanroute/toucanroute/version/hostroute"
 )
@@ -57,3 +58,15 @@
 	status := f.shares.Status()
 	assert.Assert(t, len(status) == 1 && status[0].Recent < 2*1500, "%+v", status)
 }
+
+// A stream that has begun at another instance isn't refused for load when it goes on here.
+func TestBegunStreamIsNotRefusedForLoad(t *testing.T) {
+	f, c := admission(t, time.Second, 0)
+	f.forwarder.Registry.Reset([]registry.Entry{{ID: "e0", Address: "127.0.0.1:1", Pool: "engines", Slots: 64}}, false)
+	f.forwarder.Registry.Serving("engines")[0].Begin(1_000_000)
+	_, err := c.tryPlace()
+	assert.Assert(t, err != nil, "a new request waits for too long")
+	c.firstByteAt = time.Now()
+	target, err := c.tryPlace()
+	assert.Assert(t, err == nil && target.attempt != nil, err)
+}
--- a/request/forward/attempt.go
+++ b/request/forward/attempt.go
@@ -45,7 +45,7 @@
 			lastErr = err
 			continue
 		}
-		if c.beganRelayed {
+		if c.beganRelayed && !c.findRelayedOrigin() {
 			c.givenUp = noInstance
 			return c.finalError(lastErr)
 		}
@@ -188,7 +188,7 @@
 	if c.pool.Engine != nil && c.meta.Prompt != nil {
 		choice = placement.ChooseEngine(c.meta.Prompt, candidates)
 		prefillTokens = c.meta.Prompt.Tokens - c.meta.Prompt.SharedTokens()
-		if c.sends == 0 {
+		if c.sends == 0 && c.firstByteAt.IsZero() {
 			c.countWork(prefillTokens)
 			var err error
 			if choice, err = c.admit(choice, candidates); err != nil {
--- a/request/forward/broken_off.go
+++ b/request/forward/broken_off.go
@@ -20,8 +20,8 @@
 	retryBudgetUsed giveUpReason = "retry_budget"
 	// crashesServers means that too many servers may have crashed under the request.
 	crashesServers giveUpReason = "crashes_servers"
-	// noServer means that no backend server is left, and noInstance that the stream began at another instance and no
-	// instance is left to which it can be relayed.
+	// noServer means that no backend server is left, and noInstance that it isn't known what began the stream at another
+	// instance, and no instance is left to which it can be relayed.
 	noServer   giveUpReason = "no_server"
 	noInstance giveUpReason = "no_instance"
 )
--- a/request/forward/forwarder.go
+++ b/request/forward/forwarder.go
@@ -139,7 +139,7 @@
 	// relays holds the addresses of the instances to which the request was relayed, the last one in relayedTo.
 	relays    map[string]bool
 	relayedTo string
-	// beganRelayed is set once an event from another instance was forwarded. What began the stream is known there.
+	// beganRelayed is set once an event from another instance was forwarded and it isn't known here what began the stream.
 	beganRelayed bool
 	// timeoutTimer cancels ctx at the request's deadline, timeLimit after its arrival. It is stopped when the response
 	// starts.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -115,11 +115,7 @@
 	c.tellEvacuated(h)
 	h.Set(headerRelayWaited, strconv.FormatInt(time.Since(c.arrivedAt).Milliseconds(), 10))
 	if !c.firstByteAt.IsZero() {
-		began := c.meta.Resumes
-		if began == "" {
-			began = c.meta.ID
-		}
-		c.f.Headers.PrepareResume(h, c.meta.LastEventID, began)
+		c.f.Headers.PrepareResume(h, c.meta.LastEventID, c.beganBy())
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
@@ -261,7 +257,7 @@
 		if err = c.checkEvent(event, id); err != nil {
 			return c.runRejected(err)
 		}
-		c.beganRelayed = true
+		c.beganRelayed = c.origin.IsZero()
 		if c.firstByteAt.IsZero() {
 			c.beginResponse(resp)
 			c.w.WriteHeader(resp.StatusCode)
@@ -279,6 +275,17 @@
 	}
 }
 
+// findRelayedOrigin finds out what began a stream at another instance, so that only servers of that pool and software version
+// go on with it. It returns false if that isn't known, or the route doesn't lead there any more.
+func (c *call) findRelayedOrigin() bool {
+	origin, ok := c.f.FindStream(c.ctx, c.beganBy())
+	if !ok || c.restrictTo(origin) != nil {
+		return false
+	}
+	c.beganRelayed = false
+	return true
+}
+
 // endRelayedStream completes a relayed stream after a whole run, like endStream.
 func (c *call) endRelayedStream(resp *http.Response) error {
 	if !c.isEndProven() {
--- a/request/forward/relay_stream_test.go
+++ b/request/forward/relay_stream_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/toucanroute/toucanroute/process/registry"
+	"github.com/toucanroute/toucanroute/process/streamorigin"
 )
 
 // A stream isn't given up when all servers count as unreachable and no instance is left to which it could be relayed.
@@ -61,3 +64,35 @@
 		assert.Check(t, got == received{"1 2 3", false}, "%s, none is left: %v", name, got)
 	}
 }
+
+// A relayed stream that breaks off goes on at this instance's servers of the version that began it.
+func TestRelayedStreamReturnsToOwnServers(t *testing.T) {
+	for name, isReachable := range map[string]bool{"reachable again": true, "no instance is left": false} {
+		f := newFixture(t, idStream(regular, "4", "9"), goOn(6))
+		f.setMaxAttempts(t, 5)
+		f.setVersions("v2", "v1")
+		f.origins.Add("r1", streamorigin.Origin{Pool: "p", Version: "v1"})
+		peer := rawPeer(t, func(w http.ResponseWriter, r *http.Request) {
+			for _, srv := range f.forwarder.Registry.Servers() {
+				if isReachable {
+					srv.Begin(0).End(registry.OutcomeAnswered)
+				}
+			}
+			idStream(betweenEvents, "1", "2", "3")(w, r)
+		})
+		relaying := newPartitioned(t, peer).forwarder
+		f.forwarder.FindRelay, f.forwarder.SendRelayed = relaying.FindRelay, relaying.SendRelayed
+		f.markUnreachable()
+		_, got := f.stream(t, "")
+		assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%s: %v", name, got)
+	}
+}
+
+// A stream that began here and went on at another instance still goes on at the servers of the version that began it.
+func TestStreamReturnsFromRelay(t *testing.T) {
+	f := newOrderFixture(t, idStream(betweenEvents, "1", "2"), idStream(regular, "4", "9"), goOn(6))
+	f.setVersions("v1", "v2", "v1")
+	f.relayAfterFirst(t, rawPeer(t, idStream(betweenEvents, "3", "4")))
+	_, got := f.stream(t, "")
+	assert.Check(t, got == received{"1 2 3 4 5 6", true}, "%v", got)
+}
--- a/request/forward/resume.go
+++ b/request/forward/resume.go
@@ -81,12 +81,14 @@
 }
 
 // rememberOrigin remembers what began the stream, which may not be certain any more when the caller takes it up once more.
-func (c *call) rememberOrigin(origin streamorigin.Origin) {
-	id := c.meta.Resumes
-	if id == "" {
-		id = c.meta.ID
+func (c *call) rememberOrigin(origin streamorigin.Origin) { c.f.BeginStream(c.beganBy(), origin) }
+
+// beganBy returns the id of the request that brought the stream's first event, as far as the caller tells of an earlier one.
+func (c *call) beganBy() string {
+	if c.meta.Resumes != "" {
+		return c.meta.Resumes
 	}
-	c.f.BeginStream(id, origin)
+	return c.meta.ID
 }
 
 // goOn has the stream go on at the origin, and counts the result.
