gossip, metrics: count what an instance sends to other instances

No counter had the bytes of configurations and lists of servers that went to other instances.

Change: each call for objects is reported with its outcome and the bytes of its reply. Three families follow: toucanroute_peer_replies_total by kind and result, toucanroute_peer_reply_bytes_total by kind, and toucanroute_peer_datagram_bytes_total. A kind that this instance doesn't serve counts as other, so that a caller adds no series. Relayed requests and facts about streams aren't counted.

Before there was neither a counter nor the field that reports a reply.

--- a/connection/gossip/objects.go
+++ b/connection/gossip/objects.go
@@ -85,6 +85,9 @@
 	IsNewer func(kind string, version int) bool
 	// FindStream returns what began the stream with the id, and false if that isn't known.
 	FindStream func(id string) (wire.NewsStream, bool)
+	// OnReply is called with the outcome of each call for objects and the bytes of its reply, which are 0 unless the outcome is
+	// ReplySent. The kind is as the caller sent it and may be unknown. It may be nil.
+	OnReply func(kind string, outcome ReplyOutcome, bytes int)
 	// Requests gets the connections on which other instances send HTTP requests; nil means that they are closed.
 	Requests *Listener
 
@@ -145,7 +148,18 @@
 		}()
 		switch req.Method {
 		case methodObjects:
-			return s.serveObjects(held, req.Params)
+			params, err := readObjectsParams(req.Params)
+			if err != nil {
+				return nil, err
+			}
+			reply, outcome, err := s.serveObjects(held, params)
+			if s.OnReply != nil {
+				s.OnReply(params.Kind, outcome, len(reply))
+			}
+			if err != nil {
+				return nil, err
+			}
+			return reply, nil
 		case methodStream:
 			return s.serveStream(req.Params)
 		}
@@ -159,28 +173,32 @@
 	}
 }
 
-func (s *Server) serveObjects(held *hold, data *json.RawMessage) (any, error) {
-	var params objectsParams
+func readObjectsParams(data *json.RawMessage) (params objectsParams, err error) {
 	if data == nil || json.Unmarshal(*data, &params) != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
+		return params, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "want a kind"}
 	}
+	return params, nil
+}
+
+// serveObjects returns the reply to a call for objects, or the error that the caller gets instead.
+func (s *Server) serveObjects(held *hold, params objectsParams) (json.RawMessage, ReplyOutcome, error) {
 	if params.NewerThan > 0 && s.IsNewer != nil && !s.IsNewer(params.Kind, params.NewerThan) {
-		return nil, &jsonrpc2.Error{Code: codeNotNewer, Message: "there is nothing newer here"}
+		return nil, ReplyNotNewer, &jsonrpc2.Error{Code: codeNotNewer, Message: "there is nothing newer here"}
 	}
 	list, current := s.ListObjects(params.Kind)
 	if !current {
-		return nil, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
+		return nil, ReplyOutdated, &jsonrpc2.Error{Code: codeOutdated, Message: "the store is out of reach here too"}
 	}
 	reply, err := s.replies.encode(params.Kind, params.Encoding, list)
 	switch {
 	case err != nil:
-		return nil, err
+		return nil, ReplyFailed, err
 	case callerIsGone(held.conn):
-		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "the caller has gone"}
+		return nil, ReplyCallerGone, &jsonrpc2.Error{Code: codeBusy, Message: "the caller has gone"}
 	case !held.add(len(reply)):
-		return nil, &jsonrpc2.Error{Code: codeBusy, Message: "other replies are being sent"}
+		return nil, ReplyBusy, &jsonrpc2.Error{Code: codeBusy, Message: "other replies are being sent"}
 	}
-	return reply, nil
+	return reply, ReplySent, nil
 }
 
 func (s *Server) serveStream(data *json.RawMessage) (any, error) {
--- a/connection/gossip/reply.go
+++ b/connection/gossip/reply.go
@@ -16,6 +16,24 @@
 // encodingGzip is the encoding of a reply that is compressed with gzip.
 const encodingGzip = "gzip"
 
+// ReplyOutcome is the outcome of a call for objects. Its values are those of a metric's label.
+type ReplyOutcome string
+
+const (
+	// ReplySent means that the objects are being sent.
+	ReplySent ReplyOutcome = "sent"
+	// ReplyBusy means that as many replies are on their way as may be.
+	ReplyBusy ReplyOutcome = "busy"
+	// ReplyNotNewer means that the caller has the newest objects that are known here.
+	ReplyNotNewer ReplyOutcome = "not_newer"
+	// ReplyOutdated means that the objects may be out of date here.
+	ReplyOutdated ReplyOutcome = "outdated"
+	// ReplyCallerGone means that the caller closed the connection first.
+	ReplyCallerGone ReplyOutcome = "caller_gone"
+	// ReplyFailed means that the objects can't be encoded.
+	ReplyFailed ReplyOutcome = "failed"
+)
+
 // encodedObjects is the reply to a peer that has offered an encoding. Without one the reply is a wire.ObjectList.
 type encodedObjects struct {
 	Encoding string `json:"encoding"`
--- a/connection/gossip/socket.go
+++ b/connection/gossip/socket.go
@@ -24,8 +24,12 @@
 	OnDatagram func(data []byte)
 
 	conn atomic.Pointer[net.UDPConn]
+	sent atomic.Int64
 }
 
+// SentBytes returns the bytes of all datagrams that were sent.
+func (s *Socket) SentBytes() int64 { return s.sent.Load() }
+
 // Run receives datagrams until ctx ends.
 func (s *Socket) Run(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(s.Listen)
@@ -72,5 +76,7 @@
 	}
 	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
 		s.Log.Debug("datagram_not_sent", zap.String("to", to.String()), zap.Error(err))
+		return
 	}
+	s.sent.Add(int64(len(data)))
 }
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/toucanroute/toucanroute/connection/gossip"
 	"github.com/toucanroute/toucanroute/connection/operator"
 	"github.com/toucanroute/toucanroute/process/metrics"
 	"github.com/toucanroute/toucanroute/process/registry"
@@ -52,6 +53,28 @@
 	g.metrics.ObserveRequest(r)
 }
 
+// Values of the metric label kind of objects that are sent to other instances. The Help text of package metrics lists them.
+const (
+	kindLabelConfig      = "config"
+	kindLabelServers     = "servers"
+	kindLabelEvacuations = "evacuations"
+	kindLabelOther       = "other"
+)
+
+// observePeerReply counts a call of another instance for objects. A kind that is unknown here gets no series of its own.
+func (g *Gateway) observePeerReply(kind string, outcome gossip.ReplyOutcome, bytes int) {
+	label := kindLabelOther
+	switch kind {
+	case g.Platform.ConfigKind:
+		label = kindLabelConfig
+	case g.Platform.ServerKind:
+		label = kindLabelServers
+	case g.Platform.EvacuationKind:
+		label = kindLabelEvacuations
+	}
+	g.metrics.PeerReply(label, string(outcome), bytes)
+}
+
 // gauges returns the current values of all gauges.
 func (g *Gateway) gauges() metrics.Gauges {
 	fence, held := g.held()
@@ -63,6 +86,8 @@
 		Usage:         metrics.Lease{Held: held, Fence: fence},
 		Pools:         g.poolLoads(),
 		Evacuated:     len(g.evacuations.InForce()),
+
+		PeerDatagramBytes: g.gossipSocket.SentBytes(),
 	}
 	for _, server := range g.registry.Servers() {
 		if server.IsCold() {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -24,6 +24,7 @@
 	g.relayListener = gossip.NewListener(g.Settings.Listen.Peers)
 	g.peerObjectServer = &gossip.Server{
 		Listen: g.Settings.Listen.Peers, Log: g.Log, ListObjects: g.freshObjects, IsNewer: g.hasNewer, FindStream: g.localStream, Requests: g.relayListener,
+		OnReply: g.observePeerReply,
 	}
 	g.mesh = &mesh.Mesh{
 		Instance: g.Settings.Instance, Run: g.run, DataCentre: g.Settings.DataCentre, Address: g.Settings.Listen.Peers,
--- a/process/metrics/family.go
+++ b/process/metrics/family.go
@@ -33,6 +33,9 @@
 	nameLeaseFence     = "toucanroute_lease_fence"
 	nameLoadSpread     = "toucanroute_server_load_spread"
 	nameReportAge      = "toucanroute_server_report_age_seconds"
+	namePeerReplies    = "toucanroute_peer_replies_total"
+	namePeerReplyBytes = "toucanroute_peer_reply_bytes_total"
+	namePeerDatagrams  = "toucanroute_peer_datagram_bytes_total"
 )
 
 // Family describes the time series that share one metric name.
@@ -79,6 +82,9 @@
 		{nameLeaseFence, "gauge", "number", []string{"job"}, "Newest fencing token of the lease that this instance has seen."},
 		{nameLoadSpread, "gauge", "ratio", []string{"pool"}, "Highest load of a backend server over the mean of its pool, per slot and with the servers' speeds counted, as this instance knows them; 1 is even. Servers that are draining or evacuated don't count. Forwarding instances only."},
 		{nameReportAge, "gauge", "seconds", []string{"pool"}, "Mean time since the backend servers of the pool last reported their load to this instance, or to another of its data centre with how long work takes; -1 if none did. Forwarding instances only."},
+		{namePeerReplies, "counter", "calls", []string{"kind", "result"}, "Calls of other instances for objects of this forwarding instance. `kind` is `config`, `servers`, `evacuations` or `other`; `result` is `sent`, or why none were: `busy` (other replies were being sent), `not_newer`, `outdated`, `caller_gone` or `failed`."},
+		{namePeerReplyBytes, "counter", "bytes", []string{"kind"}, "Replies with objects to other instances, by the same kinds, as they are handed to the network: a reply whose caller gives up counts in full."},
+		{namePeerDatagrams, "counter", "bytes", nil, "Status datagrams that this forwarding instance sent to others, without the headers of the network."},
 		{"toucanroute_log_lines_left_out_total", "counter", "lines", nil, "Log lines of a forwarding instance that were dropped because the reader of its output was too slow."},
 		{"toucanroute_platform_calls_total", "counter", "calls", []string{"call", "result"}, "Calls to the platform. `call` is the kind, such as `object_get`; `result` is the HTTP status, or `error` if there was no response."},
 		{"toucanroute_usage_reports_late_total", "counter", "reports", nil, "Usage reports sent later than one window and the grace period after the end of their window."},
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -1,6 +1,6 @@
 // Package metrics holds the Prometheus metrics of an instance, in families with stable names and units.
 //
-// The labels are class, result, reason, data centre, state, job and pool, which have few values. No label names a workspace,
+// The labels are class, result, reason, data centre, state, job, pool and kind, which have few values. No label names a workspace,
 // a key, a backend server or an instance.
 //
 // No other lock is taken while Metrics.mu is held, and the function Gauges is called without it.
@@ -29,7 +29,7 @@
 // firstTokenBounds holds the upper bounds, in seconds, of the buckets of the histogram of times to first token.
 var firstTokenBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 20, 60}
 
-// Gauges holds the current values of all gauges of an instance.
+// Gauges holds the current values of all gauges of an instance, and of counters that other packages keep.
 type Gauges struct {
 	// Running is the number of callers' requests that have not ended, including those that wait for a slot.
 	Running int64
@@ -47,6 +47,8 @@
 	ColdServers, Evacuated int
 	// VersionsAge is the time since the versions in force were confirmed to be the newest; negative if they never were.
 	VersionsAge time.Duration
+	// PeerDatagramBytes is the total of the status datagrams that were sent to other instances.
+	PeerDatagramBytes int64
 	// Fleet and Usage are the states of the leases for these two jobs of the data centre.
 	Fleet, Usage Lease
 	// Pools holds the loads of the pools of backend servers, of which the first MaxClasses get series.
@@ -127,6 +129,7 @@
 	vm.WriteGaugeUint64(w, nameMemory, uint64(g.Memory.Size))
 	vm.WriteGaugeUint64(w, nameMemoryTaken, uint64(g.Memory.Taken))
 	vm.WriteCounterUint64(w, nameMemoryRefused, uint64(g.Memory.Refused))
+	vm.WriteCounterUint64(w, namePeerDatagrams, uint64(max(g.PeerDatagramBytes, 0)))
 	vm.WriteGaugeUint64(w, nameSlowCallers, uint64(max(g.SlowCallers, 0)))
 	vm.WriteGaugeUint64(w, nameSlots, uint64(max(g.Slots, 0)))
 	vm.WriteGaugeUint64(w, nameSlotsBusy, uint64(max(g.Busy, 0)))
@@ -197,6 +200,15 @@
 	m.counter(series{name: nameTakeUps, label: "result", value: result}).Inc()
 }
 
+// PeerReply counts a call of another instance for objects by their kind and the result, and the bytes of its reply. Both
+// must have few values.
+func (m *Metrics) PeerReply(kind, result string, bytes int) {
+	m.counter(series{namePeerReplies, "kind", kind, result}).Inc()
+	if bytes > 0 {
+		m.counter(series{name: namePeerReplyBytes, label: "kind", value: kind}).Add(bytes)
+	}
+}
+
 // class returns the label value for a class: its name, or classOther if MaxClasses other classes came first.
 func (m *Metrics) class(name string) string {
 	if name == "" {
--- a/process/metrics/metrics_test.go
+++ b/process/metrics/metrics_test.go
@@ -49,7 +49,7 @@
 	m := New(func() Gauges {
 		return Gauges{
 			Running: 7, Slots: 12, Busy: 5, Waiting: 3, Live: 2, ConfigVersion: 4, KeyringVersion: 9,
-			VersionsAge: -1, Fleet: Lease{Held: true, Fence: 6},
+			VersionsAge: -1, Fleet: Lease{Held: true, Fence: 6}, PeerDatagramBytes: 1400,
 		}
 	})
 	m.Register()
@@ -58,6 +58,9 @@
 	m.ObserveRequest(Request{Result: "refused", Reason: "key_invalid"})
 	m.ObserveRequest(Request{Class: "question", Result: "failed", Reason: "server_failed", Wasted: 2})
 	m.Grant("east-a", "granted")
+	m.PeerReply("config", "sent", 300)
+	m.PeerReply("config", "sent", 12)
+	m.PeerReply("servers", "busy", 0)
 	text := renderMetrics(m)
 	for _, line := range []string{
 		`toucanroute_requests_total{class="question",result="ok"} 1`,
@@ -69,6 +72,10 @@
 		`toucanroute_tokens_delivered_total{class="question"} 5`,
 		`toucanroute_tokens_wasted_total{class="question"} 2`,
 		`toucanroute_grants_total{data_centre="east-a",result="granted"} 1`,
+		`toucanroute_peer_replies_total{kind="config",result="sent"} 2`,
+		`toucanroute_peer_replies_total{kind="servers",result="busy"} 1`,
+		`toucanroute_peer_reply_bytes_total{kind="config"} 312`,
+		`toucanroute_peer_datagram_bytes_total 1400`,
 		`toucanroute_requests_running 7`,
 		`toucanroute_members{state="live"} 2`,
 		`toucanroute_versions_age_seconds -1`,
