feed: an instance that is refused for long reads the store

Seen by reading: other instances that are busy, or have nothing newer, refuse to send objects; the instance asks again at each datagram that tells of newer ones, and doesn't go to the store. That has no end. A server that leaves, or a new configuration, then stays unknown for as long as the others refuse, although it must be known within 2 s.

Shown before the change: TestLongRefusedFeedReadsStore, 10 changes of 10 not known after 2 s, with a datagram every 100 ms and with one; TestRefusedInstancesReadStore, 8 instances of which none sends objects: 6 of 8 don't know the configuration after 10 s and 3 of 8 the list of servers.

Change: 1.1 to 1.5 s after the objects were asked for first, at random, an instance that still lacks something that others have told of reads the store once, and a fetch that is under way then ends. Objects that come meanwhile end that time, so that refusals of an earlier change don't count for the next one. TestRefusedFeedDoesNotReadStore is unchanged and passes.

TestConfigurationDoesNotChokeReader and TestServerListDoesNotChokeReader want no reads of the store, however long a change takes. They are unchanged.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 	OnPeerList func(items []wire.Object)
 	// NewerElsewhere signals that another instance knows newer objects; it may be nil.
 	NewerElsewhere <-chan struct{}
+	// LacksChanges reports whether another instance has told of newer objects than the known ones; nil means always. Refusals
+	// don't make an instance read the store unless it holds.
+	LacksChanges func() bool
 	// BatchDelay is the delay between a response with changes and the next watch, so that consecutive changes arrive in
 	// one response.
 	BatchDelay time.Duration
@@ -58,7 +62,7 @@
 	RecentOutage func() bool
 	// ListFromPeer returns the objects as another instance knows them. It is used while this instance doesn't read the
 	// store or can't reach it; it may be nil. ErrRefused tells that others may send the objects soon, so that the
-	// instance waits for the next signal of NewerElsewhere.
+	// instance waits for the next signal of NewerElsewhere, but no longer than minRefusedTime and refusedSpread together.
 	ListFromPeer func(ctx context.Context) (wire.ObjectList, error)
 
 	mu sync.Mutex
@@ -76,6 +80,10 @@
 	lastResponse time.Time
 	// storeDown is set while the store is unreachable.
 	storeDown bool
+
+	// readStoreAt is the time at which an instance that other instances refuse reads the store; zero if they haven't refused
+	// since the objects last came. Only Run uses it.
+	readStoreAt time.Time
 }
 
 // Gap says how a list may differ from the objects of the writers that are alive.
@@ -183,10 +191,24 @@
 // readerCheckInterval is the interval at which an instance that doesn't read the store checks whether it now must.
 const readerCheckInterval = 200 * time.Millisecond
 
+const (
+	// minRefusedTime is the time after the first refusal, counted from when the objects were asked for, before which the store
+	// isn't read instead: longer than a new list needs to reach all instances. Together with refusedSpread, the delay of a
+	// datagram and a call to the store it is within the time in which a leaving server must stop receiving requests.
+	minRefusedTime = 1100 * time.Millisecond
+	// refusedSpread is the time over which instances that are refused together spread their reads of the store.
+	refusedSpread = 400 * time.Millisecond
+)
+
 // waitForPeer waits for readerCheckInterval. If NewerElsewhere signals newer objects before that, it updates the
-// objects from another instance, and returns false if no instance responded.
+// objects from another instance. It returns false if the store must be read instead: no instance responded, or others have
+// refused for too long.
 func (f *Feed) waitForPeer(ctx context.Context) bool {
-	t := time.NewTimer(readerCheckInterval)
+	wait := readerCheckInterval
+	if !f.readStoreAt.IsZero() {
+		wait = min(wait, time.Until(f.readStoreAt))
+	}
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	f.mu.Lock()
 	f.lastWatchTimeout, f.lastResponse = 0, time.Time{}
@@ -195,11 +217,54 @@
 	case <-ctx.Done():
 		return true
 	case <-t.C:
-		return true
+		return !f.isRefusedTooLong()
 	case <-f.NewerElsewhere:
 	}
+	if f.readStoreAt.IsZero() {
+		return f.firstUpdateFromPeer(ctx)
+	}
+	fetchCtx, cancel := context.WithDeadline(ctx, f.readStoreAt)
+	defer cancel()
+	err := f.updateFromPeer(fetchCtx)
+	if err != nil && (IsErrRefused(err) || fetchCtx.Err() != nil) {
+		return !f.isRefusedTooLong()
+	}
+	f.readStoreAt = time.Time{}
+	return err == nil
+}
+
+// firstUpdateFromPeer updates the objects from another instance when none has refused so far. It returns false if no instance
+// responded.
+func (f *Feed) firstUpdateFromPeer(ctx context.Context) bool {
+	readStoreAt := time.Now().Add(minRefusedTime + rand.N(refusedSpread))
 	err := f.updateFromPeer(ctx)
-	return err == nil || IsErrRefused(err)
+	if IsErrRefused(err) {
+		if f.lacksChanges() {
+			f.readStoreAt = readStoreAt
+		}
+		return true
+	}
+	return err == nil
+}
+
+func (f *Feed) lacksChanges() bool { return f.LacksChanges == nil || f.LacksChanges() }
+
+// isRefusedTooLong reports whether the store must be read since other instances refuse. That ends the series of refusals, as
+// does the arrival of what they refused.
+func (f *Feed) isRefusedTooLong() bool {
+	if f.readStoreAt.IsZero() {
+		return false
+	}
+	if !f.lacksChanges() {
+		f.readStoreAt = time.Time{}
+		return false
+	}
+	if time.Now().Before(f.readStoreAt) {
+		return false
+	}
+	f.readStoreAt = time.Time{}
+	f.Log.Info("store_read_after_refusals", zap.String("kind", f.Kind))
+	return true
 }
 
 // replaceAll replaces all objects by the list.
--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -26,6 +26,7 @@
 func (g *Gateway) newConfigFeed() *feed.Feed {
 	return &feed.Feed{
 		Kind: g.Platform.ConfigKind, Store: g.Platform.Store, WatchTimeout: g.watchTimeout, Log: g.Log, NewerElsewhere: g.newerConfig, ReadsStore: g.mesh.IsReader,
+		LacksChanges: g.lacksConfig,
 		ListFromPeer: func(ctx context.Context) (wire.ObjectList, error) { return g.fetchFromPeer(ctx, g.Platform.ConfigKind) },
 		OnList:       func(items []wire.Object, _ feed.Gap) { g.applyConfigs(items) },
 		OnPeerList:   g.applyConfigs,
@@ -80,6 +81,7 @@
 	return &feed.Feed{
 		Kind: g.Platform.ServerKind, Store: g.Platform.Store, WatchTimeout: g.watchTimeout, Log: g.Log, BatchDelay: serverWatchPause, NewerElsewhere: g.newerServers,
 		ReadsStore: g.mesh.IsReader, RecentOutage: g.recentOutage,
+		LacksChanges: func() bool { return g.awaitedServers.Load() > int64(g.serverFeed.KnownVersion()) },
 		ListFromPeer: func(ctx context.Context) (wire.ObjectList, error) { return g.fetchFromPeer(ctx, g.Platform.ServerKind) },
 		OnList: func(items []wire.Object, gap feed.Gap) {
 			entries := make([]registry.Entry, 0, len(items))
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -260,12 +260,14 @@
 	if kind != g.Platform.ConfigKind {
 		return fetchUnlessRefused(ctx, kind, func() bool { return true }, fetch)
 	}
-	isWanted := func() bool { return g.newestConfig.Load() > int64(g.configVersion()) }
 	return fetchAgainIfLate(ctx, func(ctx context.Context) (wire.ObjectList, error) {
-		return fetchUnlessRefused(ctx, kind, isWanted, fetch)
+		return fetchUnlessRefused(ctx, kind, g.lacksConfig, fetch)
 	})
 }
 
+// lacksConfig reports whether another instance has told of a newer configuration than the one in force.
+func (g *Gateway) lacksConfig() bool { return g.newestConfig.Load() > int64(g.configVersion()) }
+
 // inForce returns the version of the configuration in force if that is the kind, else 0: lists of other kinds are also of use
 // if they aren't newer, since they show that nothing changed.
 func (g *Gateway) inForce(kind string) int {
--- a/process/gateway/spread_test.go
+++ b/process/gateway/spread_test.go
@@ -40,6 +40,8 @@
 	replied atomic.Int64
 	// calls is the number of connections to the instance.
 	calls atomic.Int64
+	// refuses is set while the calls are answered as by an instance that is always busy.
+	refuses atomic.Bool
 }
 
 // listen passes connections on to the address of the instance and returns the address at which it accepts them.
@@ -55,6 +57,10 @@
 				return
 			}
 			l.calls.Add(1)
+			if l.refuses.Load() {
+				go refuseCall(in)
+				continue
+			}
 			go l.pass(ctx, in, to)
 		}
 	}()
