gateway: count the grace after an outage from the store's return

Seen: after an outage of the store, or while half of the readers missed it, instances that don't read the store went on sending to a server that was removed until 2.0 to 2.2 s after that (2.0 s allowed). Requests at servers that exited then were lost, those that aren't idempotent for good.

Cause: for 5 s after half of the readers missed the store, each server that is missing from another instance's list counted as one whose entry has only expired, and was kept for 2 s from the arrival of that list, however late it was made.

Change: such a server is kept until 2.3 s after the store was first reachable again: two for its entry to be back, 0.3 for the news of it. The datagrams show when that was, since a reader stops reporting that it can't reach the store only once it has read a list. A reader that reported nothing shows it only after the longest call that may hang, 4 s. If neither is known, the two seconds count from the list, as before. Lists of a store that came back older, and an instance without live peers, are treated as before. Nothing changes on the wire, so an older build's datagrams serve too.

Tests: before, with only storeCallTimeout defined, --- FAIL: TestRemovedServerGetsRequestsAfterOutage: got a, b; want b --- FAIL: TestRemovedServerGetsRequestsWhileHalfOfReadersAreCutOff: got a, b; want b --- FAIL: TestExpiredServerIsKeptUntilItIsBack: got b; want a, b --- FAIL: TestExpiredServerIsRemovedWhenItIsNotBack: got a, b; want b TestExpiredServerIsKeptWhileAWatchMayHang, which guards the old grace, passed. All five pass now.

The race detector found nothing in process/feed, registry and mesh; process/gateway (without it), and platform's tests of drain, outage, stale lists, rejoining and eras pass.

Open: in the first 4 s in which half of the readers are cut off from a store that is up, a hanging call can't be told from that, so the grace still counts from the list.

--- a/process/gateway/feeds.go
+++ b/process/gateway/feeds.go
@@ -89,11 +89,14 @@
 				}
 			}
 			defer g.streamHistory.BeginWatch()
-			if gap == feed.Rewind {
+			switch gap {
+			case feed.Rewind:
 				g.registry.Rewind(entries)
-				return
+			case feed.Outage:
+				g.registry.ResetAfterOutage(entries, g.storeBackAt())
+			default:
+				g.registry.Reset(entries, false)
 			}
-			g.registry.Reset(entries, gap == feed.Outage)
 		},
 		OnEvent: func(e wire.ObjectEvent) {
 			if e.Type == wire.ObjectEventTypeDelete {
@@ -113,6 +116,20 @@
 	return g.mesh.LivePeerCount() == 0 || g.mesh.StoreOutageWithin(storeRecoveryTime)
 }
 
+// storeCallTimeout is the longest time that a call to the store takes in addition to the timeout of a watch.
+const storeCallTimeout = time.Second
+
+// storeBackAt returns the time from which entries that have expired in an outage of the store are stored again: that at
+// which another instance reached the store, and the time until this one knows such an entry. It is now if no instance is
+// known to have reached the store before, so that this one may be the first.
+func (g *Gateway) storeBackAt() time.Time {
+	back, known := g.mesh.StoreBackAt(storeRecoveryTime, maxWatchTimeout+storeCallTimeout)
+	if !known {
+		return time.Now()
+	}
+	return back.Add(staleListTolerance)
+}
+
 // serverEntry decodes the entry of a backend server. An invalid entry is logged and ignored, so that the registry
 // keeps the last valid entry of that server.
 func (g *Gateway) serverEntry(o wire.Object) (registry.Entry, bool) {
--- a/process/mesh/mesh.go
+++ b/process/mesh/mesh.go
@@ -150,6 +150,11 @@
 	holdsLease bool
 	// storeUnreachableAt is the time of the last datagram in which the instance reported that it can't reach the store.
 	storeUnreachableAt time.Time
+	// storeUnreachableSince is the time of the first one of the last uninterrupted series of such datagrams.
+	storeUnreachableSince time.Time
+	// readsSince is the time since which all datagrams told that the instance reads the store and reaches it; zero if the last
+	// one didn't.
+	readsSince time.Time
 }
 
 // isGone reports whether the instance sent no datagram within the last minSilence and wasn't found in the store within
@@ -414,10 +419,8 @@
 	p.run, p.dataCentre, p.address, p.leaving = datagram.Run, datagram.DataCentre, address, datagram.Leaving
 	p.received = time.Now()
 	p.config, p.servers, p.unreachable = datagram.Version, datagram.Servers, datagram.Unreachable
+	p.observeStore(datagram)
 	p.storeUnreachable, p.isReader, p.holdsLease = datagram.StoreOut, datagram.Reads, datagram.Lease > 0
-	if datagram.StoreOut {
-		p.storeUnreachableAt = p.received
-	}
 }
 
 // checkDataCentres calls OnDataCentreUnreachable for data centres whose instances have all become silent, and
--- a/process/mesh/readers.go
+++ b/process/mesh/readers.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/toucanroute/toucanroute/wire"
 )
 
 // countKeeperAddrs returns the addresses of the instances that store copies of this instance's request counts: the
@@ -185,9 +187,9 @@
 func (m *Mesh) StoreOutageWithin(d time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	readers, readersWithoutStore := 0, 0
+	readers, readersWithoutStore, now := 0, 0, time.Now()
 	for _, p := range m.peers {
-		recentOutage := !p.storeUnreachableAt.IsZero() && time.Since(p.storeUnreachableAt) < d
+		recentOutage := p.missedStoreWithin(d, now)
 		if recentOutage || p.isReader && time.Since(p.received) <= m.silenceTimeout() {
 			readers++
 		}
@@ -198,6 +200,63 @@
 	return readersWithoutStore > 0 && 2*readersWithoutStore >= readers
 }
 
+// observeStore records what a datagram that was just received tells of the store, before the peer's other state is
+// updated.
+func (p *peer) observeStore(datagram wire.News) {
+	if datagram.StoreOut {
+		if !p.storeUnreachable {
+			p.storeUnreachableSince = p.received
+		}
+		p.storeUnreachableAt = p.received
+	}
+	// An instance that has no list of servers yet has not reached the store.
+	switch reads := datagram.Reads && !datagram.StoreOut && datagram.Servers > 0; {
+	case !reads:
+		p.readsSince = time.Time{}
+	case p.readsSince.IsZero():
+		p.readsSince = p.received
+	}
+}
+
+// StoreBackAt returns the earliest known time at which the store was reachable after the last reader had begun to miss it in
+// the last d. It is zero if no reader missed it, and known is false if the store isn't known to have been reachable since.
+// Reachable means that a reader told that it reaches the store again, or that one has told nothing else for longer than
+// callTime: a call that hangs in an outage fails within that time.
+func (m *Mesh) StoreBackAt(d, callTime time.Duration) (back time.Time, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var began time.Time
+	for _, p := range m.peers {
+		if p.isReader && p.missedStoreWithin(d, now) && p.storeUnreachableSince.After(began) {
+			began = p.storeUnreachableSince
+		}
+	}
+	for _, p := range m.peers {
+		if p.readsSince.IsZero() || now.Sub(p.received) > m.silenceTimeout() {
+			continue
+		}
+		var reachedAt time.Time
+		switch {
+		case p.missedStoreWithin(d, now) && !p.readsSince.Before(began):
+			reachedAt = p.readsSince
+		case now.Sub(began) > callTime && now.Sub(p.readsSince) > callTime:
+			reachedAt = began
+		default:
+			continue
+		}
+		if !known || reachedAt.Before(back) {
+			back, known = reachedAt, true
+		}
+	}
+	return back, known
+}
+
+// missedStoreWithin reports whether the instance told in the last d that it can't reach the store.
+func (p *peer) missedStoreWithin(d time.Duration, now time.Time) bool {
+	return !p.storeUnreachableAt.IsZero() && now.Sub(p.storeUnreachableAt) < d
+}
+
 // DutyHolderIsLive reports whether a live peer holds the duties lease.
 func (m *Mesh) DutyHolderIsLive() bool {
 	m.mu.Lock()
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -11,7 +11,7 @@
 	"github.com/toucanroute/toucanroute/request/placement"
 )
 
-// missingEntryGracePeriod is the time after an outage of the store within which a live server whose entry has expired
+// missingEntryGracePeriod is the time after the return of the store within which a live server whose entry has expired
 // stores it again, as the platform specifies.
 const missingEntryGracePeriod = 2 * time.Second
 
@@ -134,7 +134,7 @@
 	}
 	srv.listCold(e, time.Now().Before(r.lenientUntil))
 	srv.entry = e
-	srv.missingSince = time.Time{}
+	srv.keptUntil = time.Time{}
 	switch {
 	case !e.Draining && !srv.leaving:
 		srv.drainingSince = time.Time{}
@@ -173,16 +173,38 @@
 	r.Log.Info("server_out", append(logFields(srv.entry), zap.String("reason", reason))...)
 }
 
-// Reset replaces all servers by a complete list of entries. After an outage of the store, a missing entry may only have
-// expired, so its server is kept for missingEntryGracePeriod.
+// Reset replaces all servers by a complete list of entries. With afterOutage, the store has just come back from an outage.
 func (r *Registry) Reset(entries []Entry, afterOutage bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reset(entries, afterOutage || time.Now().Before(r.lenientUntil))
+	now := time.Now()
+	r.reset(entries, r.graceAfter(now, afterOutage, now))
+}
+
+// ResetAfterOutage replaces all servers by a list of entries that was made after the store came back from an outage at
+// storeBack. A missing entry may only have expired, so its server is kept until missingEntryGracePeriod after that; an
+// entry that is missing later was removed.
+func (r *Registry) ResetAfterOutage(entries []Entry, storeBack time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset(entries, r.graceAfter(storeBack, true, time.Now()))
+}
+
+// graceAfter returns for how long servers are kept whose entries are missing from a list that is read now. The caller
+// holds mu.
+func (r *Registry) graceAfter(storeBack time.Time, afterOutage bool, now time.Time) time.Duration {
+	switch {
+	case now.Before(r.lenientUntil):
+		return missingEntryGracePeriod
+	case !afterOutage:
+		return 0
+	}
+	return missingEntryGracePeriod - now.Sub(storeBack)
 }
 
-// reset replaces all servers by a list of entries. The caller holds mu.
-func (r *Registry) reset(entries []Entry, afterOutage bool) {
+// reset replaces all servers by a list of entries. It keeps those whose entries are missing for the grace time, if that
+// is positive, counted from the first list that lacks the entry or from an earlier end. The caller holds mu.
+func (r *Registry) reset(entries []Entry, grace time.Duration) {
 	r.hasList = true
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -194,30 +216,30 @@
 		if listed[id] {
 			continue
 		}
-		if !afterOutage {
+		if grace <= 0 {
 			r.removeServer(id, "not_listed")
 			continue
 		}
 		srv.mu.Lock()
-		if srv.missingSince.IsZero() {
-			srv.missingSince = now
+		if end := now.Add(grace); srv.keptUntil.IsZero() || end.Before(srv.keptUntil) {
+			srv.keptUntil = end
 		}
 		srv.mu.Unlock()
 		r.Log.Info("server_missed", logFields(srv.entry)...)
 	}
-	if afterOutage {
-		time.AfterFunc(missingEntryGracePeriod, r.removeMissing)
+	if grace > 0 {
+		time.AfterFunc(grace, r.removeMissing)
 	}
 	r.rebuildIndex()
 }
 
-// removeMissing removes the servers whose missing entries weren't stored again within missingEntryGracePeriod.
+// removeMissing removes the servers whose missing entries weren't stored again in time.
 func (r *Registry) removeMissing() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, srv := range r.servers {
 		srv.mu.Lock()
-		expired := !srv.missingSince.IsZero() && time.Since(srv.missingSince) >= missingEntryGracePeriod
+		expired := !srv.keptUntil.IsZero() && !time.Now().Before(srv.keptUntil)
 		srv.mu.Unlock()
 		if expired {
 			r.removeServer(id, "not_back")
--- a/process/registry/rewind.go
+++ b/process/registry/rewind.go
@@ -54,7 +54,7 @@
 	for id := range r.servers {
 		known[id] = true
 	}
-	r.reset(entries, true)
+	r.reset(entries, missingEntryGracePeriod)
 	for _, e := range entries {
 		removed, ok := r.removedStarts[e.ID]
 		srv := r.servers[e.ID]
--- a/process/registry/server.go
+++ b/process/registry/server.go
@@ -34,8 +34,9 @@
 	removed bool
 	// drainingSince is the time when the server was first observed draining; zero if it isn't draining.
 	drainingSince time.Time
-	// missingSince is the time when the entry was found missing after an outage of the store; zero if it isn't missing.
-	missingSince time.Time
+	// keptUntil is the time until which the server is kept although its entry is missing after an outage of the store; zero if
+	// it isn't missing.
+	keptUntil time.Time
 	// leaving is set once a response of the server announced its shutdown.
 	leaving bool
 	// closedUntil is the end of the time for which the server wants no new requests.
