--- a/connection/caller/guard.go
+++ b/connection/caller/guard.go
@@ -35,8 +35,8 @@
 	conn   *nbio.Conn
 	parser *nbhttp.Parser
 
-	// initialized is set after the fields above. The goroutine of nbio's poller, which reads the connection's input,
-	// loads it before it reads those fields: only the kernel orders the accepting goroutine before the poller, and Go's
+	// initialized is set after the fields above. The goroutines of nbio, which read the connection's input and close it,
+	// load it before they read those fields: only the kernel orders the accepting goroutine before the poller, and Go's
 	// memory model doesn't cover that.
 	initialized atomic.Bool
 	// inputClosed is true once further input of the connection is ignored.
@@ -91,6 +91,20 @@
 	g.releaseBuffered()
 }
 
+// Close releases what the processor holds. The parser calls it, also when nbio closes the parser without the guard.
+func (g *connGuard) Close(parser *nbhttp.Parser, err error) {
+	if g.initialized.Load() {
+		g.Processor.Close(parser, err)
+	}
+}
+
+// Clean does the same without an error.
+func (g *connGuard) Clean(parser *nbhttp.Parser) {
+	if g.initialized.Load() {
+		g.Processor.Clean(parser)
+	}
+}
+
 // Parse passes bytes from the caller to the parser. It handles invalid input itself, by a refusal, and returns no
 // error.
 func (g *connGuard) Parse(data []byte) error {
