process/registry: a late answer doesn't hide that a server is brittle

Traced in a scratch copy (trial): all requests that were turned away came within 0.32 s after the servers had begun to say that they are brittle. Until then, answers came in to requests that had arrived before, which say nothing of it; each of them withdrew the statement and ended the pauses after rejections, and the instances went on as before.

An answer to a request that was sent before the last statement now withdraws nothing. TestLateAnswerHidesNoBrittleServer fails without the change.

--- a/process/registry/brittle.go
+++ b/process/registry/brittle.go
@@ -48,12 +48,17 @@
 }
 
 // RecordBrittle records the number of requests a second that the server can turn away, as it stated in its answer; negative
-// if it isn't brittle. rejected is set if the answer was such a rejection.
+// if it isn't brittle. rejected is set if the answer was such a rejection. The answer to a request that was sent before the
+// last statement doesn't withdraw that.
 func (a *Attempt) RecordBrittle(rejections float64, rejected bool) {
 	srv, now := a.srv, time.Now()
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	b := &srv.brittle
+	if rejections < 0 && a.startedAt.Before(b.statedAt) {
+		// The server may have begun this answer before it said that it is brittle.
+		return
+	}
 	if wasStated := b.isStated(now); wasStated != (rejections >= 0) {
 		srv.log.Info("server_brittle", append(logFields(srv.entry), zap.Bool("brittle", rejections >= 0), zap.Float64("rejections", rejections))...)
 	}
--- a/process/registry/brittle_test.go
+++ b/process/registry/brittle_test.go
@@ -225,3 +225,26 @@
 		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
 	})
 }
+
+// A late answer to a request that was sent before the server turned brittle doesn't end the pause; that to a later one does.
+func TestLateAnswerHidesNoBrittleServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRegistry(newEntry("a"), newEntry("b"))
+		srv := r.Serving("p")[0]
+		early := srv.Begin(0)
+		time.Sleep(time.Millisecond)
+		rejected := srv.Begin(0)
+		rejected.RecordBrittle(5, true)
+		rejected.End(OutcomeRefused)
+		time.Sleep(time.Millisecond)
+		early.RecordBrittle(-1, false)
+		early.End(OutcomeAnswered)
+		assert.Assert(t, r.IsBrittle("p"))
+		assert.Equal(t, len(r.Usable("p", Selection{})), 1)
+		later := srv.Begin(0)
+		later.RecordBrittle(-1, false)
+		later.End(OutcomeAnswered)
+		assert.Assert(t, !r.IsBrittle("p"))
+		assert.Equal(t, len(r.Usable("p", Selection{})), 2)
+	})
+}
