--- a/connection/gossip/hold_test.go
+++ b/connection/gossip/hold_test.go
@@ -41,10 +41,10 @@
 	return startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }, inFlight: newInFlight(time.Hour)})
 }
 
-// maxFetchTries is the number of times that a test makes a call again that has run into its time limit beside load.
+// maxFetchTries is the number of times that a test makes a call again that has timed out beside load.
 const maxFetchTries = 20
 
-// fetchInTime asks for the configuration, again if a call runs into its time limit.
+// fetchInTime asks for the configuration, again if a call times out.
 func fetchInTime(t *testing.T, address string, newerThan int) (list wire.ObjectList, err error) {
 	t.Helper()
 	for range maxFetchTries {
--- a/connection/gossip/reply_test.go
+++ b/connection/gossip/reply_test.go
@@ -109,7 +109,7 @@
 	var m *meter
 	var received wire.ObjectList
 	err := context.DeadlineExceeded
-	// A call that runs into its time limit beside load is made again.
+	// A call that times out beside load is made again.
 	for tries := 0; errors.Is(err, context.DeadlineExceeded) && tries < maxFetchTries; tries++ {
 		m = &meter{}
 		received, err = FetchObjects(t.Context(), m.start(t, address), "config", 0)
--- a/process/gateway/fetch.go
+++ b/process/gateway/fetch.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// fetchAgainIfLate calls fetch once more if the first call ran into its time limit: instances that are only slow hand the
+// fetchAgainIfLate calls fetch once more if the first call timed out: instances that are only slow hand the
 // objects to others meanwhile, and those that wait for the same one mustn't all read the store.
 func fetchAgainIfLate[T any](ctx context.Context, fetch func(context.Context) (T, error)) (T, error) {
 	answer, err := fetch(ctx)
--- a/process/gateway/fetch_test.go
+++ b/process/gateway/fetch_test.go
@@ -148,7 +148,7 @@
 	})
 }
 
-// Instances that ran into the time limit of a call, for a configuration that others have by then, don't send the asker to the
+// Instances whose call timed out, for a configuration that others have by then, don't send the asker to the
 // store. One that can't be asked at all does.
 func TestLateFetchAsksOthersBeforeStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
