gossip: TestStuckCallerMakesRoom begins once the stuck caller's reply is being sent

Cause, shown in a trial: a caller that is refused since another reply is being sent gets a short reply and keeps its connection, so that reading it ends with a timeout. The test sent the stuck caller's call and a second one at once; beside load the second may be served first, and the stuck caller isn't stuck.

Change: the test waits until the stuck caller's reply is being sent, and checks that it is.

--- a/connection/gossip/hold_test.go
+++ b/connection/gossip/hold_test.go
@@ -103,11 +103,20 @@
 
 // A caller that neither reads nor leaves is reset, and makes room for others.
 func TestStuckCallerMakesRoom(t *testing.T) {
-	list := configObjects(7)
-	address := startServer(t, &Server{ListObjects: func(string) (wire.ObjectList, bool) { return list, true }})
+	list, outcomes := configObjects(7), make(chan ReplyOutcome, 1)
+	address := startServer(t, &Server{
+		ListObjects: func(string) (wire.ObjectList, bool) { return list, true },
+		OnReply: func(_ string, outcome ReplyOutcome, _ int) {
+			select {
+			case outcomes <- outcome:
+			default:
+			}
+		},
+	})
 	conn := dial(t, address)
 	_, err := io.WriteString(conn, `{"jsonrpc":"2.0","id":0,"method":"objects","params":{"kind":"config"}}`)
 	assert.NilError(t, err)
+	assert.Equal(t, <-outcomes, ReplySent)
 	assert.NilError(t, fetchUntilServed(t, address))
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
 	_, err = io.Copy(io.Discard, conn)
