--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -17,7 +17,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -247,19 +246,19 @@
 
 // server is one backend server. Its handler gets each request whose head and body were read.
 type server struct {
-	id, service, zone, version string
+	id, service, zone, address string
 	capacity                   int
-	born                       int64
-	ln                         net.Listener
 	handle                     func(c *serverConn, r *http.Request, body []byte) (keep bool)
 	w                          *world
-	seq                        atomic.Int64
-	state                      atomic.Pointer[string]
-	mu                         sync.Mutex
-	conns                      map[net.Conn]bool
-	silent                     atomic.Bool
-	closed                     atomic.Bool
 	stop                       chan struct{}
+
+	mu      sync.Mutex
+	version string
+	born    int64
+	seq     int
+	down    bool
+	ln      net.Listener
+	conns   map[net.Conn]bool
 }
 
 // serverConn is a connection to a backend server.
@@ -279,12 +278,10 @@
 	}
 	s := &server{
 		id: id, service: service, zone: zone, version: version, capacity: capacity, born: time.Now().UnixMilli(), ln: ln, handle: handle, w: w,
-		conns: map[net.Conn]bool{}, stop: make(chan struct{}),
+		address: ln.Addr().String(), conns: map[net.Conn]bool{}, stop: make(chan struct{}),
 	}
-	available := "available"
-	s.state.Store(&available)
 	w.servers = append(w.servers, s)
-	go s.accept()
+	go s.accept(ln)
 	s.report()
 	go func() {
 		ticker := time.NewTicker(1200 * time.Millisecond)
@@ -301,19 +298,53 @@
 	return s, nil
 }
 
-// report writes the server's entry.
+// report writes the server's entry, unless the server is down.
 func (s *server) report() {
-	if s.silent.Load() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
 		return
 	}
+	s.seq++
 	s.w.platform.WriteObject("servers", s.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"version":%q,"capacity":%d,"state":%q,"coldRemainingMs":0,"seq":%d,"born":%d}`,
-		s.service, s.ln.Addr().String(), s.zone, s.version, s.capacity, *s.state.Load(), s.seq.Add(1), s.born))
+		`{"service":%q,"address":%q,"zone":%q,"version":%q,"capacity":%d,"state":"available","coldRemainingMs":0,"seq":%d,"born":%d}`,
+		s.service, s.address, s.zone, s.version, s.capacity, s.seq, s.born))
 }
 
-func (s *server) accept() {
+// softwareVersion returns the version of the software that runs.
+func (s *server) softwareVersion() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// restart ends the server with its connections and starts it again under its id and address, with a version of its
+// software. It listens and then writes its entry.
+func (s *server) restart(down time.Duration, version string) error {
+	s.mu.Lock()
+	s.down = true
+	ln := s.ln
+	s.mu.Unlock()
+	_ = ln.Close()
+	s.closeConns()
+	s.w.record.add("%s is down", s.id)
+	time.Sleep(down)
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.ln, s.born, s.version, s.seq, s.down = ln, time.Now().UnixMilli(), version, 0, false
+	s.mu.Unlock()
+	go s.accept(ln)
+	s.report()
+	s.w.record.add("%s is back with version %s and has written its entry", s.id, version)
+	return nil
+}
+
+func (s *server) accept(ln net.Listener) {
 	for {
-		c, err := s.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -361,11 +392,14 @@
 
 // close ends the server: its listener and connections.
 func (s *server) close() {
-	if s.closed.Swap(true) {
-		return
-	}
 	close(s.stop)
+	s.mu.Lock()
 	_ = s.ln.Close()
+	s.mu.Unlock()
+	s.closeConns()
+}
+
+func (s *server) closeConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
