--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -259,6 +259,7 @@
 	down    bool
 	ln      net.Listener
 	conns   map[net.Conn]bool
+	serveRaw func(id string, c net.Conn)
 }
 
 // serverConn is a connection to a backend server.
@@ -362,6 +363,10 @@
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
+	if s.serveRaw != nil {
+		s.serveRaw(s.id, c)
+		return
+	}
 	sc := &serverConn{Conn: c, r: bufio.NewReader(c), s: s}
 	for {
 		r, err := http.ReadRequest(sc.r)
