--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -252,13 +252,13 @@
 	w                          *world
 	stop                       chan struct{}
 
-	mu      sync.Mutex
-	version string
-	born    int64
-	seq     int
-	down    bool
-	ln      net.Listener
-	conns   map[net.Conn]bool
+	mu       sync.Mutex
+	version  string
+	born     int64
+	seq      int
+	down     bool
+	ln       net.Listener
+	conns    map[net.Conn]bool
 	serveRaw func(id string, c net.Conn)
 }
 
