--- a/review/_kit2/world.go
+++ b/review/_kit2/world.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -65,13 +66,36 @@
 	exit                                error
 }
 
+// The ports of daemons are below those that the system gives to outgoing connections, so that none is taken before the
+// daemon listens.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+var usedPorts = map[int]bool{}
+
+// freeAddress returns an address that is free for TCP and UDP, and that wasn't returned before.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(portCount)
+		address := "127.0.0.1:" + strconv.Itoa(port)
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		packets, err := net.ListenPacket("udp", address)
+		_ = ln.Close()
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
 }
 
 // newWorld starts a platform.
@@ -273,7 +297,7 @@
 
 // addServer starts a backend server and its status reports, every 1.2 s.
 func (w *world) addServer(id, service, zone, version string, capacity int, handle func(c *serverConn, r *http.Request, body []byte) bool) (*server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
